--- /dev/null
+++ b/choice/choice.go
@@ -0,0 +1,1010 @@
+package choice
+
+// How to call it: New for each start of a sender, on the Host of host.go, where the plain types are too. For
+// each turn: At(now), the turn's events in order (Listed, Take, Began, Settled, Withdrawn, Probed, Rang), then
+// Decide once. Events only update state and answer messages that are over; Decide does all the sending.
+//
+// The ordinary path: Settled -> repeat (retry budget, told wait plus full jitter, deadline) -> Decide -> call.
+
+import (
+	"encoding/binary"
+	"hash/crc32"
+	"math"
+	"slices"
+)
+
+const (
+	never  = int64(math.MaxInt64 / 4) // µs; a time that does not come
+	second = int64(1_000_000)         // µs
+
+	percentCanRetry  = 0.1         // repeats a success earns (design)
+	minRetriesPerSec = 3           // repeats a second always allowed (design)
+	ttl              = 10 * second // life of a credit (design)
+	creditSpan       = second / 2  // credits expire together by this much; 5% of ttl is fine enough
+	toldWaitBonus    = 2           // refusals with a told wait may spend at this multiple of the ratio (design)
+	backoffBase      = second / 10 // µs; first jitter window (design)
+	backoffCap       = 8 * second  // µs; widest jitter window (design)
+
+	dstShare  = 0.75 // of the slots; one destination stays strictly below (design)
+	sickShare = 0.5  // of the slots; a failing or slow one stays at or below (design)
+
+	answerMargin = second / 100 // µs before the deadline by which we answer: two of a usual turn
+	keyMargin    = second / 20  // µs; a key is taken for forgotten this much early, for the way to the receiver
+
+	strikesToClose = 3.0             // points; three errors in a row, two silent ones or failed connects
+	silentStrike   = 1.5             // points; a leg without any answer says more than an error
+	refusedRow     = 4               // refusals without a success in between that look like a shut destination
+	refusedSilence = second          // µs without a success that must go with such a row
+	longWait       = 5 * second / 2  // µs; no limiter tells waits this long, a shut destination does
+	trialGap       = 7 * second / 10 // µs between trials of a closed receiver: finds a return within the target time
+	trialGapMax    = 2 * second      // µs; trials that got through but failed thin out to this
+	trialGrowth    = 1.5             // factor for that thinning
+	rampMargin     = 0.7             // share of the allowed load on a cold receiver that is used; rest is for chance
+	rampExtra      = 0.25            // of a call; weight of each further message in a call to a cold receiver
+	roughLow       = 0.67            // a rough weight may be half too high
+	leastRate      = 1.0             // calls a second and sender assumed where nothing is known of a rate
+
+	paceStart   = 1.3        // of the even share of a known limit: others may leave some of theirs
+	paceCeiling = 2.0        // of the even share; never more than this, however well it goes
+	paceFloor   = 0.6        // of the even share; refusals never push below
+	paceCut     = 0.8        // factor after a refusal
+	paceRest    = second / 2 // µs between two cuts: refusals of one burst are one signal
+	paceGrowth  = 0.08       // a second; how fast the rate creeps up again
+	paceBurst   = 0.3        // seconds of the rate that may go at once, one call at least
+	okSpan      = 2 * second // µs; successes are counted over such spans
+	patienceVar = 6          // deviations above the mean answer time until a leg is given up
+	slowVar     = 4          // deviations until a leg out counts as slow
+	leastRoom   = 0.1        // odds of a receiver that seems full: it may have room after all
+	farLean     = 0.3        // odds of a receiver across zones where a crossing has a price
+	roomKept    = 0.9        // of the holding room; beyond, messages that cannot go soon are pushed back
+	adviceShort = second     // µs; advice given with a pushback for want of room
+	maxPatience = 4          // target times; longest a leg is waited for
+	doublings   = 3          // at most so many doublings of patience after time-outs
+)
+
+type state uint8
+
+// A message is held, out (a leg has no outcome yet), streaming, or over in one of four ways.
+const (
+	held state = iota
+	out
+	streaming
+	delivered
+	pushedBack
+	failed
+	withdrawn
+)
+
+type call struct {
+	r      *receiver
+	sentAt int64
+	open   int // legs in it without an outcome
+}
+
+type leg struct {
+	call    *call
+	settled bool
+	outcome Outcome
+}
+
+func (l *leg) mayHaveRun() bool { return !l.settled || !l.outcome.NeverRan() }
+
+type msg struct {
+	id        string
+	lane      *Lane
+	dst       *dst
+	line      *keyLine
+	state     state
+	expires   int64
+	notBefore int64 // told wait and jitter, or the rest of its key
+	giveUp    int64 // when it gets its final answer if nothing else happens
+	at        int   // place in the expiry heap, -1 for none
+	legs      []leg // at most Room.Legs
+}
+
+func (m *msg) over() bool { return m.state >= delivered }
+
+// risky is the first leg that may have run, nil if none.
+func (m *msg) risky() *leg {
+	for i := range m.legs {
+		if m.legs[i].mayHaveRun() {
+			return &m.legs[i]
+		}
+	}
+	return nil
+}
+
+func (m *msg) openLegs() (n int) {
+	for i := range m.legs {
+		if !m.legs[i].settled {
+			n++
+		}
+	}
+	return n
+}
+
+// mayPushBack: coming again must be harmless.
+func (m *msg) mayPushBack() bool {
+	return m.lane.Repeat == Retriable || m.risky() == nil || m.lane.Repeat == Keyed && m.lane.AnyInDst
+}
+
+// mayGoTo guards effects: a message that may have run goes only where and while a repeat is known as one.
+func (m *msg) mayGoTo(r *receiver, now int64) bool {
+	l := m.risky()
+	if l == nil || m.lane.Repeat == Retriable {
+		return true
+	}
+	return m.lane.Repeat == Keyed && now <= l.call.sentAt+m.lane.Window-keyMargin &&
+		(m.lane.AnyInDst || r.zone == l.call.r.zone)
+}
+
+// value left for an answer at a time, by the lane's way of falling.
+func (m *msg) value(at int64, halves bool) float64 {
+	late := float64(at - (m.expires - m.lane.Deadline + m.lane.Target))
+	switch {
+	case at > m.expires:
+		return 0
+	case late <= 0:
+		return m.lane.Value
+	case halves:
+		return m.lane.Value * max(m.lane.LateValue, math.Exp2(-late/float64(m.lane.Target)))
+	default:
+		return m.lane.Value * (1 - (1-m.lane.LateValue)*late/float64(m.lane.Deadline-m.lane.Target))
+	}
+}
+
+// keyLine holds the messages of one key in the order taken. It goes when empty and rested.
+type keyLine struct {
+	key  string
+	msgs []*msg
+	rest int64
+}
+
+// budget is the design's retry bucket. Its spans are a ring, so it never grows.
+type budget struct {
+	spans [int(ttl/creditSpan) + 1]struct {
+		span int64
+		n    int
+	}
+	spent float64
+}
+
+func (b *budget) expire(now int64, percent float64) (live int) {
+	edge := now/creditSpan - int64(ttl/creditSpan)
+	for i := range b.spans {
+		if s := &b.spans[i]; s.n > 0 && s.span <= edge {
+			b.spent = max(0, b.spent-float64(s.n)*percent)
+			s.n = 0
+		}
+		live += b.spans[i].n
+	}
+	return live
+}
+
+func (b *budget) deposit(now int64, percent float64) {
+	b.expire(now, percent)
+	s := &b.spans[(now/creditSpan)%int64(len(b.spans))]
+	s.span = now / creditSpan
+	s.n++
+}
+
+func (b *budget) withdraw(now int64, percent float64) bool {
+	live := b.expire(now, percent)
+	if float64(live)*percent+minRetriesPerSec*float64(ttl/second)-b.spent < 1 {
+		return false
+	}
+	b.spent++
+	return true
+}
+
+// route is what shares one limit and one told wait: a destination, or a receiver where routes are apart.
+type route struct {
+	waitUntil int64
+	share     float64 // even share of the known limit, 0 if none is known
+	told      float64 // limit told by answers, calls a second, 0 if none
+	rate      float64 // calls a second we allow ourselves, 0 for no limit yet
+	tokens    float64
+	filledAt  int64
+	cutAt     int64
+	okFrom    int64
+	okNow     float64 // successes in the span since okFrom
+	okPeak    float64 // most successes a second seen over a span
+}
+
+func (p *route) know(share float64) {
+	if share == p.share {
+		return
+	}
+	if p.share == 0 || p.rate == 0 {
+		p.rate = share * paceStart
+	} else {
+		p.rate *= share / p.share
+	}
+	p.share = share
+}
+
+func (p *route) refill(now int64) {
+	dt := float64(now-p.filledAt) / float64(second)
+	p.filledAt = now
+	if p.rate == 0 {
+		return
+	}
+	p.rate *= 1 + paceGrowth*min(dt, 1)
+	if p.share > 0 {
+		p.rate = min(max(p.rate, p.share*paceFloor), p.share*paceCeiling)
+	}
+	p.tokens = min(p.tokens+dt*p.rate, max(1, p.rate*paceBurst))
+}
+
+// readyAt is when pace and told wait let a call go.
+func (p *route) readyAt(now int64) int64 {
+	p.refill(now)
+	at := now
+	if p.rate > 0 && p.tokens < 1 {
+		at = now + int64((1-p.tokens)/p.rate*float64(second)) + 1
+	}
+	return max(at, p.waitUntil)
+}
+
+func (p *route) refused(now int64) {
+	if now-p.cutAt < paceRest {
+		return
+	}
+	p.cutAt = now
+	p.refill(now)
+	if p.rate == 0 {
+		p.rate = max(p.okPeak, p.okNow*float64(second)/float64(okSpan), leastRate)
+	}
+	p.rate = max(p.rate*paceCut, leastRate/4)
+	p.tokens = min(p.tokens, 0)
+}
+
+func (p *route) succeeded(now int64) {
+	if now-p.okFrom > okSpan {
+		p.okPeak = max(p.okPeak, p.okNow*float64(second)/float64(okSpan))
+		p.okFrom, p.okNow = now, 0
+	}
+	p.okNow++
+}
+
+type health uint8
+
+const (
+	open    health = iota
+	closed         // probes only, or the rare trial where there are none
+	onTrial        // one call at a time
+	warming        // back: its cold capacity bounds what it gets
+)
+
+type receiver struct {
+	id       uint32
+	dst      *dst
+	route    *route
+	zone     int
+	listed   bool
+	weight   float64
+	calls    int // out now
+	peak     int // most calls out when one came back delivered
+	health   health
+	since    int64 // of the last change of health
+	strikes  float64
+	refusals int
+	okAt     int64
+	gap      int64
+	trialAt  int64
+	probing  bool
+	tokens   float64
+	filledAt int64
+}
+
+// dst is a destination. There is one for each in the lists or named by a message.
+type dst struct {
+	id      int64
+	kind    Kind
+	route   *route
+	recvs   []*receiver // listed ones
+	held    []*msg
+	calls   []*call // out, oldest first
+	errs    budget
+	told    budget
+	mean    float64 // µs, answer time
+	dev     float64
+	sampled bool
+	wakeAt  int64
+}
+
+func (d *dst) slowAfter() float64 { return d.mean + slowVar*d.dev }
+
+// Sender decides for one sender.
+type Sender struct {
+	host    Host
+	seed    uint64
+	draws   uint64
+	now     int64
+	team    Team
+	lanes   []Lane
+	kinds   []Kind
+	room    Room
+	allowed Allowed
+	guards  Guards
+	trust   WeightTrust
+
+	msgs    map[string]*msg      // emptied as messages are over and their legs settled
+	dsts    map[int64]*dst       // as many as destinations
+	order   []*dst               // the same in a fixed order
+	recvs   map[uint32]*receiver // as many as receivers ever listed since the start
+	lines   map[string]*keyLine  // emptied as lines run empty and keys have rested
+	resting []*keyLine           // empty lines until their rest is over
+	expiry  expiryHeap           // messages not over
+	calls   int
+	timerAt int64
+	asked   bool
+}
+
+// New starts a sender that knows nothing yet.
+func New(h Host, seed uint64, team Team, lanes []Lane, kinds []Kind, room Room, allowed Allowed, guards Guards,
+	trust WeightTrust) *Sender {
+	return &Sender{host: h, seed: seed, team: team, lanes: lanes, kinds: kinds, room: room, allowed: allowed,
+		guards: guards, trust: trust, timerAt: never, msgs: map[string]*msg{}, dsts: map[int64]*dst{},
+		recvs: map[uint32]*receiver{}, lines: map[string]*keyLine{}}
+}
+
+func (s *Sender) chance() float64 {
+	var b [16]byte
+	binary.LittleEndian.PutUint64(b[:], s.seed)
+	binary.LittleEndian.PutUint64(b[8:], s.draws)
+	s.draws++
+	return float64(crc32.ChecksumIEEE(b[:])) / (1 << 32)
+}
+
+// At sets the clock for the events that follow.
+func (s *Sender) At(now int64) { s.now = now }
+
+func (s *Sender) dst(id int64) *dst {
+	d := s.dsts[id]
+	if d == nil {
+		d = &dst{id: id, route: &route{}, kind: Kind{Batch: 1}}
+		s.dsts[id] = d
+		s.order = append(s.order, d)
+	}
+	return d
+}
+
+// Listed takes a list of receivers. A failed lookup leaves the old one in force.
+func (s *Sender) Listed(form ListForm, entries []Entry) {
+	if form == LookupFailed {
+		s.asked = false
+		return
+	}
+	if form != Changes {
+		for _, d := range s.order {
+			for _, r := range d.recvs {
+				r.listed = false
+			}
+			d.recvs = d.recvs[:0]
+		}
+	}
+	for _, e := range entries {
+		s.listedOne(e)
+	}
+	for _, d := range s.order {
+		d.wakeAt = 0
+	}
+}
+
+func (s *Sender) listedOne(e Entry) {
+	d := s.dst(e.Dst)
+	if e.Kind >= 0 && e.Kind < len(s.kinds) {
+		d.kind = s.kinds[e.Kind]
+	}
+	r := s.recvs[e.Receiver]
+	if r == nil {
+		r = &receiver{id: e.Receiver, dst: d, route: d.route, gap: trialGap}
+		if d.kind.Apart {
+			r.route = &route{}
+		}
+		s.recvs[e.Receiver] = r
+	}
+	r.zone, r.weight, r.listed = e.Zone, e.Weight, e.Listed
+	d.recvs = slices.DeleteFunc(d.recvs, func(o *receiver) bool { return o == r })
+	if r.listed {
+		d.recvs = append(d.recvs, r)
+	}
+	if s.trust != NoWeight && r.weight > 0 && r.route.told == 0 {
+		r.route.know(r.weight / float64(s.team.Senders))
+	}
+}
+
+// Take accepts a message. It is this sender's until it has a final answer.
+func (s *Sender) Take(id string, lane int, key string, to, expires int64) {
+	m := &msg{id: id, lane: &s.lanes[lane], dst: s.dst(to), state: held, expires: expires, at: -1}
+	s.msgs[id] = m
+	if m.lane.InOrder && key != "" {
+		m.line = s.lines[key]
+		if m.line == nil {
+			m.line = &keyLine{key: key}
+			s.lines[key] = m.line
+		}
+		m.line.msgs = append(m.line.msgs, m)
+		m.notBefore = m.line.rest
+	}
+	m.dst.held = append(m.dst.held, m)
+	s.turn(m, held)
+}
+
+// turn is the one place where a message changes its state.
+func (s *Sender) turn(m *msg, to state) {
+	if m.over() {
+		return
+	}
+	if m.state == held && to != held {
+		m.dst.held = slices.DeleteFunc(m.dst.held, func(o *msg) bool { return o == m })
+	} else if m.state != held && to == held {
+		m.dst.held = append(m.dst.held, m)
+	}
+	m.state = to
+	m.dst.wakeAt = 0
+	switch to {
+	case held:
+		m.giveUp = m.expires - answerMargin
+		if l := m.risky(); l != nil && m.lane.Repeat == Keyed {
+			m.giveUp = min(m.giveUp, l.call.sentAt+m.lane.Window-keyMargin)
+		}
+	case out:
+		m.giveUp = m.expires - answerMargin
+	case pushedBack, failed, delivered, withdrawn, streaming:
+		m.giveUp = never
+	}
+	s.expiry.place(m)
+	s.forget(m)
+}
+
+// forget drops a message that is over once nothing of it is out, and lets the next of its key go.
+func (s *Sender) forget(m *msg) {
+	if !m.over() || m.openLegs() > 0 {
+		return
+	}
+	delete(s.msgs, m.id)
+	l := m.line
+	if l == nil {
+		return
+	}
+	l.msgs = slices.DeleteFunc(l.msgs, func(o *msg) bool { return o == m })
+	if len(l.msgs) == 0 {
+		s.resting = append(s.resting, l)
+		return
+	}
+	l.msgs[0].notBefore = max(l.msgs[0].notBefore, l.rest)
+	l.msgs[0].dst.wakeAt = 0
+}
+
+// end gives the final answer: pushed back only if the last outcome proves it never ran and the lane allows it.
+func (s *Sender) end(m *msg, advice int64) {
+	if m.over() {
+		return
+	}
+	lastClean := len(m.legs) == 0
+	if n := len(m.legs); n > 0 {
+		lastClean = m.legs[n-1].settled && m.legs[n-1].outcome.NeverRan()
+	}
+	if lastClean && m.mayPushBack() {
+		if !s.allowed.Advice {
+			advice = 0
+		}
+		s.turn(m, pushedBack)
+		s.host.PushBack(m.id, min(advice, s.allowed.MaxAdvice))
+		return
+	}
+	s.turn(m, failed)
+	s.host.Fail(m.id)
+}
+
+// Withdrawn says that nobody wants the message any more.
+func (s *Sender) Withdrawn(id string) {
+	if m := s.msgs[id]; m != nil {
+		s.turn(m, withdrawn)
+	}
+}
+
+// Began says that the answer of a streamed leg has started; it now belongs to the client.
+func (s *Sender) Began(id string) {
+	if m := s.msgs[id]; m != nil {
+		s.turn(m, streaming)
+	}
+}
+
+// Settled takes the outcome of a leg. wait is what a refusal told, 0 for nothing.
+func (s *Sender) Settled(id string, number int, o Outcome, wait int64, final bool, rep Report) {
+	m := s.msgs[id]
+	if m == nil || number < 0 || number >= len(m.legs) || m.legs[number].settled {
+		return
+	}
+	l := &m.legs[number]
+	l.settled, l.outcome = true, o
+	c := l.call
+	if o == Full && wait > 0 { // binds from this very turn, though others of the call may tell less
+		c.r.route.waitUntil = max(c.r.route.waitUntil, s.now+wait)
+	}
+	c.open--
+	if c.open == 0 {
+		s.calls--
+		c.r.calls--
+		c.r.dst.calls = slices.DeleteFunc(c.r.dst.calls, func(x *call) bool { return x == c })
+		s.observe(c, o, wait)
+	}
+	s.reported(c.r, rep)
+	c.r.dst.wakeAt = 0
+	if m.line != nil && (o == TimedOut || o == Reset || o == Cancelled) {
+		m.line.rest = s.now + s.guards.KeyRest
+	}
+	switch {
+	case m.over():
+		s.forget(m)
+	case final:
+		s.turn(m, delivered)
+	case m.state == streaming:
+		s.end(m, 0)
+	case m.openLegs() == 0:
+		s.repeat(m, o, wait)
+	}
+}
+
+// repeat is the design's mechanism: budget, told wait plus full jitter, deadline.
+func (s *Sender) repeat(m *msg, o Outcome, wait int64) {
+	d := m.dst
+	if len(m.legs) >= s.room.Legs || m.risky() != nil && m.lane.Repeat == NonRetriable {
+		s.end(m, wait)
+		return
+	}
+	if o == Skipped {
+		s.turn(m, held)
+		return
+	}
+	afford := false
+	if o == Full && wait > 0 {
+		afford = d.told.withdraw(s.now, percentCanRetry*toldWaitBonus)
+	} else {
+		afford = d.errs.withdraw(s.now, percentCanRetry)
+	}
+	window := min(backoffCap, backoffBase<<min(len(m.legs)-1, 10))
+	m.notBefore = s.now + wait + int64(s.chance()*float64(window))
+	if !afford || m.notBefore > m.expires-answerMargin {
+		s.end(m, wait)
+		return
+	}
+	s.turn(m, held)
+}
+
+// observe learns from a call that is over.
+func (s *Sender) observe(c *call, o Outcome, wait int64) {
+	r, d := c.r, c.r.dst
+	switch o {
+	case Delivered:
+		d.errs.deposit(s.now, percentCanRetry)
+		d.told.deposit(s.now, percentCanRetry*toldWaitBonus)
+		d.timed(float64(s.now - c.sentAt))
+		r.route.succeeded(s.now)
+		s.answered(r, c.sentAt)
+	case Full:
+		r.route.refused(s.now)
+		s.turnedAway(r, wait)
+	case TimedOut:
+		d.timed(max(d.mean, float64(s.now-c.sentAt)))
+		s.struck(r, c.sentAt, silentStrike)
+	case ConnectFailed:
+		s.struck(r, c.sentAt, silentStrike)
+	case Errored, Reset:
+		s.struck(r, c.sentAt, 1)
+	}
+}
+
+func (d *dst) timed(t float64) {
+	if !d.sampled {
+		d.mean, d.dev, d.sampled = t, t/2, true
+		return
+	}
+	d.dev += (math.Abs(t-d.mean) - d.dev) / 4
+	d.mean += (t - d.mean) / 8
+}
+
+func (s *Sender) reported(r *receiver, rep Report) {
+	if rep.Told && rep.LimitPerSec > 0 {
+		r.route.told = rep.LimitPerSec
+		r.route.know(rep.LimitPerSec / float64(s.team.Senders))
+	}
+}
+
+func (s *Sender) answered(r *receiver, sentAt int64) {
+	r.okAt = s.now
+	r.peak = max(r.peak, r.calls+1)
+	if sentAt < r.since {
+		return
+	}
+	r.strikes, r.refusals = 0, 0
+	if r.health == onTrial || r.health == closed {
+		s.become(r, warming)
+		r.gap, r.tokens, r.filledAt = trialGap, 0, s.now
+	}
+}
+
+func (s *Sender) become(r *receiver, h health) {
+	r.health, r.since = h, s.now
+	r.strikes, r.refusals = 0, 0
+	r.dst.wakeAt = 0
+}
+
+// struck guards against any outage that shows as legs gone wrong: down, silent, hung or failing most calls.
+func (s *Sender) struck(r *receiver, sentAt int64, points float64) {
+	if sentAt < r.since {
+		return
+	}
+	r.strikes += points
+	if r.health == onTrial {
+		r.gap = min(int64(float64(r.gap)*trialGrowth), trialGapMax)
+	}
+	if r.health == onTrial || r.health != closed && r.strikes >= strikesToClose {
+		s.close(r)
+	}
+}
+
+// turnedAway tells a shut destination from a busy one: told a long wait, or a row of refusals and no success.
+func (s *Sender) turnedAway(r *receiver, wait int64) {
+	r.refusals++
+	switch {
+	case r.health == onTrial, r.health != closed && wait >= longWait,
+		r.health != closed && r.refusals >= refusedRow && s.now-r.okAt > refusedSilence:
+		s.close(r)
+	}
+}
+
+func (s *Sender) close(r *receiver) {
+	s.become(r, closed)
+	r.trialAt = s.now + int64(float64(r.gap)*(0.5+s.chance()))
+	for _, o := range r.dst.recvs { // an outage mostly takes all receivers of a destination: be quicker with them
+		if o != r && o.health == open && o.okAt < s.now-refusedSilence {
+			o.strikes = max(o.strikes, strikesToClose-1)
+		}
+	}
+}
+
+// Probed takes the outcome of a probe.
+func (s *Sender) Probed(id uint32, o Outcome, rep Report) {
+	r := s.recvs[id]
+	if r == nil {
+		return
+	}
+	r.probing = false
+	r.dst.wakeAt = 0
+	s.reported(r, rep)
+	if r.health != closed {
+		return
+	}
+	if o == Delivered {
+		s.become(r, onTrial)
+		return
+	}
+	r.trialAt = s.now + int64(float64(r.gap)*(0.5+s.chance()))
+}
+
+// Rang takes back the one timer.
+func (s *Sender) Rang(uint64) { s.timerAt = never }
+
+// capacity is what a receiver's destination (or route) surely takes when warm, in calls a second from all.
+func (s *Sender) capacity(r *receiver) float64 {
+	switch {
+	case r.route.told > 0:
+		return r.route.told
+	case s.trust == NominalWeight && r.weight > 0:
+		return r.weight
+	case s.trust == RoughWeight && r.weight > 0:
+		return r.weight * roughLow
+	}
+	return float64(s.team.Senders) * max(leastRate, r.route.okPeak)
+}
+
+// ramp is this sender's share of what a receiver back from an outage may be sent, in calls a second. Danger: a
+// cold destination sent a multiple of what it can do falls over for good, and nobody says when it returned.
+func (s *Sender) ramp(r *receiver) float64 {
+	g := s.guards
+	warm := min(1, float64(s.now-r.since)/float64(max(1, g.WarmWithin)))
+	rate := s.capacity(r) * (g.StartShare + (1-g.StartShare)*warm) * g.Overload * rampMargin
+	if !r.dst.kind.Apart {
+		rate /= float64(max(1, len(r.dst.recvs)))
+	}
+	return rate / float64(s.team.Senders)
+}
+
+// readyAt is when a receiver may get its next call; never for one that waits for an event.
+func (s *Sender) readyAt(r *receiver) int64 {
+	at := r.route.readyAt(s.now)
+	switch r.health {
+	case closed:
+		if s.allowed.Probes || r.calls > 0 {
+			return never
+		}
+		return max(at, r.trialAt)
+	case onTrial:
+		if r.calls > 0 {
+			return never
+		}
+	case warming:
+		if s.now-r.since > s.guards.WarmWithin {
+			s.become(r, open)
+			return at
+		}
+		rate := s.ramp(r)
+		r.tokens = min(1, r.tokens+rate*float64(s.now-r.filledAt)/float64(second))
+		r.filledAt = s.now
+		if r.tokens < 1 {
+			at = max(at, s.now+int64((1-r.tokens)/rate*float64(second))+1)
+		}
+	}
+	return at
+}
+
+// cap is how many slots a destination may hold.
+func (s *Sender) cap(d *dst) int {
+	sick := len(d.calls) > 0 && d.sampled && float64(s.now-d.calls[0].sentAt) > d.slowAfter()
+	for _, r := range d.recvs {
+		sick = sick || r.health != open
+	}
+	if sick {
+		return max(1, int(sickShare*float64(s.room.Slots)))
+	}
+	return max(1, int(math.Ceil(dstShare*float64(s.room.Slots)))-1)
+}
+
+// Decide is the end of a turn: answers what is out of time, tries what is closed, sends what may go.
+func (s *Sender) Decide() {
+	s.keepSubscribed()
+	s.restOver()
+	for len(s.expiry) > 0 && s.expiry[0].giveUp <= s.now {
+		s.end(s.expiry[0], 0)
+	}
+	var ready []*dst
+	for _, d := range s.order {
+		if d.wakeAt <= s.now && (len(d.held) > 0 || len(d.recvs) > 0) {
+			d.wakeAt = never
+			s.tryClosed(d)
+			ready = append(ready, d)
+		}
+	}
+	s.dispatch(ready)
+	s.makeRoom()
+	s.setTimer()
+}
+
+func (s *Sender) keepSubscribed() {
+	if s.allowed.Subscribe && !s.asked {
+		s.asked = true
+		s.host.Subscribe()
+	}
+}
+
+func (s *Sender) restOver() {
+	s.resting = slices.DeleteFunc(s.resting, func(l *keyLine) bool {
+		if len(l.msgs) == 0 && l.rest <= s.now && s.lines[l.key] == l {
+			delete(s.lines, l.key)
+		}
+		return len(l.msgs) > 0 || l.rest <= s.now
+	})
+}
+
+// tryClosed probes closed receivers, rarely.
+func (s *Sender) tryClosed(d *dst) {
+	for _, r := range d.recvs {
+		if r.health != closed || !s.allowed.Probes || r.probing {
+			continue
+		}
+		if at := max(r.trialAt, r.route.waitUntil); at > s.now {
+			d.wakeAt = min(d.wakeAt, at)
+			continue
+		}
+		r.probing = true
+		s.host.Probe(r.id)
+	}
+}
+
+type candidate struct {
+	d      *dst
+	m      *msg
+	urgent float64
+}
+
+// dispatch sends the most urgent message that may go, again and again, until none may or no slot is left.
+func (s *Sender) dispatch(ready []*dst) {
+	var cands []candidate
+	for _, d := range ready {
+		if c := s.best(d); c.m != nil {
+			cands = append(cands, c)
+		}
+	}
+	for len(cands) > 0 {
+		top := 0
+		for i := range cands {
+			if cands[i].urgent > cands[top].urgent {
+				top = i
+			}
+		}
+		if s.calls >= s.room.Slots {
+			for _, c := range cands {
+				c.d.wakeAt = 0
+			}
+			return
+		}
+		d := cands[top].d
+		s.call(cands[top].m)
+		if cands[top] = s.best(d); cands[top].m == nil {
+			cands = slices.Delete(cands, top, top+1)
+		}
+	}
+}
+
+// usable lists the receivers that may get a call now, and notes when the next one may.
+func (s *Sender) usable(d *dst) (rs []*receiver) {
+	for _, r := range d.recvs {
+		if at := s.readyAt(r); at <= s.now {
+			rs = append(rs, r)
+		} else {
+			d.wakeAt = min(d.wakeAt, at)
+		}
+	}
+	return rs
+}
+
+// best is the held message of a destination that loses most by waiting one more target time.
+func (s *Sender) best(d *dst) candidate {
+	c := candidate{d: d}
+	if len(d.held) == 0 || len(d.calls) >= s.cap(d) {
+		return c
+	}
+	rs := s.usable(d)
+	if len(rs) == 0 {
+		return c
+	}
+	for _, m := range d.held {
+		if !s.mayGo(m) || !slices.ContainsFunc(rs, func(r *receiver) bool { return m.mayGoTo(r, s.now) }) {
+			continue
+		}
+		if u := s.urgency(m); c.m == nil || u > c.urgent {
+			c.m, c.urgent = m, u
+		}
+	}
+	return c
+}
+
+func (s *Sender) mayGo(m *msg) bool {
+	if m.notBefore > s.now {
+		m.dst.wakeAt = min(m.dst.wakeAt, m.notBefore)
+		return false
+	}
+	return m.line == nil || m.line.msgs[0] == m
+}
+
+func (s *Sender) urgency(m *msg) float64 {
+	at := s.now + int64(m.dst.mean)
+	return m.value(at, s.room.HalvesLate) - m.value(at+m.lane.Target, s.room.HalvesLate)
+}
+
+// call sends a message, and with it as many more for the same receiver as a call takes.
+func (s *Sender) call(m *msg) {
+	d := m.dst
+	r := s.draw(m, s.usable(d))
+	c := &call{r: r, sentAt: s.now}
+	s.calls++
+	r.calls++
+	d.calls = append(d.calls, c)
+	r.route.tokens--
+	r.tokens--
+	s.send(m, c)
+	for n := 1; n < d.kind.Batch; n++ {
+		var next *msg
+		var most float64
+		for _, o := range d.held {
+			if s.mayGo(o) && o.mayGoTo(r, s.now) {
+				if u := s.urgency(o); next == nil || u > most {
+					next, most = o, u
+				}
+			}
+		}
+		if next == nil {
+			return
+		}
+		r.tokens -= rampExtra
+		s.send(next, c)
+	}
+}
+
+func (s *Sender) send(m *msg, c *call) {
+	c.open++
+	m.legs = append(m.legs, leg{call: c})
+	s.turn(m, out)
+	s.host.Send(m.id, c.r.id, s.patience(m, c.r))
+}
+
+// draw picks one receiver at random, odds in step with the room each is thought to have.
+func (s *Sender) draw(m *msg, rs []*receiver) *receiver {
+	odds := make([]float64, len(rs))
+	sum := 0.0
+	for i, r := range rs {
+		if !m.mayGoTo(r, s.now) {
+			continue
+		}
+		odds[i] = max(leastRoom, float64(r.peak+1-r.calls))
+		if r.zone != s.team.Zone && s.team.CrossingFee > 0 {
+			odds[i] *= farLean
+		}
+		sum += odds[i]
+	}
+	x := s.chance() * sum
+	last := -1
+	for i, o := range odds {
+		if o == 0 {
+			continue
+		}
+		last = i
+		if x -= o; x < 0 {
+			break
+		}
+	}
+	return rs[last]
+}
+
+// patience is how long a leg is waited for: by the answer times seen, longer after time-outs.
+func (s *Sender) patience(m *msg, r *receiver) int64 {
+	target := m.lane.Target
+	most := maxPatience * target
+	p := most / 2
+	if r.dst.sampled {
+		p = int64(r.dst.mean + patienceVar*r.dst.dev)
+	}
+	p = max(p, target/2)
+	for i := range min(len(m.legs), doublings+1) {
+		if m.legs[i].settled && m.legs[i].outcome == TimedOut {
+			p *= 2
+		}
+	}
+	if r.health == onTrial || r.health == closed {
+		p = most
+	}
+	return max(1, min(p, most, m.expires-answerMargin-s.now))
+}
+
+// makeRoom pushes back before the holding room is full: then nobody's messages get in, not even those that
+// could go at once. The destination with most held gives way, its least urgent message first.
+func (s *Sender) makeRoom() {
+	for float64(len(s.expiry)) > roomKept*float64(s.room.Held) {
+		var worst *msg
+		most := 0
+		for _, d := range s.order {
+			if len(d.held) <= most {
+				continue
+			}
+			for _, m := range d.held {
+				if m.mayPushBack() && (worst == nil || m.dst != d || s.urgency(m) <= s.urgency(worst)) {
+					worst, most = m, len(d.held)
+				}
+			}
+		}
+		if worst == nil {
+			return
+		}
+		s.end(worst, adviceShort)
+	}
+}
+
+func (s *Sender) setTimer() {
+	at := never
+	if len(s.expiry) > 0 {
+		at = s.expiry[0].giveUp
+	}
+	for _, d := range s.order {
+		if d.wakeAt > s.now {
+			at = min(at, d.wakeAt)
+		}
+	}
+	if at < s.timerAt && at < never {
+		s.timerAt = at
+		s.host.Timer(max(1, at-s.now), 0)
+	}
+}
--- /dev/null
+++ b/choice/choice_test.go
@@ -0,0 +1,152 @@
+package choice
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+func TestNonRetriableEndsAfterATimeOutButGoesOnAfterProof(t *testing.T) {
+	f := begin(t, oneWay, 20, 1, aLot, Kind{Batch: 1})
+	f.take("a", "b")
+	assert.Equal(t, 2, count(f.after(0), "send"))
+	f.ends("a", TimedOut, 0)
+	f.ends("b", Full, 0)
+	assert.Equal(t, "fail a", f.did[2])
+	assert.Equal(t, []string{"send b"}, f.after(second))
+}
+
+func TestKeyedIsNeverSentPastItsWindow(t *testing.T) {
+	f := begin(t, keyed, 20, 1, aLot, Kind{Batch: 1})
+	f.take("a")
+	f.after(0)
+	f.after(window - 10*ms)
+	f.ends("a", TimedOut, 0)
+	f.did = nil
+	assert.Zero(t, count(f.after(20*second), "send"))
+	assert.Empty(t, f.msgs)
+}
+
+func TestToldWaitBindsEveryMessageOfTheDestination(t *testing.T) {
+	f := begin(t, keyed, 20, 2, aLot, Kind{Batch: 1})
+	f.take("a")
+	f.after(0)
+	f.ends("a", Full, 800*ms)
+	f.take("b")
+	assert.Empty(t, f.after(790*ms))
+	assert.Equal(t, 2, count(f.after(300*ms), "send"))
+}
+
+func TestDrainStopsAtOnceAndHeldWorkWaitsForTheList(t *testing.T) {
+	f := begin(t, keyed, 20, 1, aLot, Kind{Batch: 1})
+	f.Listed(Changes, []Entry{{Receiver: 1, Dst: 7}})
+	f.take("a")
+	assert.Empty(t, f.after(second))
+	f.Listed(LookupFailed, nil)
+	f.Listed(Whole, []Entry{{Receiver: 2, Dst: 7, Weight: aLot, Listed: true}})
+	assert.Equal(t, []string{"send a"}, f.after(0))
+	assert.EqualValues(t, 2, f.to["a"])
+}
+
+func TestReturnFromAnOutageIsRamped(t *testing.T) {
+	f := begin(t, keyed, 40, 1, 20, Kind{Batch: 1})
+	f.take("a", "b", "c")
+	f.after(0)
+	f.after(2 * second)
+	for _, m := range []string{"a", "b", "c"} {
+		f.ends(m, TimedOut, 0)
+	}
+	for i := range 20 {
+		f.take(fmt.Sprint("held", i))
+	}
+	did := f.after(2 * second)
+	assert.Zero(t, count(did, "send"))
+	assert.Equal(t, 1, count(did, "probe"))
+	f.Probed(1, Delivered, Report{})
+	assert.Equal(t, 1, count(f.after(second), "send"), "one trial")
+	m := f.did[0][len("send "):]
+	f.ends(m, Delivered, 0)
+	share := .2 * 20 * 2 * 2 / 2 // start share x capacity x overload factor x 2 s, for one of two senders
+	assert.LessOrEqual(t, count(f.after(2*second), "send"), int(share)+2)
+}
+
+func TestKeysTakeTurnsAndRest(t *testing.T) {
+	f := begin(t, inOrder, 20, 1, aLot, Kind{Batch: 1})
+	f.Take("a", 0, "k", 7, f.now+28*second)
+	f.Take("b", 0, "k", 7, f.now+28*second)
+	assert.Equal(t, []string{"send a"}, f.after(0))
+	f.Withdrawn("a")
+	assert.Empty(t, f.after(second), "a leg of a is still out")
+	f.ends("a", TimedOut, 0)
+	assert.Empty(t, f.after(990*ms))
+	assert.Equal(t, []string{"send b"}, f.after(20*ms))
+	f.ends("b", Delivered, 0)
+	f.after(2 * second)
+	assert.Empty(t, f.lines)
+	assert.Empty(t, f.msgs)
+}
+
+func TestBudgetEarnsATenthAndForgetsAfterTtl(t *testing.T) {
+	var b budget
+	for range 30 {
+		assert.True(t, b.withdraw(second, percentCanRetry))
+	}
+	assert.False(t, b.withdraw(second, percentCanRetry))
+	for range 20 {
+		b.deposit(2*second, percentCanRetry)
+	}
+	assert.True(t, b.withdraw(3*second, percentCanRetry))
+	assert.True(t, b.withdraw(3*second, percentCanRetry))
+	assert.False(t, b.withdraw(3*second, percentCanRetry))
+	b.expire(13*second, percentCanRetry)
+	assert.InDelta(t, 30, b.spent, 1e-9, "20 expired credits cut spent by 2")
+}
+
+func TestEmptyBudgetFailsOrPushesBackByTheLastOutcome(t *testing.T) {
+	f := begin(t, keyed, 20, 1, aLot, Kind{Batch: 1})
+	f.dsts[7].errs.spent = 1000
+	f.take("a", "b")
+	f.after(0)
+	f.ends("a", Errored, 0)
+	f.ends("b", ConnectFailed, 0)
+	assert.Equal(t, []string{"fail a", "push back b"}, f.did[2:])
+}
+
+func TestDestinationCap(t *testing.T) {
+	for slots, want := range map[int]int{1: 1, 2: 1, 3: 2, 4: 2, 20: 14} {
+		f := begin(t, keyed, slots, 1, aLot, Kind{Batch: 1})
+		for i := range 30 {
+			f.take(fmt.Sprint(i))
+		}
+		assert.Equal(t, want, count(f.after(0), "send"), "%d slots", slots)
+	}
+}
+
+func TestMessagesOfOneTurnShareACall(t *testing.T) {
+	f := begin(t, keyed, 2, 1, aLot, Kind{Batch: 5})
+	f.take("a", "b", "c")
+	assert.Equal(t, 3, count(f.after(0), "send"))
+	assert.Equal(t, 1, f.calls)
+}
+
+func TestSameEventsSameActions(t *testing.T) {
+	run := func() []string {
+		f := begin(t, keyed, 20, 3, 9, Kind{Batch: 1})
+		for i := range 12 {
+			f.take(fmt.Sprint(i))
+		}
+		did := f.after(3 * second)
+		return append(did, fmt.Sprint(f.to))
+	}
+	assert.Equal(t, run(), run())
+}
+
+func TestLongestWaitOfASharedCallCounts(t *testing.T) {
+	f := begin(t, keyed, 20, 1, aLot, Kind{Batch: 2})
+	f.take("a", "b")
+	f.after(0)
+	f.ends("a", Full, 800*ms)
+	f.ends("b", Full, 0)
+	assert.Empty(t, f.after(790*ms))
+}
--- /dev/null
+++ b/internal/simwire/instance.go
@@ -0,0 +1,175 @@
+package simwire
+
+import (
+	"strconv"
+
+	"github.com/tidwall/gjson"
+
+	"ravenlink/choice"
+)
+
+// instance is one sender's module and the actions it has taken in this batch.
+type instance struct {
+	sender  *choice.Sender
+	number  int64
+	lanes   int
+	actions []byte
+}
+
+// start reads the settings into the module's own small records.
+func start(f gjson.Result) *instance {
+	c := f.Get("config")
+	t := &instance{number: f.Get("sender").Int()}
+	zone := c.Get("zone").Int()
+	team := choice.Team{Me: int(c.Get("me").Int()), Senders: max(1, int(c.Get("balancers").Int())),
+		Zone: int(zone), CrossingFee: c.Get("deductions.cross_zone").Float()}
+	var lanes []choice.Lane
+	c.Get("classes").ForEach(func(_, l gjson.Result) bool {
+		lanes = append(lanes, lane(l))
+		return true
+	})
+	var kinds []choice.Kind
+	c.Get("machine_types").ForEach(func(_, _ gjson.Result) bool {
+		n := strconv.Itoa(len(kinds))
+		kinds = append(kinds, choice.Kind{Apart: c.Get("family_info.own_limits." + n).Bool(),
+			Batch: max(1, int(c.Get("family_info.batch_by_kind."+n).Int()))})
+		return true
+	})
+	t.lanes = len(lanes)
+	room := choice.Room{Slots: limit(c.Get("family_info.max_calls")), Held: limit(c.Get("limits.most_held")),
+		Legs: limit(c.Get("limits.send_cap")), HalvesLate: c.Get("family_info.late").String() == "halves"}
+	allowed := choice.Allowed{Probes: c.Get("limits.probes").Bool(),
+		Subscribe: c.Get("discovery").String() == "subscribe", Advice: c.Get("limits.retry_after").Bool(),
+		MaxAdvice: micros(c.Get("limits.max_retry_after"))}
+	guards := choice.Guards{StartShare: c.Get("rules.start_capacity").Float(),
+		WarmWithin: micros(c.Get("rules.warm_within")), Overload: c.Get("rules.overload_factor").Float(),
+		Fall: micros(c.Get("rules.fall")), KeyRest: micros(c.Get("rules.key_quiet"))}
+	trust := map[string]choice.WeightTrust{"nominal": choice.NominalWeight, "rough": choice.RoughWeight}
+	t.sender = choice.New(t, f.Get("nonce64").Uint(), team, lanes, kinds, room, allowed, guards,
+		trust[c.Get("weight_source").String()])
+	return t
+}
+
+// limit reads a number that bounds something; absent means no bound.
+func limit(v gjson.Result) int {
+	if v.Int() <= 0 {
+		return 1 << 30
+	}
+	return int(v.Int())
+}
+
+func lane(l gjson.Result) choice.Lane {
+	repeat := map[string]choice.Repeat{"repeatable": choice.Retriable, "by_key": choice.Keyed}
+	return choice.Lane{Repeat: repeat[l.Get("repeat").String()], AnyInDst: l.Get("group").String() == "all",
+		Window: micros(l.Get("window")), Target: span(l.Get("aim")), Deadline: span(l.Get("deadline")),
+		Value: l.Get("importance").Float(), LateValue: l.Get("late_worth").Float(),
+		Stretches: l.Get("aim_stretch").Float() > 0, InOrder: l.Get("sequential").Bool()}
+}
+
+func (t *instance) report(h gjson.Result) choice.Report {
+	if !h.IsObject() {
+		return choice.Report{}
+	}
+	return choice.Report{Told: true, ShareLeft: h.Get("x0").Float(), LimitPerSec: h.Get("x1").Float()}
+}
+
+// begin opens an action; millis and end add to it. Each starts with a comma.
+func (t *instance) begin(name string) {
+	t.actions = append(append(append(t.actions, `,{"`...), name...), `":{"sender":`...)
+	t.actions = strconv.AppendInt(t.actions, t.number, 10)
+}
+
+func (t *instance) text(name, v string) {
+	t.actions = append(append(append(t.actions, `,"`...), name...), `":`...)
+	t.actions = gjson.AppendJSONString(t.actions, v)
+}
+
+func (t *instance) whole(name string, v uint64) {
+	t.actions = append(append(append(t.actions, `,"`...), name...), `":`...)
+	t.actions = strconv.AppendUint(t.actions, v, 10)
+}
+
+func (t *instance) millis(name string, us int64) {
+	t.actions = append(append(append(t.actions, `,"`...), name...), `":`...)
+	t.actions = strconv.AppendFloat(t.actions, float64(us)/1000, 'f', -1, 64)
+}
+
+func (t *instance) end() { t.actions = append(t.actions, "}}"...) }
+
+// Send and the methods below are the module's Host.
+func (t *instance) Send(msg string, receiver uint32, patience int64) {
+	t.begin("submit_to")
+	t.text("id", msg)
+	t.millis("patience", patience)
+	t.whole("receiver", uint64(receiver))
+	t.end()
+}
+
+// Cancel calls off one leg.
+func (t *instance) Cancel(msg string, leg int) {
+	t.begin("drop_attempt")
+	t.text("id", msg)
+	t.whole("attempt", uint64(leg))
+	t.end()
+}
+
+// PushBack ends a message unharmed.
+func (t *instance) PushBack(msg string, comeBackIn int64) {
+	t.begin("refuse")
+	t.text("id", msg)
+	if comeBackIn > 0 {
+		t.millis("hold_off", comeBackIn)
+	}
+	t.end()
+}
+
+// Fail ends a message with no promise.
+func (t *instance) Fail(msg string) {
+	t.begin("lose")
+	t.text("id", msg)
+	t.end()
+}
+
+// Timer asks for a ring.
+func (t *instance) Timer(in int64, token uint64) {
+	t.begin("remind")
+	t.millis("from_now", in)
+	t.whole("nonce", token)
+	t.end()
+}
+
+// Probe checks a receiver.
+func (t *instance) Probe(receiver uint32) {
+	t.begin("ping")
+	t.whole("receiver", uint64(receiver))
+	t.end()
+}
+
+// CloseIdle shuts idle connections to a receiver.
+func (t *instance) CloseIdle(receiver uint32) {
+	t.begin("hang_up")
+	t.whole("receiver", uint64(receiver))
+	t.end()
+}
+
+// Note tells every fellow sender something.
+func (t *instance) Note(text string) {
+	t.begin("write_peer")
+	t.text("target", "all")
+	t.text("blob", text)
+	t.end()
+}
+
+// Subscribe asks for changes of the list.
+func (t *instance) Subscribe() {
+	t.begin("listen")
+	t.actions = append(t.actions, `,"enable":true`...)
+	t.end()
+}
+
+// Log writes a line for people.
+func (t *instance) Log(text string) {
+	t.begin("print")
+	t.text("what", text)
+	t.end()
+}
