Judge outages by refusals per route, space probes, ramp receivers

Cause: a row of refusals at a busy limiter closed receivers, and every sender's probes then used up the limit, so it stayed shut; a shut destination with several receivers was noticed at one of them only, and all senders came back at the told second.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -8,6 +8,7 @@
 
 import (
 	"encoding/binary"
+	"fmt"
 	"hash/crc32"
 	"math"
 	"slices"
@@ -34,11 +35,13 @@
 	strikesToClose = 3.0             // points; three errors in a row, two silent ones or failed connects
 	silentStrike   = 1.5             // points; a leg without any answer says more than an error
 	refusedRow     = 4               // refusals without a success in between that look like a shut destination
-	refusedSilence = second          // µs without a success that must go with such a row
+	refusedSilence = 3 * second      // µs without a success that must go with such a row; limiters free room sooner
+	siblingSilence = second          // µs without a success that make a receiver suspect with its sibling
+	pauseFirst     = second / 4      // µs; pause of a route after a refusal, doubled by each further one
+	pauseMost      = 2 * second      // µs; longest such pause
 	longWait       = 5 * second / 2  // µs; no limiter tells waits this long, a shut destination does
-	trialGap       = 7 * second / 10 // µs between trials of a closed receiver: finds a return within the target time
-	trialGapMax    = 2 * second      // µs; trials that got through but failed thin out to this
-	trialGrowth    = 1.5             // factor for that thinning
+	trialGap       = 7 * second / 10 // µs between trials at a closed route, at least: a few within a target time
+	trialGapMax    = 3 * second      // µs; at most, or a return is found too late
 	rampMargin     = 0.7             // share of the allowed load on a cold receiver that is used; rest is for chance
 	rampExtra      = 0.25            // of a call; weight of each further message in a call to a cold receiver
 	roughLow       = 0.67            // a rough weight may be half too high
@@ -49,7 +52,7 @@
 	paceFloor   = 0.6        // of the even share; refusals never push below
 	paceCut     = 0.8        // factor after a refusal
 	paceRest    = second / 2 // µs between two cuts: refusals of one burst are one signal
-	paceGrowth  = 0.08       // a second; how fast the rate creeps up again
+	paceGrowth  = 0.2        // a second; how fast the rate creeps up again
 	paceBurst   = 0.3        // seconds of the rate that may go at once, one call at least
 	okSpan      = 2 * second // µs; successes are counted over such spans
 	patienceVar = 6          // deviations above the mean answer time until a leg is given up
@@ -206,6 +209,10 @@
 	tokens    float64
 	filledAt  int64
 	cutAt     int64
+	row       int   // refusals since the last success
+	rowFrom   int64 // when that row began
+	trialAt   int64 // no probe of a closed receiver before
+	pause     int64 // until when a row of refusals keeps all calls back
 	okFrom    int64
 	okNow     float64 // successes in the span since okFrom
 	okPeak    float64 // most successes a second seen over a span
@@ -243,14 +250,21 @@
 	if p.rate > 0 && p.tokens < 1 {
 		at = now + int64((1-p.tokens)/p.rate*float64(second)) + 1
 	}
-	return max(at, p.waitUntil)
+	return max(at, p.waitUntil, p.pause)
 }
 
-func (p *route) refused(now int64) {
+// refused guards against calling on at a limit: refused calls may use it up too, so a sender that keeps calling
+// can hold a destination shut for everyone. A row of refusals makes the pauses longer; a success ends them.
+func (p *route) refused(now int64, chance float64) {
+	if p.row == 0 {
+		p.rowFrom = now
+	}
+	p.row++
 	if now-p.cutAt < paceRest {
 		return
 	}
 	p.cutAt = now
+	p.pause = now + int64((0.5+chance)*float64(min(pauseMost, pauseFirst<<min(p.row-1, 10))))
 	p.refill(now)
 	if p.rate == 0 {
 		p.rate = max(p.okPeak, p.okNow*float64(second)/float64(okSpan), leastRate)
@@ -260,6 +274,7 @@
 }
 
 func (p *route) succeeded(now int64) {
+	p.row = 0
 	if now-p.okFrom > okSpan {
 		p.okPeak = max(p.okPeak, p.okNow*float64(second)/float64(okSpan))
 		p.okFrom, p.okNow = now, 0
@@ -271,11 +286,12 @@
 
 const (
 	open    health = iota
-	closed         // probes only, or the rare trial where there are none
-	onTrial        // one call at a time
+	closed         // only a rare probe, or a trial where probes are not allowed
 	warming        // back: its cold capacity bounds what it gets
 )
 
+func (h health) String() string { return [...]string{"open", "closed", "warming"}[h] }
+
 type receiver struct {
 	id       uint32
 	dst      *dst
@@ -286,14 +302,12 @@
 	calls    int // out now
 	peak     int // most calls out when one came back delivered
 	health   health
-	since    int64 // of the last change of health
+	since    int64 // of the last change of health, or of the last setback while warming
 	strikes  float64
-	refusals int
+	proved   bool // delivered something since it is warming
 	okAt     int64
-	gap      int64
-	trialAt  int64
 	probing  bool
-	tokens   float64
+	tokens   float64 // of the ramp
 	filledAt int64
 }
 
@@ -399,7 +413,7 @@
 	}
 	r := s.recvs[e.Receiver]
 	if r == nil {
-		r = &receiver{id: e.Receiver, dst: d, route: d.route, gap: trialGap}
+		r = &receiver{id: e.Receiver, dst: d, route: d.route}
 		if d.kind.Apart {
 			r.route = &route{}
 		}
@@ -560,15 +574,13 @@
 		s.turn(m, held)
 		return
 	}
-	afford := false
+	bucket, percent := &d.errs, percentCanRetry
 	if o == Full && wait > 0 {
-		afford = d.told.withdraw(s.now, percentCanRetry*toldWaitBonus)
-	} else {
-		afford = d.errs.withdraw(s.now, percentCanRetry)
+		bucket, percent = &d.told, percentCanRetry*toldWaitBonus
 	}
 	window := min(backoffCap, backoffBase<<min(len(m.legs)-1, 10))
 	m.notBefore = s.now + wait + int64(s.chance()*float64(window))
-	if !afford || m.notBefore > m.expires-answerMargin {
+	if !bucket.withdraw(s.now, percent) || m.notBefore > m.expires-answerMargin {
 		s.end(m, wait)
 		return
 	}
@@ -586,7 +598,7 @@
 		r.route.succeeded(s.now)
 		s.answered(r, c.sentAt)
 	case Full:
-		r.route.refused(s.now)
+		r.route.refused(s.now, s.chance())
 		s.turnedAway(r, wait)
 	case TimedOut:
 		d.timed(max(d.mean, float64(s.now-c.sentAt)))
@@ -620,53 +632,66 @@
 	if sentAt < r.since {
 		return
 	}
-	r.strikes, r.refusals = 0, 0
-	if r.health == onTrial || r.health == closed {
+	r.strikes = 0
+	if r.health == closed {
 		s.become(r, warming)
-		r.gap, r.tokens, r.filledAt = trialGap, 0, s.now
 	}
+	r.proved = true
 }
 
 func (s *Sender) become(r *receiver, h health) {
-	r.health, r.since = h, s.now
-	r.strikes, r.refusals = 0, 0
+	s.host.Log(fmt.Sprintf("%d ms: receiver %d of destination %d is %s (%.1f strikes, %d refusals)", s.now/1000,
+		r.id, r.dst.id, h, r.strikes, r.route.row))
+	r.health, r.since, r.strikes, r.proved = h, s.now, 0, false
+	r.tokens, r.filledAt = 0, s.now
 	r.dst.wakeAt = 0
 }
 
-// struck guards against any outage that shows as legs gone wrong: down, silent, hung or failing most calls.
+// struck guards against any outage that shows as legs gone wrong: down, silent, hung or failing most calls. Legs
+// sent before the last change say nothing new. A setback while warming puts the ramp back to its start.
 func (s *Sender) struck(r *receiver, sentAt int64, points float64) {
-	if sentAt < r.since {
+	if sentAt < r.since || r.health == closed {
 		return
 	}
 	r.strikes += points
-	if r.health == onTrial {
-		r.gap = min(int64(float64(r.gap)*trialGrowth), trialGapMax)
-	}
-	if r.health == onTrial || r.health != closed && r.strikes >= strikesToClose {
+	if r.strikes >= strikesToClose || r.health == warming && !r.proved {
 		s.close(r)
+	} else if r.health == warming {
+		r.since = s.now
 	}
 }
 
-// turnedAway tells a shut destination from a busy one: told a long wait, or a row of refusals and no success.
+// turnedAway tells a shut destination from a busy one: it tells a long wait, or refuses for longer than limiters do.
 func (s *Sender) turnedAway(r *receiver, wait int64) {
-	r.refusals++
-	switch {
-	case r.health == onTrial, r.health != closed && wait >= longWait,
-		r.health != closed && r.refusals >= refusedRow && s.now-r.okAt > refusedSilence:
-		s.close(r)
+	p := r.route
+	if wait < longWait && (p.row < refusedRow || s.now-p.rowFrom < refusedSilence) {
+		return
+	}
+	for _, o := range r.dst.recvs {
+		if o.route == p && o.health != closed {
+			s.close(o)
+		}
 	}
 }
 
 func (s *Sender) close(r *receiver) {
 	s.become(r, closed)
-	r.trialAt = s.now + int64(float64(r.gap)*(0.5+s.chance()))
+	s.spaceTrials(r)
 	for _, o := range r.dst.recvs { // an outage mostly takes all receivers of a destination: be quicker with them
-		if o != r && o.health == open && o.okAt < s.now-refusedSilence {
+		if o != r && o.health == open && o.okAt < s.now-siblingSilence {
 			o.strikes = max(o.strikes, strikesToClose-1)
 		}
 	}
 }
 
+// spaceTrials keeps probes to what a cold destination may be sent: they weigh like calls, and no one knows when
+// it returns. At a limiter, too many of them would keep it shut for good.
+func (s *Sender) spaceTrials(r *receiver) {
+	rate := s.capacity(r) * s.guards.StartShare * s.guards.Overload * rampMargin / float64(s.team.Senders)
+	gap := min(max(trialGap, int64(float64(second)/max(rate, 0.01))), trialGapMax)
+	r.route.trialAt = s.now + int64(float64(gap)*(0.75+s.chance()/2))
+}
+
 // Probed takes the outcome of a probe.
 func (s *Sender) Probed(id uint32, o Outcome, rep Report) {
 	r := s.recvs[id]
@@ -676,14 +701,9 @@
 	r.probing = false
 	r.dst.wakeAt = 0
 	s.reported(r, rep)
-	if r.health != closed {
-		return
-	}
-	if o == Delivered {
-		s.become(r, onTrial)
-		return
+	if r.health == closed && o == Delivered {
+		s.become(r, warming)
 	}
-	r.trialAt = s.now + int64(float64(r.gap)*(0.5+s.chance()))
 }
 
 // Rang takes back the one timer.
@@ -722,12 +742,11 @@
 		if s.allowed.Probes || r.calls > 0 {
 			return never
 		}
-		return max(at, r.trialAt)
-	case onTrial:
-		if r.calls > 0 {
+		return max(at, r.route.trialAt)
+	case warming:
+		if !r.proved && r.calls > 0 {
 			return never
 		}
-	case warming:
 		if s.now-r.since > s.guards.WarmWithin {
 			s.become(r, open)
 			return at
@@ -796,11 +815,12 @@
 		if r.health != closed || !s.allowed.Probes || r.probing {
 			continue
 		}
-		if at := max(r.trialAt, r.route.waitUntil); at > s.now {
+		if at := max(r.route.trialAt, r.route.waitUntil); at > s.now {
 			d.wakeAt = min(d.wakeAt, at)
 			continue
 		}
 		r.probing = true
+		s.spaceTrials(r)
 		s.host.Probe(r.id)
 	}
 }
@@ -852,16 +872,17 @@
 	return rs
 }
 
-// best is the held message of a destination that loses most by waiting one more target time.
 func (s *Sender) best(d *dst) candidate {
-	c := candidate{d: d}
 	if len(d.held) == 0 || len(d.calls) >= s.cap(d) {
-		return c
-	}
-	rs := s.usable(d)
-	if len(rs) == 0 {
-		return c
+		return candidate{d: d}
 	}
+	return s.mostUrgent(d, s.usable(d))
+}
+
+// mostUrgent is the held message that loses most by waiting one more target time, of those that may go to one of
+// the receivers.
+func (s *Sender) mostUrgent(d *dst, rs []*receiver) candidate {
+	c := candidate{d: d}
 	for _, m := range d.held {
 		if !s.mayGo(m) || !slices.ContainsFunc(rs, func(r *receiver) bool { return m.mayGoTo(r, s.now) }) {
 			continue
@@ -896,22 +917,17 @@
 	d.calls = append(d.calls, c)
 	r.route.tokens--
 	r.tokens--
+	if r.health == closed {
+		s.spaceTrials(r)
+	}
 	s.send(m, c)
 	for n := 1; n < d.kind.Batch; n++ {
-		var next *msg
-		var most float64
-		for _, o := range d.held {
-			if s.mayGo(o) && o.mayGoTo(r, s.now) {
-				if u := s.urgency(o); next == nil || u > most {
-					next, most = o, u
-				}
-			}
-		}
-		if next == nil {
+		next := s.mostUrgent(d, []*receiver{r})
+		if next.m == nil {
 			return
 		}
 		r.tokens -= rampExtra
-		s.send(next, c)
+		s.send(next.m, c)
 	}
 }
 
@@ -924,30 +940,22 @@
 
 // draw picks one receiver at random, odds in step with the room each is thought to have.
 func (s *Sender) draw(m *msg, rs []*receiver) *receiver {
-	odds := make([]float64, len(rs))
+	var best *receiver
 	sum := 0.0
-	for i, r := range rs {
+	for _, r := range rs {
 		if !m.mayGoTo(r, s.now) {
 			continue
 		}
-		odds[i] = max(leastRoom, float64(r.peak+1-r.calls))
+		odds := max(leastRoom, float64(r.peak+1-r.calls))
 		if r.zone != s.team.Zone && s.team.CrossingFee > 0 {
-			odds[i] *= farLean
-		}
-		sum += odds[i]
-	}
-	x := s.chance() * sum
-	last := -1
-	for i, o := range odds {
-		if o == 0 {
-			continue
+			odds *= farLean
 		}
-		last = i
-		if x -= o; x < 0 {
-			break
+		sum += odds
+		if s.chance()*sum < odds { // keeps each with odds/sum in the end
+			best = r
 		}
 	}
-	return rs[last]
+	return best
 }
 
 // patience is how long a leg is waited for: by the answer times seen, longer after time-outs.
@@ -964,7 +972,7 @@
 			p *= 2
 		}
 	}
-	if r.health == onTrial || r.health == closed {
+	if r.health != open && !r.proved {
 		p = most
 	}
 	return max(1, min(p, most, m.expires-answerMargin-s.now))
