Let messages gather for shared calls at busy destinations

Cause: at kinds that take several messages in a call, each call carried 1 or 2, and calls were refused above the limit. A destination that got a call less than a fifth of the target time ago now waits or fills a call first. Types moved to state.go.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -7,9 +7,7 @@
 // The ordinary path: Settled -> repeat (retry budget, told wait plus full jitter, deadline) -> Decide -> call.
 
 import (
-	"encoding/binary"
 	"fmt"
-	"hash/crc32"
 	"math"
 	"slices"
 )
@@ -62,70 +60,10 @@
 	roomKept    = 0.9        // of the holding room; beyond, messages that cannot go soon are pushed back
 	adviceShort = second     // µs; advice given with a pushback for want of room
 	maxPatience = 4          // target times; longest a leg is waited for
+	gatherShare = 0.2        // of the target time; how long a busy destination's messages gather for a call
 	doublings   = 3          // at most so many doublings of patience after time-outs
 )
 
-type state uint8
-
-// A message is held, out (a leg has no outcome yet), streaming, or over in one of four ways.
-const (
-	held state = iota
-	out
-	streaming
-	delivered
-	pushedBack
-	failed
-	withdrawn
-)
-
-type call struct {
-	r      *receiver
-	sentAt int64
-	open   int // legs in it without an outcome
-}
-
-type leg struct {
-	call    *call
-	settled bool
-	outcome Outcome
-}
-
-func (l *leg) mayHaveRun() bool { return !l.settled || !l.outcome.NeverRan() }
-
-type msg struct {
-	id        string
-	lane      *Lane
-	dst       *dst
-	line      *keyLine
-	state     state
-	expires   int64
-	notBefore int64 // told wait and jitter, or the rest of its key
-	giveUp    int64 // when it gets its final answer if nothing else happens
-	at        int   // place in the expiry heap, -1 for none
-	legs      []leg // at most Room.Legs
-}
-
-func (m *msg) over() bool { return m.state >= delivered }
-
-// risky is the first leg that may have run, nil if none.
-func (m *msg) risky() *leg {
-	for i := range m.legs {
-		if m.legs[i].mayHaveRun() {
-			return &m.legs[i]
-		}
-	}
-	return nil
-}
-
-func (m *msg) openLegs() (n int) {
-	for i := range m.legs {
-		if !m.legs[i].settled {
-			n++
-		}
-	}
-	return n
-}
-
 // mayPushBack: coming again must be harmless.
 func (m *msg) mayPushBack() bool {
 	return m.lane.Repeat == Retriable || m.risky() == nil || m.lane.Repeat == Keyed && m.lane.AnyInDst
@@ -156,13 +94,6 @@
 	}
 }
 
-// keyLine holds the messages of one key in the order taken. It goes when empty and rested.
-type keyLine struct {
-	key  string
-	msgs []*msg
-	rest int64
-}
-
 // budget is the design's retry bucket. Its spans are a ring, so it never grows.
 type budget struct {
 	spans [int(ttl/creditSpan) + 1]struct {
@@ -200,24 +131,6 @@
 	return true
 }
 
-// route is what shares one limit and one told wait: a destination, or a receiver where routes are apart.
-type route struct {
-	waitUntil int64
-	share     float64 // even share of the known limit, 0 if none is known
-	told      float64 // limit told by answers, calls a second, 0 if none
-	rate      float64 // calls a second we allow ourselves, 0 for no limit yet
-	tokens    float64
-	filledAt  int64
-	cutAt     int64
-	row       int   // refusals since the last success
-	rowFrom   int64 // when that row began
-	trialAt   int64 // no probe of a closed receiver before
-	pause     int64 // until when a row of refusals keeps all calls back
-	okFrom    int64
-	okNow     float64 // successes in the span since okFrom
-	okPeak    float64 // most successes a second seen over a span
-}
-
 func (p *route) know(share float64) {
 	if share == p.share {
 		return
@@ -282,51 +195,6 @@
 	p.okNow++
 }
 
-type health uint8
-
-const (
-	open    health = iota
-	closed         // only a rare probe, or a trial where probes are not allowed
-	warming        // back: its cold capacity bounds what it gets
-)
-
-func (h health) String() string { return [...]string{"open", "closed", "warming"}[h] }
-
-type receiver struct {
-	id       uint32
-	dst      *dst
-	route    *route
-	zone     int
-	listed   bool
-	weight   float64
-	calls    int // out now
-	peak     int // most calls out when one came back delivered
-	health   health
-	since    int64 // of the last change of health, or of the last setback while warming
-	strikes  float64
-	proved   bool // delivered something since it is warming
-	okAt     int64
-	probing  bool
-	tokens   float64 // of the ramp
-	filledAt int64
-}
-
-// dst is a destination. There is one for each in the lists or named by a message.
-type dst struct {
-	id      int64
-	kind    Kind
-	route   *route
-	recvs   []*receiver // listed ones
-	held    []*msg
-	calls   []*call // out, oldest first
-	errs    budget
-	told    budget
-	mean    float64 // µs, answer time
-	dev     float64
-	sampled bool
-	wakeAt  int64
-}
-
 func (d *dst) slowAfter() float64 { return d.mean + slowVar*d.dev }
 
 // Sender decides for one sender.
@@ -363,14 +231,6 @@
 		recvs: map[uint32]*receiver{}, lines: map[string]*keyLine{}}
 }
 
-func (s *Sender) chance() float64 {
-	var b [16]byte
-	binary.LittleEndian.PutUint64(b[:], s.seed)
-	binary.LittleEndian.PutUint64(b[8:], s.draws)
-	s.draws++
-	return float64(crc32.ChecksumIEEE(b[:])) / (1 << 32)
-}
-
 // At sets the clock for the events that follow.
 func (s *Sender) At(now int64) { s.now = now }
 
@@ -876,9 +736,22 @@
 	if len(d.held) == 0 || len(d.calls) >= s.cap(d) {
 		return candidate{d: d}
 	}
+	if at := s.gathered(d); at > s.now {
+		d.wakeAt = min(d.wakeAt, at)
+		return candidate{d: d}
+	}
 	return s.mostUrgent(d, s.usable(d))
 }
 
+// gathered is when the messages held for a destination that shares calls should go: an idle one's at once, else a
+// while after the last call or when a call is full. Shared calls spare limits and slots, and cost no value.
+func (s *Sender) gathered(d *dst) int64 {
+	if d.kind.Batch < 2 || len(d.held) >= d.kind.Batch {
+		return s.now
+	}
+	return d.calledAt + int64(gatherShare*float64(d.held[0].lane.Target))
+}
+
 // mostUrgent is the held message that loses most by waiting one more target time, of those that may go to one of
 // the receivers.
 func (s *Sender) mostUrgent(d *dst, rs []*receiver) candidate {
@@ -915,6 +788,7 @@
 	s.calls++
 	r.calls++
 	d.calls = append(d.calls, c)
+	d.calledAt = s.now
 	r.route.tokens--
 	r.tokens--
 	if r.health == closed {
--- /dev/null
+++ b/choice/state.go
@@ -0,0 +1,149 @@
+package choice
+
+import (
+	"encoding/binary"
+	"hash/crc32"
+)
+
+// What the module remembers, without any decision: those are in choice.go.
+
+type state uint8
+
+// A message is held, out (a leg has no outcome yet), streaming, or over in one of four ways.
+const (
+	held state = iota
+	out
+	streaming
+	delivered
+	pushedBack
+	failed
+	withdrawn
+)
+
+type call struct {
+	r      *receiver
+	sentAt int64
+	open   int // legs in it without an outcome
+}
+
+type leg struct {
+	call    *call
+	settled bool
+	outcome Outcome
+}
+
+func (l *leg) mayHaveRun() bool { return !l.settled || !l.outcome.NeverRan() }
+
+type msg struct {
+	id        string
+	lane      *Lane
+	dst       *dst
+	line      *keyLine
+	state     state
+	expires   int64
+	notBefore int64 // told wait and jitter, or the rest of its key
+	giveUp    int64 // when it gets its final answer if nothing else happens
+	at        int   // place in the expiry heap, -1 for none
+	legs      []leg // at most Room.Legs
+}
+
+func (m *msg) over() bool { return m.state >= delivered }
+
+// risky is the first leg that may have run, nil if none.
+func (m *msg) risky() *leg {
+	for i := range m.legs {
+		if m.legs[i].mayHaveRun() {
+			return &m.legs[i]
+		}
+	}
+	return nil
+}
+
+func (m *msg) openLegs() (n int) {
+	for i := range m.legs {
+		if !m.legs[i].settled {
+			n++
+		}
+	}
+	return n
+}
+
+// keyLine holds the messages of one key in the order taken. It goes when empty and rested.
+type keyLine struct {
+	key  string
+	msgs []*msg
+	rest int64
+}
+
+// route is what shares one limit and one told wait: a destination, or a receiver where routes are apart.
+type route struct {
+	waitUntil int64
+	share     float64 // even share of the known limit, 0 if none is known
+	told      float64 // limit told by answers, calls a second, 0 if none
+	rate      float64 // calls a second we allow ourselves, 0 for no limit yet
+	tokens    float64
+	filledAt  int64
+	cutAt     int64
+	row       int   // refusals since the last success
+	rowFrom   int64 // when that row began
+	trialAt   int64 // no probe of a closed receiver before
+	pause     int64 // until when a row of refusals keeps all calls back
+	okFrom    int64
+	okNow     float64 // successes in the span since okFrom
+	okPeak    float64 // most successes a second seen over a span
+}
+
+type health uint8
+
+const (
+	open    health = iota
+	closed         // only a rare probe, or a trial where probes are not allowed
+	warming        // back: its cold capacity bounds what it gets
+)
+
+func (h health) String() string { return [...]string{"open", "closed", "warming"}[h] }
+
+type receiver struct {
+	id       uint32
+	dst      *dst
+	route    *route
+	zone     int
+	listed   bool
+	weight   float64
+	calls    int // out now
+	peak     int // most calls out when one came back delivered
+	health   health
+	since    int64 // of the last change of health, or of the last setback while warming
+	strikes  float64
+	proved   bool // delivered something since it is warming
+	okAt     int64
+	probing  bool
+	tokens   float64 // of the ramp
+	filledAt int64
+}
+
+// dst is a destination. There is one for each in the lists or named by a message.
+type dst struct {
+	id       int64
+	kind     Kind
+	route    *route
+	recvs    []*receiver // listed ones
+	held     []*msg
+	calls    []*call // out, oldest first
+	errs     budget
+	told     budget
+	mean     float64 // µs, answer time
+	dev      float64
+	sampled  bool
+	wakeAt   int64
+	calledAt int64 // when the latest call went out
+}
+
+// chance draws evenly from 0 up to 1, the same row for the same seed.
+func (s *Sender) chance() float64 {
+	var b [16]byte
+	binary.LittleEndian.PutUint64(b[:], s.seed)
+	binary.LittleEndian.PutUint64(b[8:], s.draws)
+	s.draws++
+	return float64(crc32.ChecksumIEEE(b[:])) / (1 << 32)
+}
