Time-outs no longer lengthen the patience of a whole destination

Patience now grows for the message alone. Should also cover any loss on the way; could harm a destination whose answers all slow down at once.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -461,7 +461,6 @@
 		r.route.refused(s.now, s.chance())
 		s.turnedAway(r, wait)
 	case TimedOut:
-		d.timed(max(d.mean, float64(s.now-c.sentAt)))
 		s.struck(r, c.sentAt, silentStrike)
 	case ConnectFailed:
 		s.struck(r, c.sentAt, silentStrike)
