--- a/choice/choice.go
+++ b/choice/choice.go
@@ -59,7 +59,7 @@
 	farLean     = 0.3        // odds of a receiver across zones where a crossing has a price
 	roomKept    = 0.9        // of the holding room; beyond, messages that cannot go soon are pushed back
 	adviceShort = second     // µs; advice given with a pushback for want of room
-	maxPatience = 4          // target times; longest a leg is waited for
+	maxPatience = 2          // target times; longest a leg is waited for
 	gatherShare = 0.2        // of the target time; how long a busy destination's messages gather for a call
 	doublings   = 3          // at most so many doublings of patience after time-outs
 )
@@ -835,7 +835,7 @@
 func (s *Sender) patience(m *msg, r *receiver) int64 {
 	target := m.lane.Target
 	most := maxPatience * target
-	p := most / 2
+	p := most
 	if r.dst.sampled {
 		p = int64(r.dst.mean + patienceVar*r.dst.dev)
 	}
