--- a/choice/choice.go
+++ b/choice/choice.go
@@ -51,6 +51,8 @@
 	paceCut     = 0.8        // factor after a refusal
 	paceRest    = second / 2 // µs between two cuts: refusals of one burst are one signal
 	paceGrowth  = 0.2        // a second; how fast the rate creeps up again
+	paceNear    = 0.85       // of the rate last refused; from there to as much above it we only creep
+	paceCreep   = 0.04       // a second; that creeping
 	paceBurst   = 0.3        // seconds of the rate that may go at once, one call at least
 	okSpan      = 2 * second // µs; successes are counted over such spans
 	patienceVar = 6          // deviations above the mean answer time until a leg is given up
@@ -149,7 +151,11 @@
 	if p.rate == 0 {
 		return
 	}
-	p.rate *= 1 + paceGrowth*min(dt, 1)
+	growth := paceGrowth
+	if p.rate > paceNear*p.mark && p.rate < p.mark/paceNear {
+		growth = paceCreep
+	}
+	p.rate *= 1 + growth*min(dt, 1)
 	if p.share > 0 {
 		p.rate = min(max(p.rate, p.share*paceFloor), p.share*paceCeiling)
 	}
@@ -170,7 +176,7 @@
 // can hold a destination shut for everyone. A row of refusals makes the pauses longer; a success ends them.
 func (p *route) refused(now int64, chance float64) {
 	if p.row == 0 {
-		p.rowFrom = now
+		p.rowFrom, p.before = now, p.rate
 	}
 	p.row++
 	if now-p.cutAt < paceRest {
@@ -182,6 +188,7 @@
 	if p.rate == 0 {
 		p.rate = max(p.okPeak, p.okNow*float64(second)/float64(okSpan), leastRate)
 	}
+	p.mark = p.rate
 	p.rate = max(p.rate*paceCut, leastRate/4)
 	p.tokens = min(p.tokens, 0)
 }
@@ -526,6 +533,7 @@
 	if wait < longWait && (p.row < refusedRow || s.now-p.rowFrom < refusedSilence) {
 		return
 	}
+	p.rate = p.before // being shut says nothing of the limit
 	for _, o := range r.dst.recvs {
 		if o.route == p && o.health != closed {
 			s.close(o)
--- a/choice/state.go
+++ b/choice/state.go
@@ -81,6 +81,8 @@
 	share     float64 // even share of the known limit, 0 if none is known
 	told      float64 // limit told by answers, calls a second, 0 if none
 	rate      float64 // calls a second we allow ourselves, 0 for no limit yet
+	before    float64 // rate when the row of refusals began
+	mark      float64 // rate at the last refusal, 0 if none was refused
 	tokens    float64
 	filledAt  int64
 	cutAt     int64
