--- a/choice/choice.go
+++ b/choice/choice.go
@@ -53,6 +53,8 @@
 	paceGrowth  = 0.2        // a second; how fast the rate creeps up again
 	paceNear    = 0.85       // of the rate last refused; from there to as much above it we only creep
 	paceCreep   = 0.04       // a second; that creeping
+	seekCut     = 0.9        // as paceCut, where no limit is known and ours is a guess
+	seekCreep   = 0.1        // as paceCreep, likewise
 	paceBurst   = 0.3        // seconds of the rate that may go at once, one call at least
 	okSpan      = 2 * second // µs; successes are counted over such spans
 	patienceVar = 6          // deviations above the mean answer time until a leg is given up
@@ -153,7 +155,10 @@
 	}
 	growth := paceGrowth
 	if p.rate > paceNear*p.mark && p.rate < p.mark/paceNear {
-		growth = paceCreep
+		growth = seekCreep
+		if p.share > 0 {
+			growth = paceCreep
+		}
 	}
 	p.rate *= 1 + growth*min(dt, 1)
 	if p.share > 0 {
@@ -189,7 +194,11 @@
 		p.rate = max(p.okPeak, p.okNow*float64(second)/float64(okSpan), leastRate)
 	}
 	p.mark = p.rate
-	p.rate = max(p.rate*paceCut, leastRate/4)
+	cut := seekCut
+	if p.share > 0 {
+		cut = paceCut
+	}
+	p.rate = max(p.rate*cut, leastRate/4)
 	p.tokens = min(p.tokens, 0)
 }
 
