Hold back from a receiver whose calls are all overdue

Cause: the design checks only repeats, so a hanging destination took first sends up to the slot cap until time-outs told; each was lost for its key window. Two or more calls out, the oldest overdue by four deviations and nothing delivered since it went: nothing more until one of them has an outcome. Should cover any silent loss; harms bursts of very long work.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -65,6 +65,7 @@
 	adviceShort = second     // µs; advice given with a pushback for want of room
 	maxPatience = 2          // target times; longest a leg is waited for
 	gatherShare = 0.2        // of the target time; how long a busy destination's messages gather for a call
+	silentCalls = 2          // calls out without an answer that may mean a hanging receiver
 	doublings   = 3          // at most so many doublings of patience after time-outs
 )
 
@@ -613,6 +614,9 @@
 // readyAt is when a receiver may get its next call; never for one that waits for an event.
 func (s *Sender) readyAt(r *receiver) int64 {
 	at := r.route.readyAt(s.now)
+	if s.silent(r) {
+		return never
+	}
 	switch r.health {
 	case closed:
 		if s.allowed.Probes || r.calls > 0 {
@@ -637,6 +641,20 @@
 	return at
 }
 
+// silent guards against a hanging receiver soaking up first sends, which no budget checks: with several calls out,
+// the oldest overdue and nothing delivered since it went, no more is sent until one of them has an outcome.
+func (s *Sender) silent(r *receiver) bool {
+	if r.calls < silentCalls || !r.dst.sampled {
+		return false
+	}
+	for _, c := range r.dst.calls {
+		if c.r == r {
+			return r.okAt < c.sentAt && float64(s.now-c.sentAt) > r.dst.slowAfter()
+		}
+	}
+	return false
+}
+
 // cap is how many slots a destination may hold.
 func (s *Sender) cap(d *dst) int {
 	sick := len(d.calls) > 0 && d.sampled && float64(s.now-d.calls[0].sentAt) > d.slowAfter()
