--- a/choice/choice.go
+++ b/choice/choice.go
@@ -57,7 +57,7 @@
 	seekCreep   = 0.1        // as paceCreep, likewise
 	paceBurst   = 0.3        // seconds of the rate that may go at once, one call at least
 	okSpan      = 2 * second // µs; successes are counted over such spans
-	patienceVar = 9          // deviations above the mean answer time until a leg is given up
+	patienceVar = 14         // deviations above the mean answer time until a leg is given up
 	slowVar     = 4          // deviations until a leg out counts as slow
 	leastRoom   = 0.1        // odds of a receiver that seems full: it may have room after all
 	farLean     = 0.3        // odds of a receiver across zones where a crossing has a price
@@ -66,7 +66,6 @@
 	maxPatience = 2          // target times; longest a leg is waited for
 	gatherShare = 0.2        // of the target time; how long a busy destination's messages gather for a call
 	silentCalls = 2          // calls out without an answer that may mean a hanging receiver
-	doublings   = 3          // at most so many doublings of patience after time-outs
 )
 
 // mayPushBack: coming again must be harmless.
@@ -875,11 +874,6 @@
 		p = int64(r.dst.mean + patienceVar*r.dst.dev)
 	}
 	p = max(p, target/2)
-	for i := range min(len(m.legs), doublings+1) {
-		if m.legs[i].settled && m.legs[i].outcome == TimedOut {
-			p *= 2
-		}
-	}
 	if r.health != open && !r.proved {
 		p = most
 	}
