Give legs up late while slots are plenty, by answer times when they are scarce

Cause: a fixed patience serves either the slow (legs given up run on and count twice) or the lost (they fill the slots). Should cover loss on the way and slow spells; harms a hanging destination's keyed messages, which learn later that they are lost.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -57,7 +57,8 @@
 	seekCreep   = 0.1        // as paceCreep, likewise
 	paceBurst   = 0.3        // seconds of the rate that may go at once, one call at least
 	okSpan      = 2 * second // µs; successes are counted over such spans
-	patienceVar = 14         // deviations above the mean answer time until a leg is given up
+	scarceSlots = 0.5        // of the slots; with more in use, patience goes by the answer times
+	patienceVar = 9          // deviations above the mean answer time until a leg is given up
 	slowVar     = 4          // deviations until a leg out counts as slow
 	leastRoom   = 0.1        // odds of a receiver that seems full: it may have room after all
 	farLean     = 0.3        // odds of a receiver across zones where a crossing has a price
@@ -865,19 +866,14 @@
 	return best
 }
 
-// patience is how long a leg is waited for: by the answer times seen, longer after time-outs.
+// patience is how long a leg is waited for: legs given up run on, so give up late while slots are plenty. Danger:
+// where calls get lost on the way, they fill the slots; then only as long as the answer times seen suggest.
 func (s *Sender) patience(m *msg, r *receiver) int64 {
-	target := m.lane.Target
-	most := maxPatience * target
-	p := most
-	if r.dst.sampled {
-		p = int64(r.dst.mean + patienceVar*r.dst.dev)
+	p := maxPatience * m.lane.Target
+	if r.dst.sampled && float64(s.calls) > scarceSlots*float64(s.room.Slots) {
+		p = min(p, max(int64(r.dst.mean+patienceVar*r.dst.dev), m.lane.Target/2))
 	}
-	p = max(p, target/2)
-	if r.health != open && !r.proved {
-		p = most
-	}
-	return max(1, min(p, most, m.expires-answerMargin-s.now))
+	return max(1, min(p, m.expires-answerMargin-s.now))
 }
 
 // makeRoom pushes back before the holding room is full: then nobody's messages get in, not even those that
