--- a/choice/choice.go
+++ b/choice/choice.go
@@ -66,6 +66,9 @@
 	adviceShort = second     // µs; advice given with a pushback for want of room
 	maxPatience = 2          // target times; longest a leg is waited for
 	gatherShare = 0.2        // of the target time; how long a busy destination's messages gather for a call
+	lossStep    = 0.15       // weight of the newest leg in a receiver's share of lost ones
+	usualLoss   = 0.05       // share of lost legs up to which a row of them counts in full
+	leastMedian = 5          // receivers below which a median says nothing
 	silentCalls = 2          // calls out without an answer that may mean a hanging receiver
 )
 
@@ -236,6 +239,7 @@
 	resting []*keyLine           // empty lines until their rest is over
 	expiry  expiryHeap           // messages not over
 	calls   int
+	shares  []float64 // working space of weightOfSilence
 	timerAt int64
 	asked   bool
 }
@@ -425,6 +429,12 @@
 	}
 	s.reported(c.r, rep)
 	c.r.dst.wakeAt = 0
+	switch o {
+	case Delivered:
+		c.r.lost -= c.r.lost * lossStep
+	case TimedOut, Reset, ConnectFailed:
+		c.r.lost += (1 - c.r.lost) * lossStep
+	}
 	if m.line != nil && (o == TimedOut || o == Reset || o == Cancelled) {
 		m.line.rest = s.now + s.guards.KeyRest
 	}
@@ -529,7 +539,7 @@
 	if sentAt < r.since || r.health == closed {
 		return
 	}
-	r.strikes += points
+	r.strikes += points * s.weightOfSilence()
 	if r.strikes >= strikesToClose || r.health == warming && !r.proved {
 		s.close(r)
 	} else if r.health == warming {
@@ -537,6 +547,23 @@
 	}
 }
 
+// weightOfSilence tells an outage from loss on the way. Danger: where calls to most receivers get lost now and then,
+// rows of lost calls are chance, and closing on them starves destinations that are well. The median receiver's
+// share of lost legs tells; a few that are down do not move it. A row weighs by how unlikely chance makes it.
+func (s *Sender) weightOfSilence() float64 {
+	s.shares = s.shares[:0]
+	for _, d := range s.order {
+		for _, r := range d.recvs {
+			s.shares = append(s.shares, r.lost)
+		}
+	}
+	if len(s.shares) < leastMedian {
+		return 1
+	}
+	slices.Sort(s.shares)
+	return min(1, math.Log(s.shares[len(s.shares)/2])/math.Log(usualLoss))
+}
+
 // turnedAway tells a shut destination from a busy one: it tells a long wait, or refuses for longer than limiters do.
 func (s *Sender) turnedAway(r *receiver, wait int64) {
 	p := r.route
@@ -644,7 +671,7 @@
 // silent guards against a hanging receiver soaking up first sends, which no budget checks: with several calls out,
 // the oldest overdue and nothing delivered since it went, no more is sent until one of them has an outcome.
 func (s *Sender) silent(r *receiver) bool {
-	if r.calls < silentCalls || !r.dst.sampled {
+	if r.calls < silentCalls || !r.dst.sampled || s.weightOfSilence() < 1 {
 		return false
 	}
 	for _, c := range r.dst.calls {
@@ -870,7 +897,7 @@
 // where calls get lost on the way, they fill the slots; then only as long as the answer times seen suggest.
 func (s *Sender) patience(m *msg, r *receiver) int64 {
 	p := maxPatience * m.lane.Target
-	if r.dst.sampled && float64(s.calls) > scarceSlots*float64(s.room.Slots) {
+	if r.dst.sampled && (float64(s.calls) > scarceSlots*float64(s.room.Slots) || s.weightOfSilence() < 1) {
 		p = min(p, max(int64(r.dst.mean+patienceVar*r.dst.dev), m.lane.Target/2))
 	}
 	return max(1, min(p, m.expires-answerMargin-s.now))
--- a/choice/state.go
+++ b/choice/state.go
@@ -117,7 +117,8 @@
 	health   health
 	since    int64 // of the last change of health, or of the last setback while warming
 	strikes  float64
-	proved   bool // delivered something since it is warming
+	lost     float64 // recent share of legs without an answer
+	proved   bool    // delivered something since it is warming
 	okAt     int64
 	probing  bool
 	tokens   float64 // of the ramp
