Close idle connections before calls to receivers that lately left calls unanswered

Told from an outage by timing: answers in dense runs, the first call after a gap lost, everywhere at once. Should cover any connection that dies silently (middleboxes, restarted peers); costs new connections.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -68,6 +68,8 @@
 	gatherShare = 0.2        // of the target time; how long a busy destination's messages gather for a call
 	lossStep    = 0.15       // weight of the newest leg in a receiver's share of lost ones
 	usualLoss   = 0.05       // share of lost legs up to which a row of them counts in full
+	staleShare  = 0.03       // share of lost legs above which idle connections are not trusted
+	staleIdle   = second / 5 // µs without a call from which a connection counts as idle
 	leastMedian = 5          // receivers below which a median says nothing
 	silentCalls = 2          // calls out without an answer that may mean a hanging receiver
 )
@@ -421,6 +423,7 @@
 		c.r.route.waitUntil = max(c.r.route.waitUntil, s.now+wait)
 	}
 	c.open--
+	c.r.usedAt = s.now
 	if c.open == 0 {
 		s.calls--
 		c.r.calls--
@@ -742,6 +745,7 @@
 		}
 		r.probing = true
 		s.spaceTrials(r)
+		s.host.CloseIdle(r.id)
 		s.host.Probe(r.id)
 	}
 }
@@ -845,6 +849,7 @@
 func (s *Sender) call(m *msg) {
 	d := m.dst
 	r := s.draw(m, s.usable(d))
+	s.refresh(r)
 	c := &call{r: r, sentAt: s.now}
 	s.calls++
 	r.calls++
@@ -866,6 +871,14 @@
 	}
 }
 
+// refresh guards against connections that died while idle: calls on them get no answer, a row of them looks like an
+// outage, and only a new connection helps. Done for receivers that lately left calls unanswered.
+func (s *Sender) refresh(r *receiver) {
+	if r.calls == 0 && r.lost > staleShare && s.now-r.usedAt > staleIdle {
+		s.host.CloseIdle(r.id)
+	}
+}
+
 func (s *Sender) send(m *msg, c *call) {
 	c.open++
 	m.legs = append(m.legs, leg{call: c})
--- a/choice/state.go
+++ b/choice/state.go
@@ -118,6 +118,7 @@
 	since    int64 // of the last change of health, or of the last setback while warming
 	strikes  float64
 	lost     float64 // recent share of legs without an answer
+	usedAt   int64   // of the latest outcome
 	proved   bool    // delivered something since it is warming
 	okAt     int64
 	probing  bool
