--- a/choice/choice.go
+++ b/choice/choice.go
@@ -45,33 +45,33 @@
 	roughLow       = 0.67            // a rough weight may be half too high
 	leastRate      = 1.0             // calls a second and sender assumed where nothing is known of a rate
 
-	paceStart   = 1.3        // of the even share of a known limit: others may leave some of theirs
-	paceCeiling = 2.0        // of the even share; never more than this, however well it goes
-	paceFloor   = 0.6        // of the even share; refusals never push below
-	paceCut     = 0.8        // factor after a refusal
-	paceRest    = second / 2 // µs between two cuts: refusals of one burst are one signal
-	paceGrowth  = 0.2        // a second; how fast the rate creeps up again
-	paceNear    = 0.85       // of the rate last refused; from there to as much above it we only creep
-	paceCreep   = 0.04       // a second; that creeping
-	seekCut     = 0.9        // as paceCut, where no limit is known and ours is a guess
-	seekCreep   = 0.1        // as paceCreep, likewise
-	paceBurst   = 0.3        // seconds of the rate that may go at once, one call at least
-	okSpan      = 2 * second // µs; successes are counted over such spans
-	scarceSlots = 0.5        // of the slots; with more in use, patience goes by the answer times
-	patienceVar = 9          // deviations above the mean answer time until a leg is given up
-	slowVar     = 4          // deviations until a leg out counts as slow
-	leastRoom   = 0.1        // odds of a receiver that seems full: it may have room after all
-	farLean     = 0.3        // odds of a receiver across zones where a crossing has a price
-	roomKept    = 0.9        // of the holding room; beyond, messages that cannot go soon are pushed back
-	adviceShort = second     // µs; advice given with a pushback for want of room
-	maxPatience = 2          // target times; longest a leg is waited for
-	gatherShare = 0.2        // of the target time; how long a busy destination's messages gather for a call
-	lossStep    = 0.15       // weight of the newest leg in a receiver's share of lost ones
-	usualLoss   = 0.05       // share of lost legs up to which a row of them counts in full
-	staleShare  = 0.03       // share of lost legs above which idle connections are not trusted
-	staleIdle   = second / 5 // µs without a call from which a connection counts as idle
-	leastMedian = 5          // receivers below which a median says nothing
-	silentCalls = 2          // calls out without an answer that may mean a hanging receiver
+	paceStart   = 1.3         // of the even share of a known limit: others may leave some of theirs
+	paceCeiling = 2.0         // of the even share; never more than this, however well it goes
+	paceFloor   = 0.6         // of the even share; refusals never push below
+	paceCut     = 0.8         // factor after a refusal
+	paceRest    = second / 2  // µs between two cuts: refusals of one burst are one signal
+	paceGrowth  = 0.2         // a second; how fast the rate creeps up again
+	paceNear    = 0.85        // of the rate last refused; from there to as much above it we only creep
+	paceCreep   = 0.04        // a second; that creeping
+	seekCut     = 0.9         // as paceCut, where no limit is known and ours is a guess
+	seekCreep   = 0.1         // as paceCreep, likewise
+	paceBurst   = 0.3         // seconds of the rate that may go at once, one call at least
+	okSpan      = 2 * second  // µs; successes are counted over such spans
+	scarceSlots = 0.5         // of the slots; with more in use, patience goes by the answer times
+	patienceVar = 9           // deviations above the mean answer time until a leg is given up
+	slowVar     = 4           // deviations until a leg out counts as slow
+	leastRoom   = 0.1         // odds of a receiver that seems full: it may have room after all
+	farLean     = 0.3         // odds of a receiver across zones where a crossing has a price
+	roomKept    = 0.9         // of the holding room; beyond, messages that cannot go soon are pushed back
+	adviceShort = second      // µs; advice given with a pushback for want of room
+	maxPatience = 2           // target times; longest a leg is waited for
+	gatherShare = 0.2         // of the target time; how long a busy destination's messages gather for a call
+	lossStep    = 0.15        // weight of the newest leg in a receiver's share of lost ones
+	usualLoss   = 0.05        // share of lost legs up to which a row of them counts in full
+	distrust    = 20 * second // µs after a lost leg for which idle connections are not trusted
+	staleIdle   = second / 5  // µs without a call from which a connection counts as idle
+	leastMedian = 5           // receivers below which a median says nothing
+	silentCalls = 2           // calls out without an answer that may mean a hanging receiver
 )
 
 // mayPushBack: coming again must be harmless.
@@ -233,17 +233,18 @@
 	guards  Guards
 	trust   WeightTrust
 
-	msgs    map[string]*msg      // emptied as messages are over and their legs settled
-	dsts    map[int64]*dst       // as many as destinations
-	order   []*dst               // the same in a fixed order
-	recvs   map[uint32]*receiver // as many as receivers ever listed since the start
-	lines   map[string]*keyLine  // emptied as lines run empty and keys have rested
-	resting []*keyLine           // empty lines until their rest is over
-	expiry  expiryHeap           // messages not over
-	calls   int
-	shares  []float64 // working space of weightOfSilence
-	timerAt int64
-	asked   bool
+	msgs     map[string]*msg      // emptied as messages are over and their legs settled
+	dsts     map[int64]*dst       // as many as destinations
+	order    []*dst               // the same in a fixed order
+	recvs    map[uint32]*receiver // as many as receivers ever listed since the start
+	lines    map[string]*keyLine  // emptied as lines run empty and keys have rested
+	resting  []*keyLine           // empty lines until their rest is over
+	expiry   expiryHeap           // messages not over
+	calls    int
+	distrust int64     // until when no idle connection is trusted
+	shares   []float64 // working space of weightOfSilence
+	timerAt  int64
+	asked    bool
 }
 
 // New starts a sender that knows nothing yet.
@@ -437,6 +438,10 @@
 		c.r.lost -= c.r.lost * lossStep
 	case TimedOut, Reset, ConnectFailed:
 		c.r.lost += (1 - c.r.lost) * lossStep
+		c.r.distrust = s.now + distrust
+		if s.weightOfSilence() < 1 {
+			s.distrust = c.r.distrust
+		}
 	}
 	if m.line != nil && (o == TimedOut || o == Reset || o == Cancelled) {
 		m.line.rest = s.now + s.guards.KeyRest
@@ -679,7 +684,7 @@
 	}
 	for _, c := range r.dst.calls {
 		if c.r == r {
-			return r.okAt < c.sentAt && float64(s.now-c.sentAt) > r.dst.slowAfter()
+			return r.okAt <= c.sentAt && float64(s.now-c.sentAt) > r.dst.slowAfter()
 		}
 	}
 	return false
@@ -874,7 +879,7 @@
 // refresh guards against connections that died while idle: calls on them get no answer, a row of them looks like an
 // outage, and only a new connection helps. Done for receivers that lately left calls unanswered.
 func (s *Sender) refresh(r *receiver) {
-	if r.calls == 0 && r.lost > staleShare && s.now-r.usedAt > staleIdle {
+	if r.calls == 0 && s.now < max(r.distrust, s.distrust) && s.now-r.usedAt > staleIdle {
 		s.host.CloseIdle(r.id)
 	}
 }
--- a/choice/state.go
+++ b/choice/state.go
@@ -119,6 +119,7 @@
 	strikes  float64
 	lost     float64 // recent share of legs without an answer
 	usedAt   int64   // of the latest outcome
+	distrust int64   // until when its idle connections are not trusted
 	proved   bool    // delivered something since it is warming
 	okAt     int64
 	probing  bool
