--- a/choice/choice.go
+++ b/choice/choice.go
@@ -68,7 +68,8 @@
 	gatherShare = 0.2         // of the target time; how long a busy destination's messages gather for a call
 	lossStep    = 0.15        // weight of the newest leg in a receiver's share of lost ones
 	usualLoss   = 0.05        // share of lost legs up to which a row of them counts in full
-	distrust    = 20 * second // µs after a lost leg for which idle connections are not trusted
+	distrust    = 5 * second  // µs after a lost leg for which its receiver's idle connections are not trusted
+	distrustAll = 20 * second // µs for which none is, where loss is common: new ones cost less than the loss
 	staleIdle   = second / 5  // µs without a call from which a connection counts as idle
 	leastMedian = 5           // receivers below which a median says nothing
 	silentCalls = 2           // calls out without an answer that may mean a hanging receiver
@@ -440,7 +441,7 @@
 		c.r.lost += (1 - c.r.lost) * lossStep
 		c.r.distrust = s.now + distrust
 		if s.weightOfSilence() < 1 {
-			s.distrust = c.r.distrust
+			s.distrust = s.now + distrustAll
 		}
 	}
 	if m.line != nil && (o == TimedOut || o == Reset || o == Cancelled) {
