--- a/choice/choice.go
+++ b/choice/choice.go
@@ -7,6 +7,7 @@
 // The ordinary path: Settled -> repeat (retry budget, told wait plus full jitter, deadline) -> Decide -> call.
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"slices"
@@ -923,25 +924,22 @@
 }
 
 // makeRoom pushes back before the holding room is full: then nobody's messages get in, not even those that
-// could go at once. The destination with most held gives way, its least urgent message first.
+// could go at once. The destination with most held gives way, its least urgent messages first.
 func (s *Sender) makeRoom() {
-	for float64(len(s.expiry)) > roomKept*float64(s.room.Held) {
-		var worst *msg
-		most := 0
-		for _, d := range s.order {
-			if len(d.held) <= most {
-				continue
-			}
-			for _, m := range d.held {
-				if m.mayPushBack() && (worst == nil || m.dst != d || s.urgency(m) <= s.urgency(worst)) {
-					worst, most = m, len(d.held)
-				}
-			}
-		}
-		if worst == nil {
-			return
+	excess := len(s.expiry) - int(roomKept*float64(s.room.Held))
+	if excess <= 0 {
+		return
+	}
+	crowd := slices.MaxFunc(s.order, func(a, b *dst) int { return len(a.held) - len(b.held) })
+	var out []candidate
+	for _, m := range slices.Backward(crowd.held) {
+		if m.mayPushBack() {
+			out = append(out, candidate{m: m, urgent: s.urgency(m)})
 		}
-		s.end(worst, adviceShort)
+	}
+	slices.SortStableFunc(out, func(a, b candidate) int { return cmp.Compare(a.urgent, b.urgent) })
+	for _, c := range out[:min(excess, len(out))] {
+		s.end(c.m, adviceShort)
 	}
 }
 
