--- a/choice/choice.go
+++ b/choice/choice.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"math"
 	"slices"
+	"strconv"
 )
 
 const (
@@ -72,6 +73,7 @@
 	distrust    = 5 * second  // µs after a lost leg for which its receiver's idle connections are not trusted
 	distrustAll = 20 * second // µs for which none is, where loss is common: new ones cost less than the loss
 	staleIdle   = second / 5  // µs without a call from which a connection counts as idle
+	scarceFor   = 20 * second // µs after a failed connect for which no connection is kept idle there
 	leastMedian = 5           // receivers below which a median says nothing
 	silentCalls = 2           // calls out without an answer that may mean a hanging receiver
 )
@@ -243,8 +245,9 @@
 	resting  []*keyLine           // empty lines until their rest is over
 	expiry   expiryHeap           // messages not over
 	calls    int
-	distrust int64     // until when no idle connection is trusted
-	shares   []float64 // working space of weightOfSilence
+	distrust int64       // until when no idle connection is trusted
+	shares   []float64   // working space of weightOfSilence
+	spare    []*receiver // used in this turn, to be left without idle connections; emptied every turn
 	timerAt  int64
 	asked    bool
 }
@@ -427,6 +430,9 @@
 	}
 	c.open--
 	c.r.usedAt = s.now
+	if s.now < c.r.scarceTill {
+		s.spare = append(s.spare, c.r)
+	}
 	if c.open == 0 {
 		s.calls--
 		c.r.calls--
@@ -500,6 +506,7 @@
 	case TimedOut:
 		s.struck(r, c.sentAt, silentStrike)
 	case ConnectFailed:
+		s.scarce(r)
 		s.struck(r, c.sentAt, silentStrike)
 	case Errored, Reset:
 		s.struck(r, c.sentAt, 1)
@@ -574,6 +581,23 @@
 	return min(1, math.Log(s.shares[len(s.shares)/2])/math.Log(usualLoss))
 }
 
+// scarce guards against connection limits told nowhere: a failed connect may mean that idle connections, ours or
+// others', take all the receiver has. For a while we keep none idle there, and a note asks our fellows to do likewise.
+func (s *Sender) scarce(r *receiver) {
+	if s.now >= r.scarceTill && s.allowed.Notes {
+		s.host.Note(strconv.FormatUint(uint64(r.id), 10))
+	}
+	r.scarceTill = s.now + scarceFor
+}
+
+// Noted takes a fellow's note: the receiver where connections are scarce. No rule leans on it.
+func (s *Sender) Noted(text string) {
+	id, err := strconv.ParseUint(text, 10, 32)
+	if r := s.recvs[uint32(id)]; err == nil && r != nil {
+		r.scarceTill = s.now + scarceFor
+	}
+}
+
 // turnedAway tells a shut destination from a busy one: it tells a long wait, or refuses for longer than limiters do.
 func (s *Sender) turnedAway(r *receiver, wait int64) {
 	p := r.route
@@ -721,6 +745,10 @@
 	}
 	s.dispatch(ready)
 	s.makeRoom()
+	for _, r := range s.spare {
+		s.host.CloseIdle(r.id)
+	}
+	s.spare = s.spare[:0]
 	s.setTimer()
 }
 
--- a/choice/state.go
+++ b/choice/state.go
@@ -106,25 +106,26 @@
 func (h health) String() string { return [...]string{"open", "closed", "warming"}[h] }
 
 type receiver struct {
-	id       uint32
-	dst      *dst
-	route    *route
-	zone     int
-	listed   bool
-	weight   float64
-	calls    int // out now
-	peak     int // most calls out when one came back delivered
-	health   health
-	since    int64 // of the last change of health, or of the last setback while warming
-	strikes  float64
-	lost     float64 // recent share of legs without an answer
-	usedAt   int64   // of the latest outcome
-	distrust int64   // until when its idle connections are not trusted
-	proved   bool    // delivered something since it is warming
-	okAt     int64
-	probing  bool
-	tokens   float64 // of the ramp
-	filledAt int64
+	id         uint32
+	dst        *dst
+	route      *route
+	zone       int
+	listed     bool
+	weight     float64
+	calls      int // out now
+	peak       int // most calls out when one came back delivered
+	health     health
+	since      int64 // of the last change of health, or of the last setback while warming
+	strikes    float64
+	lost       float64 // recent share of legs without an answer
+	usedAt     int64   // of the latest outcome
+	distrust   int64   // until when its idle connections are not trusted
+	scarceTill int64   // until when its connections are scarce
+	proved     bool    // delivered something since it is warming
+	okAt       int64
+	probing    bool
+	tokens     float64 // of the ramp
+	filledAt   int64
 }
 
 // dst is a destination. There is one for each in the lists or named by a message.
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -216,6 +216,8 @@
 		s.Withdrawn(id)
 	case "bell":
 		s.Rang(f.Get("nonce").Uint())
+	case "memo":
+		s.Noted(f.Get("blob").String())
 	case "pong":
 		o, known := outcomes[f.Get("verdict").String()]
 		if !known {
