--- a/choice/choice.go
+++ b/choice/choice.go
@@ -42,7 +42,7 @@
 	longWait       = 5 * second / 2  // µs; no limiter tells waits this long, a shut destination does
 	trialGap       = 7 * second / 10 // µs between trials at a closed route, at least: a few within a target time
 	trialGapMax    = 3 * second      // µs; at most, or a return is found too late
-	rampMargin     = 0.7             // share of the allowed load on a cold receiver that is used; rest is for chance
+	rampMargin     = 0.8             // share of the allowed load on a cold receiver that is used; rest is for chance
 	rampExtra      = 0.25            // of a call; weight of each further message in a call to a cold receiver
 	roughLow       = 0.67            // a rough weight may be half too high
 	leastRate      = 1.0             // calls a second and sender assumed where nothing is known of a rate
@@ -64,7 +64,7 @@
 	slowVar     = 4           // deviations until a leg out counts as slow
 	leastRoom   = 0.1         // odds of a receiver that seems full: it may have room after all
 	farLean     = 0.3         // odds of a receiver across zones where a crossing has a price
-	roomKept    = 0.9         // of the holding room; beyond, messages that cannot go soon are pushed back
+	roomKept    = 0.97        // of the holding room; beyond, messages that cannot go soon are pushed back
 	adviceShort = second      // µs; advice given with a pushback for want of room
 	maxPatience = 2           // target times; longest a leg is waited for
 	gatherShare = 0.2         // of the target time; how long a busy destination's messages gather for a call
