--- a/choice/choice.go
+++ b/choice/choice.go
@@ -307,6 +307,9 @@
 			r.route = &route{}
 		}
 		s.recvs[e.Receiver] = r
+		if d.down { // danger: a machine that replaces a dead one is cold, and the whole backlog waits for it
+			s.become(r, closed)
+		}
 	}
 	r.zone, r.weight, r.listed = e.Zone, e.Weight, e.Listed
 	d.recvs = slices.DeleteFunc(d.recvs, func(o *receiver) bool { return o == r })
@@ -539,6 +542,7 @@
 	if r.health == closed {
 		s.become(r, warming)
 	}
+	r.dst.down = false
 	r.proved = true
 }
 
@@ -615,6 +619,7 @@
 func (s *Sender) close(r *receiver) {
 	s.become(r, closed)
 	s.spaceTrials(r)
+	r.dst.down = !slices.ContainsFunc(r.dst.recvs, func(o *receiver) bool { return o.health == open })
 	for _, o := range r.dst.recvs { // an outage mostly takes all receivers of a destination: be quicker with them
 		if o != r && o.health == open && o.okAt < s.now-siblingSilence {
 			o.strikes = max(o.strikes, strikesToClose-1)
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -242,3 +242,20 @@
 	did := f.after(28*second - answerMargin)
 	assert.Equal(t, 4, count(did, "fail")+count(did, "push back"))
 }
+
+func TestReplacedMachineOfADeadDestinationIsCold(t *testing.T) {
+	f := begin(t, keyed, 40, 1, 20, Kind{Batch: 1})
+	f.take("a", "b")
+	f.after(3 * second)
+	f.ends("a", TimedOut, 0)
+	f.ends("b", TimedOut, 0)
+	f.Listed(Changes, []Entry{{Receiver: 1, Dst: 7}})
+	for i := range 20 {
+		f.take(fmt.Sprint("held", i))
+	}
+	f.after(second)
+	f.Listed(Changes, []Entry{{Receiver: 2, Dst: 7, Weight: 20, Listed: true}})
+	did := f.after(2 * second)
+	assert.Zero(t, count(did, "send"))
+	assert.Contains(t, did, "probe 2")
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -141,6 +141,7 @@
 	mean     float64 // µs, answer time
 	dev      float64
 	sampled  bool
+	down     bool // no receiver was open at the latest closing, and none has delivered since
 	wakeAt   int64
 	calledAt int64 // when the latest call went out
 }
