All senders' trials half a second apart where calls hang or are refused

Covers any probing that adds up over a fleet; harms by finding a return later, the more the more senders.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -41,6 +41,7 @@
 	pauseMost      = 2 * second      // µs; longest such pause
 	longWait       = 5 * second / 2  // µs; no limiter tells waits this long, a shut destination does
 	trialGap       = 7 * second / 10 // µs between trials at a closed route, at least: a few within a target time
+	fleetGap       = second / 2      // µs between all senders' trials where they may pile up
 	trialGapMax    = 3 * second      // µs; at most, or a return is found too late
 	rampMargin     = 0.8             // share of the allowed load on a cold receiver that is used; rest is for chance
 	rampExtra      = 0.25            // of a call; weight of each further message in a call to a cold receiver
@@ -496,6 +497,7 @@
 // observe learns from a call that is over.
 func (s *Sender) observe(c *call, o Outcome, wait int64) {
 	r, d := c.r, c.r.dst
+	r.route.piling = o == TimedOut || o == Full
 	switch o {
 	case Delivered:
 		d.errs.deposit(s.now, percentCanRetry)
@@ -628,10 +630,14 @@
 }
 
 // spaceTrials keeps probes to what a cold destination may be sent: they weigh like calls, and no one knows when
-// it returns. At a limiter, too many of them would keep it shut for good.
+// it returns. At a limiter, too many of them would keep it shut for good. Where they hang or are refused they pile up
+// and push it over as it returns, however little each sender tries: there all senders share one spacing.
 func (s *Sender) spaceTrials(r *receiver) {
 	rate := s.capacity(r) * s.guards.StartShare * s.guards.Overload * rampMargin / float64(s.team.Senders)
 	gap := min(max(trialGap, int64(float64(second)/max(rate, 0.01))), trialGapMax)
+	if r.route.piling {
+		gap = max(gap, int64(s.team.Senders)*fleetGap)
+	}
 	r.route.trialAt = s.now + int64(float64(gap)*(0.75+s.chance()/2))
 }
 
@@ -642,6 +648,7 @@
 		return
 	}
 	r.probing = false
+	r.route.piling = o == TimedOut || o == Full
 	r.dst.wakeAt = 0
 	s.reported(r, rep)
 	if r.health == closed && o == Delivered {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -259,3 +259,18 @@
 	assert.Zero(t, count(did, "send"))
 	assert.Contains(t, did, "probe 2")
 }
+
+func TestManySendersTryAHangingDestinationRarely(t *testing.T) {
+	f := begin(t, keyed, 40, 1, aLot, Kind{Batch: 1})
+	f.team.Senders = 12
+	f.take("a", "b")
+	f.after(3 * second)
+	f.ends("a", TimedOut, 0)
+	f.ends("b", TimedOut, 0)
+	probes := 0
+	for range 24 {
+		probes += count(f.after(second), "probe")
+		f.Probed(1, TimedOut, Report{})
+	}
+	assert.InDelta(t, 4, probes, 1, "one in half a second of all twelve, in 24 s")
+}
