--- a/choice/choice.go
+++ b/choice/choice.go
@@ -48,35 +48,36 @@
 	roughLow       = 0.67            // a rough weight may be half too high
 	leastRate      = 1.0             // calls a second and sender assumed where nothing is known of a rate
 
-	paceStart   = 1.3         // of the even share of a known limit: others may leave some of theirs
-	paceCeiling = 2.0         // of the even share; never more than this, however well it goes
-	paceFloor   = 0.6         // of the even share; refusals never push below
-	paceCut     = 0.8         // factor after a refusal
-	paceRest    = second / 2  // µs between two cuts: refusals of one burst are one signal
-	paceGrowth  = 0.2         // a second; how fast the rate creeps up again
-	paceNear    = 0.85        // of the rate last refused; from there to as much above it we only creep
-	paceCreep   = 0.04        // a second; that creeping
-	seekCut     = 0.9         // as paceCut, where no limit is known and ours is a guess
-	seekCreep   = 0.1         // as paceCreep, likewise
-	paceBurst   = 0.3         // seconds of the rate that may go at once, one call at least
-	okSpan      = 2 * second  // µs; successes are counted over such spans
-	scarceSlots = 0.5         // of the slots; with more in use, patience goes by the answer times
-	patienceVar = 9           // deviations above the mean answer time until a leg is given up
-	slowVar     = 4           // deviations until a leg out counts as slow
-	leastRoom   = 0.1         // odds of a receiver that seems full: it may have room after all
-	farLean     = 0.3         // odds of a receiver across zones where a crossing has a price
-	roomKept    = 0.97        // of the holding room; beyond, messages that cannot go soon are pushed back
-	adviceShort = second      // µs; advice given with a pushback for want of room
-	maxPatience = 2           // target times; longest a leg is waited for
-	gatherShare = 0.2         // of the target time; how long a busy destination's messages gather for a call
-	lossStep    = 0.15        // weight of the newest leg in a receiver's share of lost ones
-	usualLoss   = 0.05        // share of lost legs up to which a row of them counts in full
-	distrust    = 5 * second  // µs after a lost leg for which its receiver's idle connections are not trusted
-	distrustAll = 20 * second // µs for which none is, where loss is common: new ones cost less than the loss
-	staleIdle   = second / 5  // µs without a call from which a connection counts as idle
-	scarceFor   = 20 * second // µs after a failed connect for which no connection is kept idle there
-	leastMedian = 5           // receivers below which a median says nothing
-	silentCalls = 2           // calls out without an answer that may mean a hanging receiver
+	paceStart      = 1.3         // of the even share of a known limit: others may leave some of theirs
+	paceCeiling    = 2.0         // of the even share; never more than this, however well it goes
+	paceFloor      = 0.6         // of the even share; refusals never push below
+	paceCut        = 0.8         // factor after a refusal
+	paceRest       = second / 2  // µs between two cuts: refusals of one burst are one signal
+	paceGrowth     = 0.2         // a second; how fast the rate creeps up again
+	paceNear       = 0.85        // of the rate last refused; from there to as much above it we only creep
+	leastShareLeft = 0.2         // of a limit; told less, a route waits for the next token
+	paceCreep      = 0.04        // a second; that creeping
+	seekCut        = 0.9         // as paceCut, where no limit is known and ours is a guess
+	seekCreep      = 0.1         // as paceCreep, likewise
+	paceBurst      = 0.3         // seconds of the rate that may go at once, one call at least
+	okSpan         = 2 * second  // µs; successes are counted over such spans
+	scarceSlots    = 0.5         // of the slots; with more in use, patience goes by the answer times
+	patienceVar    = 9           // deviations above the mean answer time until a leg is given up
+	slowVar        = 4           // deviations until a leg out counts as slow
+	leastRoom      = 0.1         // odds of a receiver that seems full: it may have room after all
+	farLean        = 0.3         // odds of a receiver across zones where a crossing has a price
+	roomKept       = 0.97        // of the holding room; beyond, messages that cannot go soon are pushed back
+	adviceShort    = second      // µs; advice given with a pushback for want of room
+	maxPatience    = 2           // target times; longest a leg is waited for
+	gatherShare    = 0.2         // of the target time; how long a busy destination's messages gather for a call
+	lossStep       = 0.15        // weight of the newest leg in a receiver's share of lost ones
+	usualLoss      = 0.05        // share of lost legs up to which a row of them counts in full
+	distrust       = 5 * second  // µs after a lost leg for which its receiver's idle connections are not trusted
+	distrustAll    = 20 * second // µs for which none is, where loss is common: new ones cost less than the loss
+	staleIdle      = second / 5  // µs without a call from which a connection counts as idle
+	scarceFor      = 20 * second // µs after a failed connect for which no connection is kept idle there
+	leastMedian    = 5           // receivers below which a median says nothing
+	silentCalls    = 2           // calls out without an answer that may mean a hanging receiver
 )
 
 // mayPushBack: coming again must be harmless.
@@ -531,6 +532,9 @@
 	if rep.Told && rep.LimitPerSec > 0 {
 		r.route.told = rep.LimitPerSec
 		r.route.know(rep.LimitPerSec / float64(s.team.Senders))
+		if rep.ShareLeft < leastShareLeft {
+			r.route.tokens = min(r.route.tokens, 0) // others have used the room that a full bucket would promise
+		}
 	}
 }
 
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -274,3 +274,13 @@
 	}
 	assert.InDelta(t, 4, probes, 1, "one in half a second of all twelve, in 24 s")
 }
+
+func TestLittleLeftOfTheLimitIsHeeded(t *testing.T) {
+	f := begin(t, keyed, 40, 1, 100, Kind{Batch: 1})
+	f.take("a")
+	f.after(0)
+	f.Settled("a", 0, Delivered, 0, true, Report{Told: true, ShareLeft: .05, LimitPerSec: 4})
+	f.take("b", "c")
+	assert.Zero(t, count(f.after(200*ms), "send"))
+	assert.Equal(t, 2, count(f.after(2*second), "send"))
+}
