--- a/choice/choice.go
+++ b/choice/choice.go
@@ -61,7 +61,7 @@
 	seekCreep      = 0.1         // as paceCreep, likewise
 	paceBurst      = 0.3         // seconds of the rate that may go at once, one call at least
 	okSpan         = 2 * second  // µs; successes are counted over such spans
-	scarceSlots    = 0.5         // of the slots; with more in use, patience goes by the answer times
+	scarceSlots    = 0.85         // of the slots; with more in use, patience goes by the answer times
 	patienceVar    = 9           // deviations above the mean answer time until a leg is given up
 	slowVar        = 4           // deviations until a leg out counts as slow
 	leastRoom      = 0.1         // odds of a receiver that seems full: it may have room after all
