--- a/choice/choice.go
+++ b/choice/choice.go
@@ -61,7 +61,7 @@
 	seekCreep      = 0.1         // as paceCreep, likewise
 	paceBurst      = 0.3         // seconds of the rate that may go at once, one call at least
 	okSpan         = 2 * second  // µs; successes are counted over such spans
-	scarceSlots    = 0.85         // of the slots; with more in use, patience goes by the answer times
+	scarceSlots    = 0.85        // of the slots; with more in use, patience goes by the answer times
 	patienceVar    = 9           // deviations above the mean answer time until a leg is given up
 	slowVar        = 4           // deviations until a leg out counts as slow
 	leastRoom      = 0.1         // odds of a receiver that seems full: it may have room after all
@@ -265,16 +265,6 @@
 // At sets the clock for the events that follow.
 func (s *Sender) At(now int64) { s.now = now }
 
-func (s *Sender) dst(id int64) *dst {
-	d := s.dsts[id]
-	if d == nil {
-		d = &dst{id: id, route: &route{}, kind: Kind{Batch: 1}}
-		s.dsts[id] = d
-		s.order = append(s.order, d)
-	}
-	return d
-}
-
 // Listed takes a list of receivers. A failed lookup leaves the old one in force.
 func (s *Sender) Listed(form ListForm, entries []Entry) {
 	if form == LookupFailed {
@@ -367,25 +357,6 @@
 	s.forget(m)
 }
 
-// forget drops a message that is over once nothing of it is out, and lets the next of its key go.
-func (s *Sender) forget(m *msg) {
-	if !m.over() || m.openLegs() > 0 {
-		return
-	}
-	delete(s.msgs, m.id)
-	l := m.line
-	if l == nil {
-		return
-	}
-	l.msgs = slices.DeleteFunc(l.msgs, func(o *msg) bool { return o == m })
-	if len(l.msgs) == 0 {
-		s.resting = append(s.resting, l)
-		return
-	}
-	l.msgs[0].notBefore = max(l.msgs[0].notBefore, l.rest)
-	l.msgs[0].dst.wakeAt = 0
-}
-
 // end gives the final answer: pushed back only if the last outcome proves it never ran and the lane allows it.
 func (s *Sender) end(m *msg, advice int64) {
 	if m.over() {
@@ -775,15 +746,6 @@
 	}
 }
 
-func (s *Sender) restOver() {
-	s.resting = slices.DeleteFunc(s.resting, func(l *keyLine) bool {
-		if len(l.msgs) == 0 && l.rest <= s.now && s.lines[l.key] == l {
-			delete(s.lines, l.key)
-		}
-		return len(l.msgs) > 0 || l.rest <= s.now
-	})
-}
-
 // tryClosed probes closed receivers, rarely.
 func (s *Sender) tryClosed(d *dst) {
 	for _, r := range d.recvs {
@@ -986,19 +948,3 @@
 		s.end(c.m, adviceShort)
 	}
 }
-
-func (s *Sender) setTimer() {
-	at := never
-	if len(s.expiry) > 0 {
-		at = s.expiry[0].giveUp
-	}
-	for _, d := range s.order {
-		if d.wakeAt > s.now {
-			at = min(at, d.wakeAt)
-		}
-	}
-	if at < s.timerAt && at < never {
-		s.timerAt = at
-		s.host.Timer(max(1, at-s.now), 0)
-	}
-}
--- a/choice/state.go
+++ b/choice/state.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"hash/crc32"
+	"slices"
 )
 
 // What the module remembers, without any decision: those are in choice.go.
@@ -155,3 +156,57 @@
 	s.draws++
 	return float64(crc32.ChecksumIEEE(b[:])) / (1 << 32)
 }
+
+func (s *Sender) dst(id int64) *dst {
+	d := s.dsts[id]
+	if d == nil {
+		d = &dst{id: id, route: &route{}, kind: Kind{Batch: 1}}
+		s.dsts[id] = d
+		s.order = append(s.order, d)
+	}
+	return d
+}
+
+// forget drops a message that is over once nothing of it is out, and lets the next of its key go.
+func (s *Sender) forget(m *msg) {
+	if !m.over() || m.openLegs() > 0 {
+		return
+	}
+	delete(s.msgs, m.id)
+	l := m.line
+	if l == nil {
+		return
+	}
+	l.msgs = slices.DeleteFunc(l.msgs, func(o *msg) bool { return o == m })
+	if len(l.msgs) == 0 {
+		s.resting = append(s.resting, l)
+		return
+	}
+	l.msgs[0].notBefore = max(l.msgs[0].notBefore, l.rest)
+	l.msgs[0].dst.wakeAt = 0
+}
+
+func (s *Sender) restOver() {
+	s.resting = slices.DeleteFunc(s.resting, func(l *keyLine) bool {
+		if len(l.msgs) == 0 && l.rest <= s.now && s.lines[l.key] == l {
+			delete(s.lines, l.key)
+		}
+		return len(l.msgs) > 0 || l.rest <= s.now
+	})
+}
+
+func (s *Sender) setTimer() {
+	at := never
+	if len(s.expiry) > 0 {
+		at = s.expiry[0].giveUp
+	}
+	for _, d := range s.order {
+		if d.wakeAt > s.now {
+			at = min(at, d.wakeAt)
+		}
+	}
+	if at < s.timerAt && at < never {
+		s.timerAt = at
+		s.host.Timer(max(1, at-s.now), 0)
+	}
+}
