--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1,10 +1,12 @@
 package choice
 
-// How to call it: New for each start of a sender, on the Host of host.go, where the plain types are too. For
-// each turn: At(now), the turn's events in order (Listed, Take, Began, Settled, Withdrawn, Probed, Rang), then
-// Decide once. Events only update state and answer messages that are over; Decide does all the sending.
+// How to call it: New for each start of a sender, on the Host of host.go, where the plain types are too.
+// For each turn: At(now), the turn's events in order (Listed, Take, Began, Settled, Withdrawn, Probed,
+// Rang), then Decide once. Events only update state and answer messages that are over; Decide does all the
+// sending.
 //
-// The ordinary path: Settled -> repeat (retry budget, told wait plus full jitter, deadline) -> Decide -> call.
+// The ordinary path: Settled -> repeat (retry budget, told wait plus full jitter, deadline) -> Decide ->
+// call.
 
 import (
 	"cmp"
@@ -22,7 +24,7 @@
 	minRetriesPerSec = 3           // repeats a second always allowed (design)
 	ttl              = 10 * second // life of a credit (design)
 	creditSpan       = second / 2  // credits expire together by this much; 5% of ttl is fine enough
-	toldWaitBonus    = 2           // refusals with a told wait may spend at this multiple of the ratio (design)
+	toldWaitBonus    = 2           // refusals with a told wait spend at this multiple (design)
 	backoffBase      = second / 10 // µs; first jitter window (design)
 	backoffCap       = 8 * second  // µs; widest jitter window (design)
 
@@ -30,20 +32,20 @@
 	sickShare = 0.5  // of the slots; a failing or slow one stays at or below (design)
 
 	answerMargin = second / 100 // µs before the deadline by which we answer: two of a usual turn
-	keyMargin    = second / 20  // µs; a key is taken for forgotten this much early, for the way to the receiver
+	askAgain     = second       // µs after a failed lookup until the next, which loads what all share
+	keyMargin    = second / 20  // µs; a key counts as forgotten this early, for the way there
 
 	strikesToClose = 3.0             // points; three errors in a row, two silent ones or failed connects
 	silentStrike   = 1.5             // points; a leg without any answer says more than an error
-	refusedRow     = 4               // refusals without a success in between that look like a shut destination
-	refusedSilence = 3 * second      // µs without a success that must go with such a row; limiters free room sooner
-	siblingSilence = second          // µs without a success that make a receiver suspect with its sibling
+	refusedRow     = 4               // refusals without a success that look like a shut destination
+	refusedSilence = 3 * second      // µs that such a row must last; limiters free room sooner
 	pauseFirst     = second / 4      // µs; pause of a route after a refusal, doubled by each further one
 	pauseMost      = 2 * second      // µs; longest such pause
 	longWait       = 5 * second / 2  // µs; no limiter tells waits this long, a shut destination does
-	trialGap       = 7 * second / 10 // µs between trials at a closed route, at least: a few within a target time
+	trialGap       = 7 * second / 10 // µs between trials at a closed route, at least
 	fleetGap       = second / 2      // µs between all senders' trials where they may pile up
 	trialGapMax    = 3 * second      // µs; at most, or a return is found too late
-	rampMargin     = 0.8             // share of the allowed load on a cold receiver that is used; rest is for chance
+	rampMargin     = 0.8             // share of the allowed load on a cold receiver; rest is for chance
 	rampExtra      = 0.25            // of a call; weight of each further message in a call to a cold receiver
 	roughLow       = 0.67            // a rough weight may be half too high
 	leastRate      = 1.0             // calls a second and sender assumed where nothing is known of a rate
@@ -69,11 +71,11 @@
 	roomKept       = 0.97        // of the holding room; beyond, messages that cannot go soon are pushed back
 	adviceShort    = second      // µs; advice given with a pushback for want of room
 	maxPatience    = 2           // target times; longest a leg is waited for
-	gatherShare    = 0.2         // of the target time; how long a busy destination's messages gather for a call
+	gatherShare    = 0.2         // of the target time; how long messages gather for a call
 	lossStep       = 0.15        // weight of the newest leg in a receiver's share of lost ones
 	usualLoss      = 0.05        // share of lost legs up to which a row of them counts in full
-	distrust       = 5 * second  // µs after a lost leg for which its receiver's idle connections are not trusted
-	distrustAll    = 20 * second // µs for which none is, where loss is common: new ones cost less than the loss
+	distrust       = 5 * second  // µs after a lost leg: its receiver's idle connections not trusted
+	distrustAll    = 20 * second // µs: none trusted, where loss is common; new ones cost less
 	staleIdle      = second / 5  // µs without a call from which a connection counts as idle
 	scarceFor      = 20 * second // µs after a failed connect for which no connection is kept idle there
 	leastMedian    = 5           // receivers below which a median says nothing
@@ -91,8 +93,15 @@
 	if l == nil || m.lane.Repeat == Retriable {
 		return true
 	}
-	return m.lane.Repeat == Keyed && now <= l.call.sentAt+m.lane.Window-keyMargin &&
-		(m.lane.AnyInDst || r.zone == l.call.r.zone)
+	return m.lane.Repeat == Keyed && now <= m.lastChance() && (m.lane.AnyInDst || r.zone == l.call.r.zone)
+}
+
+// lastChance is until when a leg may go out.
+func (m *msg) lastChance() int64 {
+	if l := m.risky(); l != nil && m.lane.Repeat == Keyed {
+		return min(m.expires-answerMargin, l.call.sentAt+m.lane.Window-keyMargin)
+	}
+	return m.expires - answerMargin
 }
 
 // value left for an answer at a time, by the lane's way of falling.
@@ -189,11 +198,12 @@
 	return max(at, p.waitUntil, p.pause)
 }
 
-// refused guards against calling on at a limit: refused calls may use it up too, so a sender that keeps calling
-// can hold a destination shut for everyone. A row of refusals makes the pauses longer; a success ends them.
+// refused guards against calling on at a limit: refused calls may use it up too, so a sender that keeps
+// calling can hold a destination shut for everyone. A row of refusals makes the pauses longer; a success
+// ends them.
 func (p *route) refused(now int64, chance float64) {
 	if p.row == 0 {
-		p.rowFrom, p.before = now, p.rate
+		p.rowFrom = now
 	}
 	p.row++
 	if now-p.cutAt < paceRest {
@@ -251,12 +261,12 @@
 	shares   []float64   // working space of weightOfSilence
 	spare    []*receiver // used in this turn, to be left without idle connections; emptied every turn
 	timerAt  int64
-	asked    bool
+	askAt    int64 // when to subscribe, never while subscribed
 }
 
 // New starts a sender that knows nothing yet.
-func New(h Host, seed uint64, team Team, lanes []Lane, kinds []Kind, room Room, allowed Allowed, guards Guards,
-	trust WeightTrust) *Sender {
+func New(h Host, seed uint64, team Team, lanes []Lane, kinds []Kind, room Room, allowed Allowed,
+	guards Guards, trust WeightTrust) *Sender {
 	return &Sender{host: h, seed: seed, team: team, lanes: lanes, kinds: kinds, room: room, allowed: allowed,
 		guards: guards, trust: trust, timerAt: never, msgs: map[string]*msg{}, dsts: map[int64]*dst{},
 		recvs: map[uint32]*receiver{}, lines: map[string]*keyLine{}}
@@ -268,7 +278,7 @@
 // Listed takes a list of receivers. A failed lookup leaves the old one in force.
 func (s *Sender) Listed(form ListForm, entries []Entry) {
 	if form == LookupFailed {
-		s.asked = false
+		s.askAt = s.now + askAgain
 		return
 	}
 	if form != Changes {
@@ -344,10 +354,7 @@
 	m.dst.wakeAt = 0
 	switch to {
 	case held:
-		m.giveUp = m.expires - answerMargin
-		if l := m.risky(); l != nil && m.lane.Repeat == Keyed {
-			m.giveUp = min(m.giveUp, l.call.sentAt+m.lane.Window-keyMargin)
-		}
+		m.giveUp = m.lastChance()
 	case out:
 		m.giveUp = m.expires - answerMargin
 	case pushedBack, failed, delivered, withdrawn, streaming:
@@ -357,7 +364,8 @@
 	s.forget(m)
 }
 
-// end gives the final answer: pushed back only if the last outcome proves it never ran and the lane allows it.
+// end gives the final answer: pushed back only if the last outcome proves it never ran and the lane allows
+// it.
 func (s *Sender) end(m *msg, advice int64) {
 	if m.over() {
 		return
@@ -459,7 +467,7 @@
 	}
 	window := min(backoffCap, backoffBase<<min(len(m.legs)-1, 10))
 	m.notBefore = s.now + wait + int64(s.chance()*float64(window))
-	if !bucket.withdraw(s.now, percent) || m.notBefore > m.expires-answerMargin {
+	if !bucket.withdraw(s.now, percent) || m.notBefore > m.lastChance() {
 		s.end(m, wait)
 		return
 	}
@@ -503,8 +511,8 @@
 	if rep.Told && rep.LimitPerSec > 0 {
 		r.route.told = rep.LimitPerSec
 		r.route.know(rep.LimitPerSec / float64(s.team.Senders))
-		if rep.ShareLeft < leastShareLeft {
-			r.route.tokens = min(r.route.tokens, 0) // others have used the room that a full bucket would promise
+		if rep.ShareLeft < leastShareLeft { // others have used the room that a full bucket would promise
+			r.route.tokens = min(r.route.tokens, 0)
 		}
 	}
 }
@@ -524,15 +532,16 @@
 }
 
 func (s *Sender) become(r *receiver, h health) {
-	s.host.Log(fmt.Sprintf("%d ms: receiver %d of destination %d is %s (%.1f strikes, %d refusals)", s.now/1000,
-		r.id, r.dst.id, h, r.strikes, r.route.row))
+	s.host.Log(fmt.Sprintf("%d ms: receiver %d of destination %d is %s (%.1f strikes, %d refusals)",
+		s.now/1000, r.id, r.dst.id, h, r.strikes, r.route.row))
 	r.health, r.since, r.strikes, r.proved = h, s.now, 0, false
 	r.tokens, r.filledAt = 0, s.now
 	r.dst.wakeAt = 0
 }
 
-// struck guards against any outage that shows as legs gone wrong: down, silent, hung or failing most calls. Legs
-// sent before the last change say nothing new. A setback while warming puts the ramp back to its start.
+// struck guards against any outage that shows as legs gone wrong: down, silent, hung or failing most calls.
+// Legs sent before the last change say nothing new. A setback while warming puts the ramp back to its
+// start.
 func (s *Sender) struck(r *receiver, sentAt int64, points float64) {
 	if sentAt < r.since || r.health == closed {
 		return
@@ -545,9 +554,10 @@
 	}
 }
 
-// weightOfSilence tells an outage from loss on the way. Danger: where calls to most receivers get lost now and then,
-// rows of lost calls are chance, and closing on them starves destinations that are well. The median receiver's
-// share of lost legs tells; a few that are down do not move it. A row weighs by how unlikely chance makes it.
+// weightOfSilence tells an outage from loss on the way. Danger: where calls to most receivers get lost now
+// and then, rows of lost calls are chance, and closing on them starves destinations that are well. The
+// median receiver's share of lost legs tells; a few that are down do not move it. A row weighs by how
+// unlikely chance makes it.
 func (s *Sender) weightOfSilence() float64 {
 	s.shares = s.shares[:0]
 	for _, d := range s.order {
@@ -562,8 +572,9 @@
 	return min(1, math.Log(s.shares[len(s.shares)/2])/math.Log(usualLoss))
 }
 
-// scarce guards against connection limits told nowhere: a failed connect may mean that idle connections, ours or
-// others', take all the receiver has. For a while we keep none idle there, and a note asks our fellows to do likewise.
+// scarce guards against connection limits told nowhere: a failed connect may mean that idle connections,
+// ours or others', take all the receiver has. For a while we keep none idle there, and a note asks our
+// fellows to do likewise.
 func (s *Sender) scarce(r *receiver) {
 	if s.now >= r.scarceTill && s.allowed.Notes {
 		s.host.Note(strconv.FormatUint(uint64(r.id), 10))
@@ -579,13 +590,13 @@
 	}
 }
 
-// turnedAway tells a shut destination from a busy one: it tells a long wait, or refuses for longer than limiters do.
+// turnedAway tells a shut destination from a busy one: it tells a long wait, or refuses for longer than
+// limiters do.
 func (s *Sender) turnedAway(r *receiver, wait int64) {
 	p := r.route
 	if wait < longWait && (p.row < refusedRow || s.now-p.rowFrom < refusedSilence) {
 		return
 	}
-	p.rate = p.before // being shut says nothing of the limit
 	for _, o := range r.dst.recvs {
 		if o.route == p && o.health != closed {
 			s.close(o)
@@ -597,16 +608,12 @@
 	s.become(r, closed)
 	s.spaceTrials(r)
 	r.dst.down = !slices.ContainsFunc(r.dst.recvs, func(o *receiver) bool { return o.health == open })
-	for _, o := range r.dst.recvs { // an outage mostly takes all receivers of a destination: be quicker with them
-		if o != r && o.health == open && o.okAt < s.now-siblingSilence {
-			o.strikes = max(o.strikes, strikesToClose-1)
-		}
-	}
 }
 
-// spaceTrials keeps probes to what a cold destination may be sent: they weigh like calls, and no one knows when
-// it returns. At a limiter, too many of them would keep it shut for good. Where they hang or are refused they pile up
-// and push it over as it returns, however little each sender tries: there all senders share one spacing.
+// spaceTrials keeps probes to what a cold destination may be sent: they weigh like calls, and no one knows
+// when it returns. At a limiter, too many of them would keep it shut for good. Where they hang or are
+// refused they pile up and push it over as it returns, however little each sender tries: there all senders
+// share one spacing.
 func (s *Sender) spaceTrials(r *receiver) {
 	rate := s.capacity(r) * s.guards.StartShare * s.guards.Overload * rampMargin / float64(s.team.Senders)
 	gap := min(max(trialGap, int64(float64(second)/max(rate, 0.01))), trialGapMax)
@@ -647,8 +654,9 @@
 	return float64(s.team.Senders) * max(leastRate, r.route.okPeak)
 }
 
-// ramp is this sender's share of what a receiver back from an outage may be sent, in calls a second. Danger: a
-// cold destination sent a multiple of what it can do falls over for good, and nobody says when it returned.
+// ramp is this sender's share of what a receiver back from an outage may be sent, in calls a second.
+// Danger: a cold destination sent a multiple of what it can do falls over for good, and nobody says when it
+// returned.
 func (s *Sender) ramp(r *receiver) float64 {
 	g := s.guards
 	warm := min(1, float64(s.now-r.since)/float64(max(1, g.WarmWithin)))
@@ -689,8 +697,9 @@
 	return at
 }
 
-// silent guards against a hanging receiver soaking up first sends, which no budget checks: with several calls out,
-// the oldest overdue and nothing delivered since it went, no more is sent until one of them has an outcome.
+// silent guards against a hanging receiver soaking up first sends, which no budget checks: with several
+// calls out, the oldest overdue and nothing delivered since it went, no more is sent until one of them has
+// an outcome.
 func (s *Sender) silent(r *receiver) bool {
 	if r.calls < silentCalls || !r.dst.sampled || s.weightOfSilence() < 1 {
 		return false
@@ -703,8 +712,8 @@
 	return false
 }
 
-// cap is how many slots a destination may hold.
-func (s *Sender) cap(d *dst) int {
+// slotCap is how many slots a destination may hold.
+func (s *Sender) slotCap(d *dst) int {
 	sick := len(d.calls) > 0 && d.sampled && float64(s.now-d.calls[0].sentAt) > d.slowAfter()
 	for _, r := range d.recvs {
 		sick = sick || r.health != open
@@ -740,8 +749,8 @@
 }
 
 func (s *Sender) keepSubscribed() {
-	if s.allowed.Subscribe && !s.asked {
-		s.asked = true
+	if s.allowed.Subscribe && s.now >= s.askAt {
+		s.askAt = never
 		s.host.Subscribe()
 	}
 }
@@ -811,7 +820,7 @@
 }
 
 func (s *Sender) best(d *dst) candidate {
-	if len(d.held) == 0 || len(d.calls) >= s.cap(d) {
+	if len(d.held) == 0 || len(d.calls) >= s.slotCap(d) {
 		return candidate{d: d}
 	}
 	if at := s.gathered(d); at > s.now {
@@ -821,8 +830,9 @@
 	return s.mostUrgent(d, s.usable(d))
 }
 
-// gathered is when the messages held for a destination that shares calls should go: an idle one's at once, else a
-// while after the last call or when a call is full. Shared calls spare limits and slots, and cost no value.
+// gathered is when the messages held for a destination that shares calls should go: an idle one's at once,
+// else a while after the last call or when a call is full. Shared calls spare limits and slots, and cost no
+// value.
 func (s *Sender) gathered(d *dst) int64 {
 	if d.kind.Batch < 2 || len(d.held) >= d.kind.Batch {
 		return s.now
@@ -830,8 +840,8 @@
 	return d.calledAt + int64(gatherShare*float64(d.held[0].lane.Target))
 }
 
-// mostUrgent is the held message that loses most by waiting one more target time, of those that may go to one of
-// the receivers.
+// mostUrgent is the held message that loses most by waiting one more target time, of those that may go to
+// one of the receivers.
 func (s *Sender) mostUrgent(d *dst, rs []*receiver) candidate {
 	c := candidate{d: d}
 	for _, m := range d.held {
@@ -884,8 +894,8 @@
 	}
 }
 
-// refresh guards against connections that died while idle: calls on them get no answer, a row of them looks like an
-// outage, and only a new connection helps. Done for receivers that lately left calls unanswered.
+// refresh guards against connections that died while idle: calls on them get no answer, a row of them looks
+// like an outage, and only a new connection helps. Done for receivers that lately left calls unanswered.
 func (s *Sender) refresh(r *receiver) {
 	if r.calls == 0 && s.now < max(r.distrust, s.distrust) && s.now-r.usedAt > staleIdle {
 		s.host.CloseIdle(r.id)
@@ -919,8 +929,9 @@
 	return best
 }
 
-// patience is how long a leg is waited for: legs given up run on, so give up late while slots are plenty. Danger:
-// where calls get lost on the way, they fill the slots; then only as long as the answer times seen suggest.
+// patience is how long a leg is waited for: legs given up run on, so give up late while slots are plenty.
+// Danger: where calls get lost on the way, they fill the slots; then only as long as the answer times seen
+// suggest.
 func (s *Sender) patience(m *msg, r *receiver) int64 {
 	p := maxPatience * m.lane.Target
 	if r.dst.sampled && (float64(s.calls) > scarceSlots*float64(s.room.Slots) || s.weightOfSilence() < 1) {
--- a/choice/host.go
+++ b/choice/host.go
@@ -1,7 +1,8 @@
 // Package choice decides, for one sender, which message goes to which receiver and when.
 package choice
 
-// Host is all that a Sender can do to the world. Times are whole microseconds, ids are as the wire gave them.
+// Host is all that a Sender can do to the world. Times are whole microseconds, ids are as the wire gave
+// them.
 type Host interface {
 	Send(msg string, receiver uint32, patience int64)
 	Cancel(msg string, leg int)
--- a/choice/state.go
+++ b/choice/state.go
@@ -82,7 +82,6 @@
 	share     float64 // even share of the known limit, 0 if none is known
 	told      float64 // limit told by answers, calls a second, 0 if none
 	rate      float64 // calls a second we allow ourselves, 0 for no limit yet
-	before    float64 // rate when the row of refusals began
 	mark      float64 // rate at the last refusal, 0 if none was refused
 	tokens    float64
 	filledAt  int64
@@ -200,6 +199,9 @@
 	if len(s.expiry) > 0 {
 		at = s.expiry[0].giveUp
 	}
+	if s.allowed.Subscribe {
+		at = min(at, s.askAt)
+	}
 	for _, d := range s.order {
 		if d.wakeAt > s.now {
 			at = min(at, d.wakeAt)
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -199,7 +199,8 @@
 		if lane < 0 || lane >= int64(t.lanes) {
 			return fmt.Errorf("no lane %d", lane)
 		}
-		s.Take(id, int(lane), f.Get("partition_key").String(), f.Get("receiver_no").Int(), micros(f.Get("expires")))
+		key, to := f.Get("partition_key").String(), f.Get("receiver_no").Int()
+		s.Take(id, int(lane), key, to, micros(f.Get("expires")))
 	case "ack_first":
 		s.Began(id)
 	case "settled":
@@ -211,7 +212,8 @@
 		if o == choice.Full {
 			wait = f.Get("detail").Int() * 1000
 		}
-		s.Settled(id, int(f.Get("attempt").Int()), o, wait, f.Get("final").Bool(), t.report(f.Get("health_info")))
+		number, final := int(f.Get("attempt").Int()), f.Get("final").Bool()
+		s.Settled(id, number, o, wait, final, t.report(f.Get("health_info")))
 	case "hangup":
 		s.Withdrawn(id)
 	case "bell":
