--- a/choice/choice.go
+++ b/choice/choice.go
@@ -75,7 +75,7 @@
 	lossStep       = 0.15        // weight of the newest leg in a receiver's share of lost ones
 	usualLoss      = 0.05        // share of lost legs up to which a row of them counts in full
 	distrust       = 5 * second  // µs after a lost leg: its receiver's idle connections not trusted
-	distrustAll    = 20 * second // µs: none trusted, where loss is common; new ones cost less
+	distrustAll    = 60 * second // µs: none trusted, where loss is common; new ones cost less
 	staleIdle      = second / 5  // µs without a call from which a connection counts as idle
 	scarceFor      = 20 * second // µs after a failed connect for which no connection is kept idle there
 	leastMedian    = 5           // receivers below which a median says nothing
