No guessed pace where limits are unknown; one call at a time after a refusal

A rate learned from a sender's own successes and refusals stayed far below the true one after each clump, whatever its growth (by time or by success). Harms where an unlisted limit punishes refused calls hard.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -59,8 +59,6 @@
 	paceNear       = 0.85        // of the rate last refused; from there to as much above it we only creep
 	leastShareLeft = 0.2         // of a limit; told less, a route waits for the next token
 	paceCreep      = 0.04        // a second; that creeping
-	seekCut        = 0.9         // as paceCut, where no limit is known and ours is a guess
-	seekCreep      = 0.1         // as paceCreep, likewise
 	paceBurst      = 0.3         // seconds of the rate that may go at once, one call at least
 	okSpan         = 2 * second  // µs; successes are counted over such spans
 	scarceSlots    = 0.85        // of the slots; with more in use, patience goes by the answer times
@@ -160,7 +158,7 @@
 	if share == p.share {
 		return
 	}
-	if p.share == 0 || p.rate == 0 {
+	if p.share == 0 {
 		p.rate = share * paceStart
 	} else {
 		p.rate *= share / p.share
@@ -176,15 +174,9 @@
 	}
 	growth := paceGrowth
 	if p.rate > paceNear*p.mark && p.rate < p.mark/paceNear {
-		growth = seekCreep
-		if p.share > 0 {
-			growth = paceCreep
-		}
-	}
-	p.rate *= 1 + growth*min(dt, 1)
-	if p.share > 0 {
-		p.rate = min(max(p.rate, p.share*paceFloor), p.share*paceCeiling)
+		growth = paceCreep
 	}
+	p.rate = min(max(p.rate*(1+growth*min(dt, 1)), p.share*paceFloor), p.share*paceCeiling)
 	p.tokens = min(p.tokens+dt*p.rate, max(1, p.rate*paceBurst))
 }
 
@@ -212,15 +204,8 @@
 	p.cutAt = now
 	p.pause = now + int64((0.5+chance)*float64(min(pauseMost, pauseFirst<<min(p.row-1, 10))))
 	p.refill(now)
-	if p.rate == 0 {
-		p.rate = max(p.okPeak, p.okNow*float64(second)/float64(okSpan), leastRate)
-	}
 	p.mark = p.rate
-	cut := seekCut
-	if p.share > 0 {
-		cut = paceCut
-	}
-	p.rate = max(p.rate*cut, leastRate/4)
+	p.rate *= paceCut
 	p.tokens = min(p.tokens, 0)
 }
 
@@ -670,8 +655,8 @@
 // readyAt is when a receiver may get its next call; never for one that waits for an event.
 func (s *Sender) readyAt(r *receiver) int64 {
 	at := r.route.readyAt(s.now)
-	if s.silent(r) {
-		return never
+	if s.silent(r) || r.route.row > 0 && r.route.share == 0 && len(r.dst.calls) > 0 {
+		return never // hanging, or refusing at a limit nobody knows: there one call at a time, until a success
 	}
 	switch r.health {
 	case closed:
