--- a/choice/choice.go
+++ b/choice/choice.go
@@ -76,6 +76,8 @@
 	distrustAll    = 60 * second // µs: none trusted, where loss is common; new ones cost less
 	staleIdle      = second / 5  // µs without a call from which a connection counts as idle
 	scarceFor      = 20 * second // µs after a failed connect for which no connection is kept idle there
+	leastLate      = 3           // destinations overdue at once, at least, that mean trouble on the way
+	lateShare      = 0.66        // of the destinations with calls out, likewise
 	leastMedian    = 5           // receivers below which a median says nothing
 	silentCalls    = 2           // calls out without an answer that may mean a hanging receiver
 )
@@ -413,9 +415,10 @@
 	switch o {
 	case Delivered:
 		c.r.lost -= c.r.lost * lossStep
-	case TimedOut, Reset, ConnectFailed:
+	case TimedOut, Cancelled, Reset, ConnectFailed:
 		c.r.lost += (1 - c.r.lost) * lossStep
 		c.r.distrust = s.now + distrust
+		s.host.CloseIdle(c.r.id)
 		if s.weightOfSilence() < 1 {
 			s.distrust = s.now + distrustAll
 		}
@@ -697,6 +700,39 @@
 	return false
 }
 
+// callOff guards against trouble on the way to everyone: with most destinations that have calls out overdue at once
+// and silent since, the calls sit on dead connections. They are called off, and no idle connection is trusted.
+func (s *Sender) callOff() {
+	var late []*dst
+	busy := 0
+	for _, d := range s.order {
+		if len(d.calls) == 0 {
+			continue
+		}
+		busy++
+		due := d.calls[0].sentAt + int64(d.slowAfter())
+		if due > s.now {
+			d.wakeAt = min(d.wakeAt, due)
+		} else if d.sampled && !slices.ContainsFunc(d.recvs, func(r *receiver) bool { return r.okAt > d.calls[0].sentAt }) {
+			late = append(late, d)
+		}
+	}
+	if len(late) < leastLate || float64(len(late)) < lateShare*float64(busy) || !s.allowed.Cancel {
+		return
+	}
+	s.distrust = s.now + distrustAll
+	for _, d := range late {
+		for _, c := range d.calls {
+			for _, m := range c.msgs {
+				if !c.off && float64(s.now-c.sentAt) > d.slowAfter() {
+					s.host.Cancel(m.id, slices.IndexFunc(m.legs, func(l leg) bool { return l.call == c }))
+				}
+			}
+			c.off = c.off || float64(s.now-c.sentAt) > d.slowAfter()
+		}
+	}
+}
+
 // slotCap is how many slots a destination may hold.
 func (s *Sender) slotCap(d *dst) int {
 	sick := len(d.calls) > 0 && d.sampled && float64(s.now-d.calls[0].sentAt) > d.slowAfter()
@@ -712,6 +748,7 @@
 // Decide is the end of a turn: answers what is out of time, tries what is closed, sends what may go.
 func (s *Sender) Decide() {
 	s.keepSubscribed()
+	s.callOff()
 	s.restOver()
 	for len(s.expiry) > 0 && s.expiry[0].giveUp <= s.now {
 		s.end(s.expiry[0], 0)
@@ -889,6 +926,7 @@
 
 func (s *Sender) send(m *msg, c *call) {
 	c.open++
+	c.msgs = append(c.msgs, m)
 	m.legs = append(m.legs, leg{call: c})
 	s.turn(m, out)
 	s.host.Send(m.id, c.r.id, s.patience(m, c.r))
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -296,3 +296,21 @@
 	f.ends(did[0][len("send "):], Delivered, 0)
 	assert.Equal(t, 3, count(f.after(0), "send"), "a success lets the rest go")
 }
+
+func TestTroubleOnTheWayToEveryoneIsCalledOff(t *testing.T) {
+	f := begin(t, keyed, 40, 1, aLot, Kind{Batch: 1})
+	f.allowed.Cancel = true
+	for dst := int64(8); dst < 11; dst++ {
+		f.Listed(Changes, []Entry{{Receiver: uint32(dst), Dst: dst, Weight: aLot, Listed: true}})
+		f.Take(fmt.Sprint("to ", dst), 0, "", dst, f.now+28*second)
+	}
+	for _, d := range f.order {
+		d.mean, d.dev, d.sampled = float64(100*ms), float64(20*ms), true
+	}
+	f.after(0)
+	assert.Equal(t, []string{"cancel to 8 0", "cancel to 9 0", "cancel to 10 0"}, f.after(300*ms))
+	f.ends("to 8", Cancelled, 0)
+	assert.Equal(t, "close 8", f.did[3])
+	f.take("another")
+	assert.NotContains(t, f.after(5*second), "cancel another 0", "one alone may just be slow")
+}
--- a/choice/host.go
+++ b/choice/host.go
@@ -59,8 +59,8 @@
 
 // Allowed is what the deployment lets a sender do.
 type Allowed struct {
-	Probes, Subscribe, Advice, Notes bool
-	MaxAdvice                        int64
+	Probes, Subscribe, Advice, Notes, Cancel bool
+	MaxAdvice                                int64
 }
 
 // Guards are the figures of the rules.
--- a/choice/state.go
+++ b/choice/state.go
@@ -25,6 +25,8 @@
 	r      *receiver
 	sentAt int64
 	open   int // legs in it without an outcome
+	msgs   []*msg
+	off    bool // called off
 }
 
 type leg struct {
--- a/internal/simwire/instance.go
+++ b/internal/simwire/instance.go
@@ -40,7 +40,7 @@
 		Legs: limit(c.Get("limits.send_cap")), HalvesLate: c.Get("family_info.late").String() == "halves"}
 	allowed := choice.Allowed{Probes: c.Get("limits.probes").Bool(),
 		Subscribe: c.Get("discovery").String() == "subscribe", Advice: c.Get("limits.retry_after").Bool(),
-		Notes:     c.Get("limits.peers").Bool(),
+		Notes: c.Get("limits.peers").Bool(), Cancel: c.Get("limits.cancel").Bool(),
 		MaxAdvice: micros(c.Get("limits.max_retry_after"))}
 	guards := choice.Guards{StartShare: c.Get("rules.start_capacity").Float(),
 		WarmWithin: micros(c.Get("rules.warm_within")), Overload: c.Get("rules.overload_factor").Float(),
