--- a/choice/choice.go
+++ b/choice/choice.go
@@ -717,7 +717,8 @@
 			late = append(late, d)
 		}
 	}
-	if len(late) < leastLate || float64(len(late)) < lateShare*float64(busy) || !s.allowed.Cancel {
+	if len(late) < leastLate || float64(len(late)) < lateShare*float64(busy) || !s.allowed.Cancel ||
+		s.now < s.distrust { // done lately: what hangs now hangs on new connections
 		return
 	}
 	s.distrust = s.now + distrustAll
