--- a/choice/host.go
+++ b/choice/host.go
@@ -35,7 +35,6 @@
 	Deadline  int64
 	Value     float64
 	LateValue float64 // share of the value left at the deadline
-	Stretches bool    // the target time grows with a message's own work, which nobody tells
 	InOrder   bool    // messages of one key take turns
 }
 
@@ -45,10 +44,10 @@
 	Batch int  // messages that one call takes
 }
 
-// Team is this sender's place among its fellows.
+// Team is how many senders there are, and where this one stands.
 type Team struct {
-	Me, Senders, Zone int
-	CrossingFee       float64 // price of a leg to another zone, in values
+	Senders, Zone int
+	CrossingFee   float64 // price of a leg to another zone, in values
 }
 
 // Room is what a sender has to work with.
@@ -68,7 +67,6 @@
 	StartShare float64 // a destination back from an outage has this share of its capacity
 	WarmWithin int64
 	Overload   float64 // sent more than this multiple of what it can do
-	Fall       int64   // for this long, it falls over
 	KeyRest    int64
 }
 
@@ -95,13 +93,12 @@
 
 // Entry is a line of the list of receivers.
 type Entry struct {
-	Receiver  uint32
-	Dst       int64
-	Kind      int
-	Zone      int
-	Weight    float64
-	Listed    bool // false: draining or gone
-	Forgotten bool // gone altogether
+	Receiver uint32
+	Dst      int64
+	Kind     int
+	Zone     int
+	Weight   float64
+	Listed   bool // false: draining or gone
 }
 
 // Outcome is how a leg or a probe ended.
--- a/internal/simwire/instance.go
+++ b/internal/simwire/instance.go
@@ -21,7 +21,7 @@
 	c := f.Get("config")
 	t := &instance{number: f.Get("sender").Int()}
 	zone := c.Get("zone").Int()
-	team := choice.Team{Me: int(c.Get("me").Int()), Senders: max(1, int(c.Get("balancers").Int())),
+	team := choice.Team{Senders: max(1, int(c.Get("balancers").Int())),
 		Zone: int(zone), CrossingFee: c.Get("deductions.cross_zone").Float()}
 	var lanes []choice.Lane
 	c.Get("classes").ForEach(func(_, l gjson.Result) bool {
@@ -44,7 +44,7 @@
 		MaxAdvice: micros(c.Get("limits.max_retry_after"))}
 	guards := choice.Guards{StartShare: c.Get("rules.start_capacity").Float(),
 		WarmWithin: micros(c.Get("rules.warm_within")), Overload: c.Get("rules.overload_factor").Float(),
-		Fall: micros(c.Get("rules.fall")), KeyRest: micros(c.Get("rules.key_quiet"))}
+		KeyRest: micros(c.Get("rules.key_quiet"))}
 	trust := map[string]choice.WeightTrust{"nominal": choice.NominalWeight, "rough": choice.RoughWeight}
 	t.sender = choice.New(t, f.Get("nonce64").Uint(), team, lanes, kinds, room, allowed, guards,
 		trust[c.Get("weight_source").String()])
@@ -64,7 +64,7 @@
 	return choice.Lane{Repeat: repeat[l.Get("repeat").String()], AnyInDst: l.Get("group").String() == "all",
 		Window: micros(l.Get("window")), Target: span(l.Get("aim")), Deadline: span(l.Get("deadline")),
 		Value: l.Get("importance").Float(), LateValue: l.Get("late_worth").Float(),
-		Stretches: l.Get("aim_stretch").Float() > 0, InOrder: l.Get("sequential").Bool()}
+		InOrder: l.Get("sequential").Bool()}
 }
 
 func (t *instance) report(h gjson.Result) choice.Report {
