Fold the distrust of single receivers' connections into that of all

Two defences overlapped since calls are called off. Harms a single partner whose connections die while idle: it then looks like an outage there.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -72,7 +72,6 @@
 	gatherShare    = 0.2         // of the target time; how long messages gather for a call
 	lossStep       = 0.15        // weight of the newest leg in a receiver's share of lost ones
 	usualLoss      = 0.05        // share of lost legs up to which a row of them counts in full
-	distrust       = 5 * second  // µs after a lost leg: its receiver's idle connections not trusted
 	distrustAll    = 60 * second // µs: none trusted, where loss is common; new ones cost less
 	staleIdle      = second / 5  // µs without a call from which a connection counts as idle
 	scarceFor      = 20 * second // µs after a failed connect for which no connection is kept idle there
@@ -417,7 +416,6 @@
 		c.r.lost -= c.r.lost * lossStep
 	case TimedOut, Cancelled, Reset, ConnectFailed:
 		c.r.lost += (1 - c.r.lost) * lossStep
-		c.r.distrust = s.now + distrust
 		s.host.CloseIdle(c.r.id)
 		if s.weightOfSilence() < 1 {
 			s.distrust = s.now + distrustAll
@@ -918,9 +916,9 @@
 }
 
 // refresh guards against connections that died while idle: calls on them get no answer, a row of them looks
-// like an outage, and only a new connection helps. Done for receivers that lately left calls unanswered.
+// like an outage, and only a new connection helps. Done while loss is common.
 func (s *Sender) refresh(r *receiver) {
-	if r.calls == 0 && s.now < max(r.distrust, s.distrust) && s.now-r.usedAt > staleIdle {
+	if r.calls == 0 && s.now < s.distrust && s.now-r.usedAt > staleIdle {
 		s.host.CloseIdle(r.id)
 	}
 }
--- a/choice/state.go
+++ b/choice/state.go
@@ -122,7 +122,6 @@
 	strikes    float64
 	lost       float64 // recent share of legs without an answer
 	usedAt     int64   // of the latest outcome
-	distrust   int64   // until when its idle connections are not trusted
 	scarceTill int64   // until when its connections are scarce
 	proved     bool    // delivered something since it is warming
 	okAt       int64
