--- a/choice/choice.go
+++ b/choice/choice.go
@@ -72,7 +72,7 @@
 	gatherShare    = 0.2         // of the target time; how long messages gather for a call
 	lossStep       = 0.15        // weight of the newest leg in a receiver's share of lost ones
 	usualLoss      = 0.05        // share of lost legs up to which a row of them counts in full
-	distrustAll    = 60 * second // µs: none trusted, where loss is common; new ones cost less
+	distrustFor    = 60 * second // µs: none trusted, where loss is common; new ones cost less
 	staleIdle      = second / 5  // µs without a call from which a connection counts as idle
 	scarceFor      = 20 * second // µs after a failed connect for which no connection is kept idle there
 	leastLate      = 3           // destinations overdue at once, at least, that mean trouble on the way
@@ -221,6 +221,11 @@
 
 func (d *dst) slowAfter() float64 { return d.mean + slowVar*d.dev }
 
+// overdue calls take longer than the answers seen at their destination make likely.
+func (c *call) overdue(now int64) bool {
+	return c.r.dst.sampled && float64(now-c.sentAt) > c.r.dst.slowAfter()
+}
+
 // Sender decides for one sender.
 type Sender struct {
 	host    Host
@@ -269,9 +274,6 @@
 	}
 	if form != Changes {
 		for _, d := range s.order {
-			for _, r := range d.recvs {
-				r.listed = false
-			}
 			d.recvs = d.recvs[:0]
 		}
 	}
@@ -299,9 +301,9 @@
 			s.become(r, closed)
 		}
 	}
-	r.zone, r.weight, r.listed = e.Zone, e.Weight, e.Listed
+	r.zone, r.weight = e.Zone, e.Weight
 	d.recvs = slices.DeleteFunc(d.recvs, func(o *receiver) bool { return o == r })
-	if r.listed {
+	if e.Listed {
 		d.recvs = append(d.recvs, r)
 	}
 	if s.trust != NoWeight && r.weight > 0 && r.route.told == 0 {
@@ -411,16 +413,7 @@
 	}
 	s.reported(c.r, rep)
 	c.r.dst.wakeAt = 0
-	switch o {
-	case Delivered:
-		c.r.lost -= c.r.lost * lossStep
-	case TimedOut, Cancelled, Reset, ConnectFailed:
-		c.r.lost += (1 - c.r.lost) * lossStep
-		s.host.CloseIdle(c.r.id)
-		if s.weightOfSilence() < 1 {
-			s.distrust = s.now + distrustAll
-		}
-	}
+	s.countLost(c.r, o)
 	if m.line != nil && (o == TimedOut || o == Reset || o == Cancelled) {
 		m.line.rest = s.now + s.guards.KeyRest
 	}
@@ -436,6 +429,20 @@
 	}
 }
 
+// countLost keeps a receiver's share of lost legs. The connection that lost one is not used again.
+func (s *Sender) countLost(r *receiver, o Outcome) {
+	switch o {
+	case Delivered:
+		r.lost -= r.lost * lossStep
+	case TimedOut, Cancelled, Reset, ConnectFailed:
+		r.lost += (1 - r.lost) * lossStep
+		s.host.CloseIdle(r.id)
+		if s.weightOfSilence() < 1 {
+			s.distrust = s.now + distrustFor
+		}
+	}
+}
+
 // repeat is the design's mechanism: budget, told wait plus full jitter, deadline.
 func (s *Sender) repeat(m *msg, o Outcome, wait int64) {
 	d := m.dst
@@ -601,7 +608,7 @@
 // refused they pile up and push it over as it returns, however little each sender tries: there all senders
 // share one spacing.
 func (s *Sender) spaceTrials(r *receiver) {
-	rate := s.capacity(r) * s.guards.StartShare * s.guards.Overload * rampMargin / float64(s.team.Senders)
+	rate := s.coldShare(r, s.guards.StartShare)
 	gap := min(max(trialGap, int64(float64(second)/max(rate, 0.01))), trialGapMax)
 	if r.route.piling {
 		gap = max(gap, int64(s.team.Senders)*fleetGap)
@@ -644,20 +651,25 @@
 // Danger: a cold destination sent a multiple of what it can do falls over for good, and nobody says when it
 // returned.
 func (s *Sender) ramp(r *receiver) float64 {
-	g := s.guards
-	warm := min(1, float64(s.now-r.since)/float64(max(1, g.WarmWithin)))
-	rate := s.capacity(r) * (g.StartShare + (1-g.StartShare)*warm) * g.Overload * rampMargin
+	start := s.guards.StartShare
+	warm := min(1, float64(s.now-r.since)/float64(max(1, s.guards.WarmWithin)))
+	rate := s.coldShare(r, start+(1-start)*warm)
 	if !r.dst.kind.Apart {
 		rate /= float64(max(1, len(r.dst.recvs)))
 	}
-	return rate / float64(s.team.Senders)
+	return rate
+}
+
+// coldShare is this sender's part of what a destination (or route) may be sent at a share of its capacity.
+func (s *Sender) coldShare(r *receiver, share float64) float64 {
+	return s.capacity(r) * share * s.guards.Overload * rampMargin / float64(s.team.Senders)
 }
 
 // readyAt is when a receiver may get its next call; never for one that waits for an event.
 func (s *Sender) readyAt(r *receiver) int64 {
 	at := r.route.readyAt(s.now)
 	if s.silent(r) || r.route.row > 0 && r.route.share == 0 && len(r.dst.calls) > 0 {
-		return never // hanging, or refusing at a limit nobody knows: there one call at a time, until a success
+		return never // hanging, or refusing at an unknown limit: there one call at a time, until a success
 	}
 	switch r.health {
 	case closed:
@@ -687,19 +699,20 @@
 // calls out, the oldest overdue and nothing delivered since it went, no more is sent until one of them has
 // an outcome.
 func (s *Sender) silent(r *receiver) bool {
-	if r.calls < silentCalls || !r.dst.sampled || s.weightOfSilence() < 1 {
+	if r.calls < silentCalls {
 		return false
 	}
 	for _, c := range r.dst.calls {
 		if c.r == r {
-			return r.okAt <= c.sentAt && float64(s.now-c.sentAt) > r.dst.slowAfter()
+			return r.okAt <= c.sentAt && c.overdue(s.now) && s.weightOfSilence() >= 1
 		}
 	}
 	return false
 }
 
-// callOff guards against trouble on the way to everyone: with most destinations that have calls out overdue at once
-// and silent since, the calls sit on dead connections. They are called off, and no idle connection is trusted.
+// callOff guards against trouble on the way to everyone: with most destinations that have calls out overdue
+// at once and silent since, the calls sit on dead connections. They are called off, and no idle connection
+// is trusted. Done lately, what hangs now hangs on new connections.
 func (s *Sender) callOff() {
 	var late []*dst
 	busy := 0
@@ -708,33 +721,36 @@
 			continue
 		}
 		busy++
-		due := d.calls[0].sentAt + int64(d.slowAfter())
-		if due > s.now {
+		sentAt := d.calls[0].sentAt
+		if due := sentAt + int64(d.slowAfter()); due > s.now {
 			d.wakeAt = min(d.wakeAt, due)
-		} else if d.sampled && !slices.ContainsFunc(d.recvs, func(r *receiver) bool { return r.okAt > d.calls[0].sentAt }) {
+			continue
+		}
+		spoke := slices.ContainsFunc(d.recvs, func(r *receiver) bool { return r.okAt > sentAt })
+		if d.sampled && !spoke {
 			late = append(late, d)
 		}
 	}
-	if len(late) < leastLate || float64(len(late)) < lateShare*float64(busy) || !s.allowed.Cancel ||
-		s.now < s.distrust { // done lately: what hangs now hangs on new connections
+	if !s.allowed.Cancel || s.now < s.distrust || len(late) < leastLate ||
+		float64(len(late)) < lateShare*float64(busy) {
 		return
 	}
-	s.distrust = s.now + distrustAll
+	s.distrust = s.now + distrustFor
 	for _, d := range late {
 		for _, c := range d.calls {
+			if !c.overdue(s.now) {
+				continue
+			}
 			for _, m := range c.msgs {
-				if !c.off && float64(s.now-c.sentAt) > d.slowAfter() {
-					s.host.Cancel(m.id, slices.IndexFunc(m.legs, func(l leg) bool { return l.call == c }))
-				}
+				s.host.Cancel(m.id, slices.IndexFunc(m.legs, func(l leg) bool { return l.call == c }))
 			}
-			c.off = c.off || float64(s.now-c.sentAt) > d.slowAfter()
 		}
 	}
 }
 
 // slotCap is how many slots a destination may hold.
 func (s *Sender) slotCap(d *dst) int {
-	sick := len(d.calls) > 0 && d.sampled && float64(s.now-d.calls[0].sentAt) > d.slowAfter()
+	sick := len(d.calls) > 0 && d.calls[0].overdue(s.now)
 	for _, r := range d.recvs {
 		sick = sick || r.health != open
 	}
@@ -794,7 +810,6 @@
 }
 
 type candidate struct {
-	d      *dst
 	m      *msg
 	urgent float64
 }
@@ -816,11 +831,11 @@
 		}
 		if s.calls >= s.room.Slots {
 			for _, c := range cands {
-				c.d.wakeAt = 0
+				c.m.dst.wakeAt = 0
 			}
 			return
 		}
-		d := cands[top].d
+		d := cands[top].m.dst
 		s.call(cands[top].m)
 		if cands[top] = s.best(d); cands[top].m == nil {
 			cands = slices.Delete(cands, top, top+1)
@@ -842,11 +857,11 @@
 
 func (s *Sender) best(d *dst) candidate {
 	if len(d.held) == 0 || len(d.calls) >= s.slotCap(d) {
-		return candidate{d: d}
+		return candidate{}
 	}
 	if at := s.gathered(d); at > s.now {
 		d.wakeAt = min(d.wakeAt, at)
-		return candidate{d: d}
+		return candidate{}
 	}
 	return s.mostUrgent(d, s.usable(d))
 }
@@ -863,8 +878,7 @@
 
 // mostUrgent is the held message that loses most by waiting one more target time, of those that may go to
 // one of the receivers.
-func (s *Sender) mostUrgent(d *dst, rs []*receiver) candidate {
-	c := candidate{d: d}
+func (s *Sender) mostUrgent(d *dst, rs []*receiver) (c candidate) {
 	for _, m := range d.held {
 		if !s.mayGo(m) || !slices.ContainsFunc(rs, func(r *receiver) bool { return m.mayGoTo(r, s.now) }) {
 			continue
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -154,16 +154,6 @@
 	assert.Empty(t, f.after(790*ms))
 }
 
-// quick lets a destination learn that answers come in 100 ms.
-func quick(f *fake, n int) {
-	for i := range n {
-		m := fmt.Sprint("quick", i)
-		f.take(m)
-		f.after(100 * ms)
-		f.ends(m, Delivered, 0)
-	}
-}
-
 func TestHangingReceiverDoesNotSoakUpFirstSends(t *testing.T) {
 	f := begin(t, keyed, 40, 1, aLot, Kind{Batch: 1})
 	quick(f, 20)
--- a/choice/fake_test.go
+++ b/choice/fake_test.go
@@ -87,3 +87,13 @@
 func count(did []string, prefix string) int {
 	return len(slices.DeleteFunc(slices.Clone(did), func(s string) bool { return len(s) < len(prefix) || s[:len(prefix)] != prefix }))
 }
+
+// quick lets a destination learn that answers come in 100 ms.
+func quick(f *fake, n int) {
+	for i := range n {
+		m := fmt.Sprint("quick", i)
+		f.take(m)
+		f.after(100 * ms)
+		f.ends(m, Delivered, 0)
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -26,7 +26,6 @@
 	sentAt int64
 	open   int // legs in it without an outcome
 	msgs   []*msg
-	off    bool // called off
 }
 
 type leg struct {
@@ -113,7 +112,6 @@
 	dst        *dst
 	route      *route
 	zone       int
-	listed     bool
 	weight     float64
 	calls      int // out now
 	peak       int // most calls out when one came back delivered
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -186,6 +186,14 @@
 	"skipped": choice.Skipped,
 }
 
+func outcome(f gjson.Result) (choice.Outcome, error) {
+	o, known := outcomes[f.Get("verdict").String()]
+	if !known {
+		return o, fmt.Errorf("outcome %s is not known here", f.Get("verdict").Raw)
+	}
+	return o, nil
+}
+
 var forms = []choice.ListForm{choice.Changes, choice.Whole, choice.Remembered, choice.LookupFailed}
 
 // tell passes one event on to the module.
@@ -204,9 +212,9 @@
 	case "ack_first":
 		s.Began(id)
 	case "settled":
-		o, known := outcomes[f.Get("verdict").String()]
-		if !known {
-			return fmt.Errorf("outcome %s is not known here", f.Get("verdict").Raw)
+		o, err := outcome(f)
+		if err != nil {
+			return err
 		}
 		wait := int64(0)
 		if o == choice.Full {
@@ -221,9 +229,9 @@
 	case "memo":
 		s.Noted(f.Get("blob").String())
 	case "pong":
-		o, known := outcomes[f.Get("verdict").String()]
-		if !known {
-			return fmt.Errorf("outcome %s is not known here", f.Get("verdict").Raw)
+		o, err := outcome(f)
+		if err != nil {
+			return err
 		}
 		s.Probed(uint32(f.Get("receiver").Uint()), o, t.report(f.Get("health_info")))
 	}
