--- a/choice/choice.go
+++ b/choice/choice.go
@@ -53,6 +53,7 @@
 	paceStart      = 1.3         // of the even share of a known limit: others may leave some of theirs
 	paceCeiling    = 2.0         // of the even share; never more than this, however well it goes
 	paceFloor      = 0.6         // of the even share; refusals never push below
+	paceLeast      = 1.0         // calls a second; an even share below is no guide to what may go
 	paceCut        = 0.8         // factor after a refusal
 	paceRest       = second / 2  // µs between two cuts: refusals of one burst are one signal
 	paceGrowth     = 0.2         // a second; how fast the rate creeps up again
@@ -177,7 +178,8 @@
 	if p.rate > paceNear*p.mark && p.rate < p.mark/paceNear {
 		growth = paceCreep
 	}
-	p.rate = min(max(p.rate*(1+growth*min(dt, 1)), p.share*paceFloor), p.share*paceCeiling)
+	// danger: in a large fleet the even share of a small limit is a call a minute, less than chance brings
+	p.rate = max(min(max(p.rate*(1+growth*min(dt, 1)), p.share*paceFloor), p.share*paceCeiling), paceLeast)
 	p.tokens = min(p.tokens+dt*p.rate, max(1, p.rate*paceBurst))
 }
 
