Trials and ramps keep to the even share of a cold destination at any fleet size

Cause: at 200 senders the cap of 3 s on the trial gap lets 70 probes a second at a destination that may take two, and an assumed call a second and sender makes unknown capacities 200. Both broke failback. Change: no cap on the gap; the first trial is drawn over the whole gap, so that the sum over senders is right from the start; ramp tokens start at a draw; unknown capacities follow the mean rate of arrivals, or successes counted over spans that hold five at least. Covers any fleet in which one sender's even share of a cold destination is under a call in seconds.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -44,11 +44,11 @@
 	longWait       = 5 * second / 2  // µs; no limiter tells waits this long, a shut destination does
 	trialGap       = 7 * second / 10 // µs between trials at a closed route, at least
 	fleetGap       = second / 2      // µs between all senders' trials where they may pile up
-	trialGapMax    = 3 * second      // µs; at most, or a return is found too late
+	leastTrials    = 0.001           // a second; a trial in a quarter of an hour stands for none
 	rampMargin     = 0.8             // share of the allowed load on a cold receiver; rest is for chance
 	rampExtra      = 0.25            // of a call; weight of each further message in a call to a cold receiver
 	roughLow       = 0.67            // a rough weight may be half too high
-	leastRate      = 1.0             // calls a second and sender assumed where nothing is known of a rate
+	arrivalSpan    = 5 * second      // µs after the start before arrivals make a rate
 
 	paceStart      = 1.3         // of the even share of a known limit: others may leave some of theirs
 	paceCeiling    = 2.0         // of the even share; never more than this, however well it goes
@@ -61,7 +61,8 @@
 	leastShareLeft = 0.2         // of a limit; told less, a route waits for the next token
 	paceCreep      = 0.04        // a second; that creeping
 	paceBurst      = 0.3         // seconds of the rate that may go at once, one call at least
-	okSpan         = 2 * second  // µs; successes are counted over such spans
+	okSpan         = 2 * second  // µs; successes are counted over such spans at least,
+	okLeast        = 5           // and until there are so many: fewer make no rate
 	scarceSlots    = 0.85        // of the slots; with more in use, patience goes by the answer times
 	patienceVar    = 9           // deviations above the mean answer time until a leg is given up
 	slowVar        = 4           // deviations until a leg out counts as slow
@@ -214,8 +215,8 @@
 
 func (p *route) succeeded(now int64) {
 	p.row = 0
-	if now-p.okFrom > okSpan {
-		p.okPeak = max(p.okPeak, p.okNow*float64(second)/float64(okSpan))
+	if now-p.okFrom > okSpan && p.okNow >= okLeast {
+		p.okPeak = max(p.okPeak, p.okNow*float64(second)/float64(now-p.okFrom))
 		p.okFrom, p.okNow = now, 0
 	}
 	p.okNow++
@@ -234,6 +235,7 @@
 	seed    uint64
 	draws   uint64
 	now     int64
+	startAt int64
 	team    Team
 	lanes   []Lane
 	kinds   []Kind
@@ -266,7 +268,12 @@
 }
 
 // At sets the clock for the events that follow.
-func (s *Sender) At(now int64) { s.now = now }
+func (s *Sender) At(now int64) {
+	if s.now == 0 {
+		s.startAt = now
+	}
+	s.now = now
+}
 
 // Listed takes a list of receivers. A failed lookup leaves the old one in force.
 func (s *Sender) Listed(form ListForm, entries []Entry) {
@@ -313,10 +320,11 @@
 	}
 }
 
-// Take accepts a message. It is this sender's until it has a final answer.
+// Take accepts a message: this sender's until it has a final answer.
 func (s *Sender) Take(id string, lane int, key string, to, expires int64) {
 	m := &msg{id: id, lane: &s.lanes[lane], dst: s.dst(to), state: held, expires: expires, at: -1}
 	s.msgs[id] = m
+	m.dst.taken++
 	if m.lane.InOrder && key != "" {
 		m.line = s.lines[key]
 		if m.line == nil {
@@ -354,8 +362,7 @@
 	s.forget(m)
 }
 
-// end gives the final answer: pushed back only if the last outcome proves it never ran and the lane allows
-// it.
+// end gives the final answer: pushed back only if the last outcome proves it never ran, where allowed.
 func (s *Sender) end(m *msg, advice int64) {
 	if m.over() {
 		return
@@ -530,7 +537,7 @@
 	s.host.Log(fmt.Sprintf("%d ms: receiver %d of destination %d is %s (%.1f strikes, %d refusals)",
 		s.now/1000, r.id, r.dst.id, h, r.strikes, r.route.row))
 	r.health, r.since, r.strikes, r.proved = h, s.now, 0, false
-	r.tokens, r.filledAt = 0, s.now
+	r.tokens, r.filledAt = s.chance(), s.now // chance: else all senders' first calls wait and come together
 	r.dst.wakeAt = 0
 }
 
@@ -601,7 +608,7 @@
 
 func (s *Sender) close(r *receiver) {
 	s.become(r, closed)
-	s.spaceTrials(r)
+	s.spaceTrials(r, true)
 	r.dst.down = !slices.ContainsFunc(r.dst.recvs, func(o *receiver) bool { return o.health == open })
 }
 
@@ -609,13 +616,16 @@
 // when it returns. At a limiter, too many of them would keep it shut for good. Where they hang or are
 // refused they pile up and push it over as it returns, however little each sender tries: there all senders
 // share one spacing.
-func (s *Sender) spaceTrials(r *receiver) {
+func (s *Sender) spaceTrials(r *receiver, first bool) {
 	rate := s.coldShare(r, s.guards.StartShare)
-	gap := min(max(trialGap, int64(float64(second)/max(rate, 0.01))), trialGapMax)
+	gap := max(trialGap, int64(float64(second)/max(rate, leastTrials)))
 	if r.route.piling {
 		gap = max(gap, int64(s.team.Senders)*fleetGap)
 	}
 	r.route.trialAt = s.now + int64(float64(gap)*(0.75+s.chance()/2))
+	if first { // all senders' first trials together keep to the sum of their shares
+		r.route.trialAt = s.now + trialGap + int64(float64(gap)*s.chance())
+	}
 }
 
 // Probed takes the outcome of a probe.
@@ -646,7 +656,12 @@
 	case s.trust == RoughWeight && r.weight > 0:
 		return r.weight * roughLow
 	}
-	return float64(s.team.Senders) * max(leastRate, r.route.okPeak)
+	return float64(s.team.Senders) * max(s.arriving(r.dst), r.route.okPeak)
+}
+
+// arriving is a destination's mean rate here. Over all senders its sum is right, however thin each.
+func (s *Sender) arriving(d *dst) float64 {
+	return float64(d.taken) * float64(second) / float64(max(s.now-s.startAt, arrivalSpan))
 }
 
 // ramp is this sender's share of what a receiver back from an outage may be sent, in calls a second.
@@ -805,7 +820,7 @@
 			continue
 		}
 		r.probing = true
-		s.spaceTrials(r)
+		s.spaceTrials(r, false)
 		s.host.CloseIdle(r.id)
 		s.host.Probe(r.id)
 	}
@@ -918,7 +933,7 @@
 	r.route.tokens--
 	r.tokens--
 	if r.health == closed {
-		s.spaceTrials(r)
+		s.spaceTrials(r, false)
 	}
 	s.send(m, c)
 	for n := 1; n < d.kind.Batch; n++ {
--- a/choice/state.go
+++ b/choice/state.go
@@ -144,6 +144,7 @@
 	down     bool // no receiver was open at the latest closing, and none has delivered since
 	wakeAt   int64
 	calledAt int64 // when the latest call went out
+	taken    int   // messages taken since the start
 }
 
 // chance draws evenly from 0 up to 1, the same row for the same seed.
