--- a/choice/choice.go
+++ b/choice/choice.go
@@ -66,6 +66,7 @@
 	scarceSlots    = 0.85        // of the slots; with more in use, patience goes by the answer times
 	patienceVar    = 9           // deviations above the mean answer time until a leg is given up
 	slowVar        = 4           // deviations until a leg out counts as slow
+	leastTook      = second / 20 // µs; answers quicker than that are alike
 	leastRoom      = 0.1         // odds of a receiver that seems full: it may have room after all
 	farLean        = 0.3         // odds of a receiver across zones where a crossing has a price
 	roomKept       = 0.97        // of the holding room; beyond, messages that cannot go soon are pushed back
@@ -893,8 +894,8 @@
 	return d.calledAt + int64(gatherShare*float64(d.held[0].lane.Target))
 }
 
-// mostUrgent is the held message that loses most by waiting one more target time, of those that may go to
-// one of the receivers.
+// mostUrgent is the held message that loses most by waiting one more target time, for the time its call is
+// likely to hold a slot, of those that may go to one of the receivers.
 func (s *Sender) mostUrgent(d *dst, rs []*receiver) (c candidate) {
 	for _, m := range d.held {
 		if !s.mayGo(m) || !slices.ContainsFunc(rs, func(r *receiver) bool { return m.mayGoTo(r, s.now) }) {
@@ -916,8 +917,9 @@
 }
 
 func (s *Sender) urgency(m *msg) float64 {
-	at := s.now + int64(m.dst.mean)
-	return m.value(at, s.room.HalvesLate) - m.value(at+m.lane.Target, s.room.HalvesLate)
+	took := max(int64(m.dst.mean), leastTook)
+	at := s.now + took
+	return (m.value(at, s.room.HalvesLate) - m.value(at+m.lane.Target, s.room.HalvesLate)) / float64(took)
 }
 
 // call sends a message, and with it as many more for the same receiver as a call takes.
