--- a/choice/choice.go
+++ b/choice/choice.go
@@ -53,14 +53,14 @@
 	paceStart      = 1.3         // of the even share of a known limit: others may leave some of theirs
 	paceCeiling    = 2.0         // of the even share; never more than this, however well it goes
 	paceFloor      = 0.6         // of the even share; refusals never push below
-	paceLeast      = 1.0         // calls a second; an even share below is no guide to what may go
+	paceLeast      = 3.0         // calls that may go at once at least, however small the even share
 	paceCut        = 0.8         // factor after a refusal
 	paceRest       = second / 2  // µs between two cuts: refusals of one burst are one signal
 	paceGrowth     = 0.2         // a second; how fast the rate creeps up again
 	paceNear       = 0.85        // of the rate last refused; from there to as much above it we only creep
 	leastShareLeft = 0.2         // of a limit; told less, a route waits for the next token
 	paceCreep      = 0.04        // a second; that creeping
-	paceBurst      = 0.3         // seconds of the rate that may go at once, one call at least
+	paceBurst      = 0.3         // seconds of the rate that may go at once
 	okSpan         = 2 * second  // µs; successes are counted over such spans at least,
 	okLeast        = 5           // and until there are so many: fewer make no rate
 	scarceSlots    = 0.85        // of the slots; with more in use, patience goes by the answer times
@@ -163,7 +163,7 @@
 		return
 	}
 	if p.share == 0 {
-		p.rate = share * paceStart
+		p.rate, p.tokens = share*paceStart, paceLeast
 	} else {
 		p.rate *= share / p.share
 	}
@@ -180,9 +180,8 @@
 	if p.rate > paceNear*p.mark && p.rate < p.mark/paceNear {
 		growth = paceCreep
 	}
-	// danger: in a large fleet the even share of a small limit is a call a minute, less than chance brings
-	p.rate = max(min(max(p.rate*(1+growth*min(dt, 1)), p.share*paceFloor), p.share*paceCeiling), paceLeast)
-	p.tokens = min(p.tokens+dt*p.rate, max(1, p.rate*paceBurst))
+	p.rate = min(max(p.rate*(1+growth*min(dt, 1)), p.share*paceFloor), p.share*paceCeiling)
+	p.tokens = min(p.tokens+dt*p.rate, max(paceLeast, p.rate*paceBurst))
 }
 
 // readyAt is when pace and told wait let a call go.
