--- a/choice/choice.go
+++ b/choice/choice.go
@@ -51,7 +51,7 @@
 	arrivalSpan    = 5 * second      // µs after the start before arrivals make a rate
 
 	paceStart      = 1.3         // of the even share of a known limit: others may leave some of theirs
-	paceCeiling    = 2.0         // of the even share; never more than this, however well it goes
+	paceCeiling    = 1.4         // of the even share; never more than this, however well it goes
 	paceFloor      = 0.6         // of the even share; refusals never push below
 	paceLeast      = 3.0         // calls that may go at once at least, however small the even share
 	paceCut        = 0.8         // factor after a refusal
