--- a/choice/choice.go
+++ b/choice/choice.go
@@ -197,7 +197,7 @@
 // refused guards against calling on at a limit: refused calls may use it up too, so a sender that keeps
 // calling can hold a destination shut for everyone. A row of refusals makes the pauses longer; a success
 // ends them.
-func (p *route) refused(now int64, chance float64) {
+func (p *route) refused(now int64, chance, share float64) {
 	if p.row == 0 {
 		p.rowFrom = now
 	}
@@ -206,7 +206,8 @@
 		return
 	}
 	p.cutAt = now
-	p.pause = now + int64((0.5+chance)*float64(min(pauseMost, pauseFirst<<min(p.row-1, 10))))
+	most := max(pauseMost, int64(float64(second)/max(share, leastTrials)))
+	p.pause = now + int64((0.5+chance)*float64(min(most, pauseFirst<<min(p.row-1, 10))))
 	p.refill(now)
 	p.mark = p.rate
 	p.rate *= paceCut
@@ -253,6 +254,7 @@
 	expiry   expiryHeap           // messages not over
 	calls    int
 	distrust int64       // until when no idle connection is trusted
+	mean     float64     // µs, answer time over all destinations
 	shares   []float64   // working space of weightOfSilence
 	spare    []*receiver // used in this turn, to be left without idle connections; emptied every turn
 	timerAt  int64
@@ -485,10 +487,11 @@
 		d.errs.deposit(s.now, percentCanRetry)
 		d.told.deposit(s.now, percentCanRetry*toldWaitBonus)
 		d.timed(float64(s.now - c.sentAt))
+		s.mean += (float64(s.now-c.sentAt) - s.mean) / 32
 		r.route.succeeded(s.now)
 		s.answered(r, c.sentAt)
 	case Full:
-		r.route.refused(s.now, s.chance())
+		r.route.refused(s.now, s.chance(), s.capacity(r)/float64(s.team.Senders))
 		s.turnedAway(r, wait)
 	case TimedOut:
 		s.struck(r, c.sentAt, silentStrike)
@@ -917,6 +920,9 @@
 
 func (s *Sender) urgency(m *msg) float64 {
 	took := max(int64(m.dst.mean), leastTook)
+	if !m.dst.sampled {
+		took = max(int64(s.mean), leastTook)
+	}
 	at := s.now + took
 	return (m.value(at, s.room.HalvesLate) - m.value(at+m.lane.Target, s.room.HalvesLate)) / float64(took)
 }
