--- a/choice/choice.go
+++ b/choice/choice.go
@@ -40,6 +40,7 @@
 	refusedRow     = 4               // refusals without a success that look like a shut destination
 	refusedSilence = 3 * second      // µs that such a row must last; limiters free room sooner
 	pauseFirst     = second / 4      // µs; pause of a route after a refusal, doubled by each further one
+	pauseTurn      = 0.2             // of the interval of an even share; the first pause at least
 	pauseMost      = 2 * second      // µs; longest such pause
 	longWait       = 5 * second / 2  // µs; no limiter tells waits this long, a shut destination does
 	trialGap       = 7 * second / 10 // µs between trials at a closed route, at least
@@ -206,8 +207,9 @@
 		return
 	}
 	p.cutAt = now
-	most := max(pauseMost, int64(float64(second)/max(share, leastTrials)))
-	p.pause = now + int64((0.5+chance)*float64(min(most, pauseFirst<<min(p.row-1, 10))))
+	turn := int64(float64(second) / max(share, leastTrials))
+	first := max(pauseFirst, int64(pauseTurn*float64(turn)))
+	p.pause = now + int64((0.5+chance)*float64(min(max(pauseMost, turn), first<<min(p.row-1, 10))))
 	p.refill(now)
 	p.mark = p.rate
 	p.rate *= paceCut
