--- a/choice/choice.go
+++ b/choice/choice.go
@@ -219,7 +219,11 @@
 func (p *route) succeeded(now int64) {
 	p.row = 0
 	if now-p.okFrom > okSpan && p.okNow >= okLeast {
-		p.okPeak = max(p.okPeak, p.okNow*float64(second)/float64(now-p.okFrom))
+		if rate := p.okNow * float64(second) / float64(now-p.okFrom); p.okRate == 0 {
+			p.okRate = rate
+		} else {
+			p.okRate += (rate - p.okRate) / 2
+		}
 		p.okFrom, p.okNow = now, 0
 	}
 	p.okNow++
@@ -661,7 +665,10 @@
 	case s.trust == RoughWeight && r.weight > 0:
 		return r.weight * roughLow
 	}
-	return float64(s.team.Senders) * max(s.arriving(r.dst), r.route.okPeak)
+	if r.route.okRate > 0 {
+		return float64(s.team.Senders) * r.route.okRate
+	}
+	return float64(s.team.Senders) * s.arriving(r.dst)
 }
 
 // arriving is a destination's mean rate here. Over all senders its sum is right, however thin each.
--- a/choice/state.go
+++ b/choice/state.go
@@ -94,7 +94,7 @@
 	pause     int64 // until when a row of refusals keeps all calls back
 	okFrom    int64
 	okNow     float64 // successes in the span since okFrom
-	okPeak    float64 // most successes a second seen over a span
+	okRate    float64 // successes a second, over the latest spans
 }
 
 type health uint8
