--- a/choice/choice.go
+++ b/choice/choice.go
@@ -216,8 +216,12 @@
 	p.tokens = min(p.tokens, 0)
 }
 
-func (p *route) succeeded(now int64) {
+func (p *route) succeeded(now int64, open bool) {
 	p.row = 0
+	if !open || p.okFrom == 0 { // a ramp's own restraint is no measure
+		p.okFrom, p.okNow = now, 0
+		return
+	}
 	if now-p.okFrom > okSpan && p.okNow >= okLeast {
 		if rate := p.okNow * float64(second) / float64(now-p.okFrom); p.okRate == 0 {
 			p.okRate = rate
@@ -494,7 +498,7 @@
 		d.told.deposit(s.now, percentCanRetry*toldWaitBonus)
 		d.timed(float64(s.now - c.sentAt))
 		s.mean += (float64(s.now-c.sentAt) - s.mean) / 32
-		r.route.succeeded(s.now)
+		r.route.succeeded(s.now, r.health == open)
 		s.answered(r, c.sentAt)
 	case Full:
 		r.route.refused(s.now, s.chance(), s.capacity(r)/float64(s.team.Senders))
