--- a/choice/choice.go
+++ b/choice/choice.go
@@ -223,11 +223,7 @@
 		return
 	}
 	if now-p.okFrom > okSpan && p.okNow >= okLeast {
-		if rate := p.okNow * float64(second) / float64(now-p.okFrom); p.okRate == 0 {
-			p.okRate = rate
-		} else {
-			p.okRate += (rate - p.okRate) / 2
-		}
+		p.okPeak = max(p.okPeak, p.okNow*float64(second)/float64(now-p.okFrom))
 		p.okFrom, p.okNow = now, 0
 	}
 	p.okNow++
@@ -669,8 +665,8 @@
 	case s.trust == RoughWeight && r.weight > 0:
 		return r.weight * roughLow
 	}
-	if r.route.okRate > 0 {
-		return float64(s.team.Senders) * r.route.okRate
+	if r.route.okPeak > 0 {
+		return float64(s.team.Senders) * r.route.okPeak
 	}
 	return float64(s.team.Senders) * s.arriving(r.dst)
 }
--- a/choice/state.go
+++ b/choice/state.go
@@ -94,7 +94,7 @@
 	pause     int64 // until when a row of refusals keeps all calls back
 	okFrom    int64
 	okNow     float64 // successes in the span since okFrom
-	okRate    float64 // successes a second, over the latest spans
+	okPeak    float64 // most successes a second over a span
 }
 
 type health uint8
