--- a/choice/choice.go
+++ b/choice/choice.go
@@ -57,10 +57,8 @@
 	paceLeast      = 3.0         // calls that may go at once at least, however small the even share
 	paceCut        = 0.8         // factor after a refusal
 	paceRest       = second / 2  // µs between two cuts: refusals of one burst are one signal
-	paceGrowth     = 0.2         // a second; how fast the rate creeps up again
-	paceNear       = 0.85        // of the rate last refused; from there to as much above it we only creep
+	paceGrowth     = 0.06        // a second; how fast the rate creeps up again
 	leastShareLeft = 0.2         // of a limit; told less, a route waits for the next token
-	paceCreep      = 0.04        // a second; that creeping
 	paceBurst      = 0.3         // seconds of the rate that may go at once
 	okSpan         = 2 * second  // µs; successes are counted over such spans at least,
 	okLeast        = 5           // and until there are so many: fewer make no rate
@@ -177,11 +175,7 @@
 	if p.rate == 0 {
 		return
 	}
-	growth := paceGrowth
-	if p.rate > paceNear*p.mark && p.rate < p.mark/paceNear {
-		growth = paceCreep
-	}
-	p.rate = min(max(p.rate*(1+growth*min(dt, 1)), p.share*paceFloor), p.share*paceCeiling)
+	p.rate = min(max(p.rate*(1+paceGrowth*min(dt, 1)), p.share*paceFloor), p.share*paceCeiling)
 	p.tokens = min(p.tokens+dt*p.rate, max(paceLeast, p.rate*paceBurst))
 }
 
@@ -211,7 +205,6 @@
 	first := max(pauseFirst, int64(pauseTurn*float64(turn)))
 	p.pause = now + int64((0.5+chance)*float64(min(max(pauseMost, turn), first<<min(p.row-1, 10))))
 	p.refill(now)
-	p.mark = p.rate
 	p.rate *= paceCut
 	p.tokens = min(p.tokens, 0)
 }
--- a/choice/state.go
+++ b/choice/state.go
@@ -83,7 +83,6 @@
 	share     float64 // even share of the known limit, 0 if none is known
 	told      float64 // limit told by answers, calls a second, 0 if none
 	rate      float64 // calls a second we allow ourselves, 0 where no limit is known
-	mark      float64 // rate at the last refusal, 0 if none was refused
 	tokens    float64
 	filledAt  int64
 	cutAt     int64
