--- a/choice/choice.go
+++ b/choice/choice.go
@@ -206,7 +206,6 @@
 	p.pause = now + int64((0.5+chance)*float64(min(max(pauseMost, turn), first<<min(p.row-1, 10))))
 	p.refill(now)
 	p.rate *= paceCut
-	p.tokens = min(p.tokens, 0)
 }
 
 func (p *route) succeeded(now int64, open bool) {
