--- a/choice/choice.go
+++ b/choice/choice.go
@@ -996,7 +996,7 @@
 func (s *Sender) patience(m *msg, r *receiver) int64 {
 	p := maxPatience * m.lane.Target
 	if r.dst.sampled && (float64(s.calls) > scarceSlots*float64(s.room.Slots) || s.weightOfSilence() < 1) {
-		p = min(p, max(int64(r.dst.mean+patienceVar*r.dst.dev), m.lane.Target/2))
+		p = min(p, max(int64(r.dst.mean+patienceVar*r.dst.dev), m.lane.Target))
 	}
 	return max(1, min(p, m.expires-answerMargin-s.now))
 }
