--- a/choice/choice.go
+++ b/choice/choice.go
@@ -76,7 +76,7 @@
 	usualLoss      = 0.05        // share of lost legs up to which a row of them counts in full
 	distrustFor    = 60 * second // µs: none trusted, where loss is common; new ones cost less
 	staleIdle      = second / 5  // µs without a call from which a connection counts as idle
-	scarceFor      = 20 * second // µs after a failed connect for which no connection is kept idle there
+	scarceFor      = 60 * second // µs after a failed connect for which no connection is kept idle there
 	leastLate      = 3           // destinations overdue at once, at least, that mean trouble on the way
 	lateShare      = 0.66        // of the destinations with calls out, likewise
 	leastMedian    = 5           // receivers below which a median says nothing
