--- a/choice/choice.go
+++ b/choice/choice.go
@@ -46,6 +46,7 @@
 	trialGap       = 7 * second / 10 // µs between trials at a closed route, at least
 	fleetGap       = second / 2      // µs between all senders' trials where they may pile up
 	leastTrials    = 0.001           // a second; a trial in a quarter of an hour stands for none
+	pilingRest     = 8               // times the usual gap, at most, for that: large destinations bear more
 	rampMargin     = 0.8             // share of the allowed load on a cold receiver; rest is for chance
 	rampExtra      = 0.25            // of a call; weight of each further message in a call to a cold receiver
 	roughLow       = 0.67            // a rough weight may be half too high
@@ -621,7 +622,7 @@
 	rate := s.coldShare(r, s.guards.StartShare)
 	gap := max(trialGap, int64(float64(second)/max(rate, leastTrials)))
 	if r.route.piling {
-		gap = max(gap, int64(s.team.Senders)*fleetGap)
+		gap = max(gap, min(int64(s.team.Senders)*fleetGap, pilingRest*gap))
 	}
 	r.route.trialAt = s.now + int64(float64(gap)*(0.75+s.chance()/2))
 	if first { // all senders' first trials together keep to the sum of their shares
