Notes tell fellows of a return

Covers any outage; may harm where some calls succeed while most fail: fellows then find out by one call each.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -14,6 +14,7 @@
 	"math"
 	"slices"
 	"strconv"
+	"strings"
 )
 
 const (
@@ -78,6 +79,8 @@
 	distrustFor    = 60 * second // µs: none trusted, where loss is common; new ones cost less
 	staleIdle      = second / 5  // µs without a call from which a connection counts as idle
 	scarceFor      = 60 * second // µs after a failed connect for which no connection is kept idle there
+	backEvery      = 2 * second  // µs between two notes of one receiver's return
+	backMark       = "+"         // opens a note of a return
 	leastLate      = 3           // destinations overdue at once, at least, that mean trouble on the way
 	lateShare      = 0.66        // of the destinations with calls out, likewise
 	leastMedian    = 5           // receivers below which a median says nothing
@@ -531,6 +534,9 @@
 	if r.health == closed {
 		s.become(r, warming)
 	}
+	if r.health == warming && !r.proved {
+		s.noteBack(r)
+	}
 	r.dst.down = false
 	r.proved = true
 }
@@ -586,11 +592,30 @@
 	r.scarceTill = s.now + scarceFor
 }
 
-// Noted takes a fellow's note: the receiver where connections are scarce. No rule leans on it.
+// noteBack tells the fellows that a closed receiver delivers again. Danger: in a large fleet each alone may
+// try so rarely that it finds a return after minutes.
+func (s *Sender) noteBack(r *receiver) {
+	if s.allowed.Notes && s.now-r.backAt >= backEvery {
+		r.backAt = s.now
+		s.host.Note(backMark + strconv.FormatUint(uint64(r.id), 10))
+	}
+}
+
+// Noted takes a fellow's note of a receiver: that connections are scarce, or that it is back. No rule leans
+// on it: who hears of a return sends no more than its share of the ramp.
 func (s *Sender) Noted(text string) {
-	id, err := strconv.ParseUint(text, 10, 32)
-	if r := s.recvs[uint32(id)]; err == nil && r != nil {
+	number, back := strings.CutPrefix(text, backMark)
+	id, err := strconv.ParseUint(number, 10, 32)
+	r := s.recvs[uint32(id)]
+	switch {
+	case err != nil || r == nil:
+	case !back:
 		r.scarceTill = s.now + scarceFor
+	default:
+		r.backAt = s.now
+		if r.health == closed {
+			s.become(r, warming)
+		}
 	}
 }
 
--- a/choice/state.go
+++ b/choice/state.go
@@ -119,6 +119,7 @@
 	strikes    float64
 	lost       float64 // recent share of legs without an answer
 	usedAt     int64   // of the latest outcome
+	backAt     int64   // of the latest note of its return
 	scarceTill int64   // until when its connections are scarce
 	proved     bool    // delivered something since it is warming
 	okAt       int64
