--- a/choice/choice.go
+++ b/choice/choice.go
@@ -38,8 +38,6 @@
 
 	strikesToClose = 3.0             // points; three errors in a row, two silent ones or failed connects
 	silentStrike   = 1.5             // points; a leg without any answer says more than an error
-	refusedRow     = 4               // refusals without a success that look like a shut destination
-	refusedSilence = 3 * second      // µs that such a row must last; limiters free room sooner
 	pauseFirst     = second / 4      // µs; pause of a route after a refusal, doubled by each further one
 	pauseTurn      = 0.2             // of the interval of a share of the cold load; the first pause at least
 	pauseMost      = 2 * second      // µs; longest such pause
@@ -197,9 +195,6 @@
 // calling can hold a destination shut for everyone. A row of refusals makes the pauses longer; a success
 // ends them.
 func (p *route) refused(now int64, chance, share float64) {
-	if p.row == 0 {
-		p.rowFrom = now
-	}
 	p.row++
 	if now-p.cutAt < paceRest {
 		return
@@ -494,7 +489,9 @@
 		s.answered(r, c.sentAt)
 	case Full:
 		r.route.refused(s.now, s.chance(), s.coldShare(r, s.guards.StartShare))
-		s.turnedAway(r, wait)
+		if wait >= longWait {
+			s.shut(r.route, d)
+		}
 	case TimedOut:
 		s.struck(r, c.sentAt, silentStrike)
 	case ConnectFailed:
@@ -619,14 +616,9 @@
 	}
 }
 
-// turnedAway tells a shut destination from a busy one: it tells a long wait, or refuses for longer than
-// limiters do.
-func (s *Sender) turnedAway(r *receiver, wait int64) {
-	p := r.route
-	if wait < longWait && (p.row < refusedRow || s.now-p.rowFrom < refusedSilence) {
-		return
-	}
-	for _, o := range r.dst.recvs {
+// shut guards against a destination that tells a wait no limiter tells: it will come back cold.
+func (s *Sender) shut(p *route, d *dst) {
+	for _, o := range d.recvs {
 		if o.route == p && o.health != closed {
 			s.close(o)
 		}
--- a/choice/state.go
+++ b/choice/state.go
@@ -87,7 +87,6 @@
 	filledAt  int64
 	cutAt     int64
 	row       int   // refusals since the last success
-	rowFrom   int64 // when that row began
 	piling    bool  // the latest call or probe hung or was refused, so trials may pile up there
 	trialAt   int64 // no probe of a closed receiver before
 	pause     int64 // until when a row of refusals keeps all calls back
