--- a/choice/choice.go
+++ b/choice/choice.go
@@ -51,13 +51,9 @@
 	roughLow       = 0.67            // a rough weight may be half too high
 	arrivalSpan    = 5 * second      // µs after the start before arrivals make a rate
 
-	paceStart      = 1.3         // of the even share of a known limit: others may leave some of theirs
-	paceCeiling    = 1.4         // of the even share; never more than this, however well it goes
-	paceFloor      = 0.6         // of the even share; refusals never push below
+	paceShares     = 1.3         // even shares of a known limit: others may leave some of theirs
 	paceLeast      = 3.0         // calls that may go at once at least, however small the even share
-	paceCut        = 0.8         // factor after a refusal
 	paceRest       = second / 2  // µs between two cuts: refusals of one burst are one signal
-	paceGrowth     = 0.06        // a second; how fast the rate creeps up again
 	leastShareLeft = 0.2         // of a limit; told less, a route waits for the next token
 	paceBurst      = 0.3         // seconds of the rate that may go at once
 	okSpan         = 2 * second  // µs; successes are counted over such spans at least,
@@ -160,33 +156,24 @@
 }
 
 func (p *route) know(share float64) {
-	if share == p.share {
-		return
-	}
 	if p.share == 0 {
-		p.rate, p.tokens = share*paceStart, paceLeast
-	} else {
-		p.rate *= share / p.share
+		p.tokens = paceLeast
 	}
 	p.share = share
 }
 
 func (p *route) refill(now int64) {
-	dt := float64(now-p.filledAt) / float64(second)
+	rate := p.share * paceShares
+	p.tokens = min(p.tokens+rate*float64(now-p.filledAt)/float64(second), max(paceLeast, rate*paceBurst))
 	p.filledAt = now
-	if p.rate == 0 {
-		return
-	}
-	p.rate = min(max(p.rate*(1+paceGrowth*min(dt, 1)), p.share*paceFloor), p.share*paceCeiling)
-	p.tokens = min(p.tokens+dt*p.rate, max(paceLeast, p.rate*paceBurst))
 }
 
 // readyAt is when pace and told wait let a call go.
 func (p *route) readyAt(now int64) int64 {
 	p.refill(now)
 	at := now
-	if p.rate > 0 && p.tokens < 1 {
-		at = now + int64((1-p.tokens)/p.rate*float64(second)) + 1
+	if p.share > 0 && p.tokens < 1 {
+		at = now + int64((1-p.tokens)/(p.share*paceShares)*float64(second)) + 1
 	}
 	return max(at, p.waitUntil, p.pause)
 }
@@ -203,8 +190,6 @@
 	turn := int64(float64(second) / max(share, leastTrials))
 	first := max(pauseFirst, int64(pauseTurn*float64(turn)))
 	p.pause = now + int64((0.5+chance)*float64(min(max(pauseMost, turn), first<<min(p.row-1, 10))))
-	p.refill(now)
-	p.rate *= paceCut
 }
 
 func (p *route) succeeded(now int64, open bool) {
--- a/choice/state.go
+++ b/choice/state.go
@@ -82,7 +82,6 @@
 	waitUntil int64
 	share     float64 // even share of the known limit, 0 if none is known
 	told      float64 // limit told by answers, calls a second, 0 if none
-	rate      float64 // calls a second we allow ourselves, 0 where no limit is known
 	tokens    float64
 	filledAt  int64
 	cutAt     int64
