--- a/choice/choice.go
+++ b/choice/choice.go
@@ -53,7 +53,6 @@
 
 	paceShares     = 1.3         // even shares of a known limit: others may leave some of theirs
 	paceLeast      = 3.0         // calls that may go at once at least, however small the even share
-	paceRest       = second / 2  // µs between two cuts: refusals of one burst are one signal
 	leastShareLeft = 0.2         // of a limit; told less, a route waits for the next token
 	paceBurst      = 0.3         // seconds of the rate that may go at once
 	okSpan         = 2 * second  // µs; successes are counted over such spans at least,
@@ -183,10 +182,9 @@
 // ends them.
 func (p *route) refused(now int64, chance, share float64) {
 	p.row++
-	if now-p.cutAt < paceRest {
+	if now < p.pause { // refusals of one burst are one signal
 		return
 	}
-	p.cutAt = now
 	turn := int64(float64(second) / max(share, leastTrials))
 	first := max(pauseFirst, int64(pauseTurn*float64(turn)))
 	p.pause = now + int64((0.5+chance)*float64(min(max(pauseMost, turn), first<<min(p.row-1, 10))))
@@ -532,8 +530,7 @@
 }
 
 // struck guards against any outage that shows as legs gone wrong: down, silent, hung or failing most calls.
-// Legs sent before the last change say nothing new. A setback while warming puts the ramp back to its
-// start.
+// Legs sent before the last change say nothing new. A setback while warming starts the ramp anew.
 func (s *Sender) struck(r *receiver, sentAt int64, points float64) {
 	if sentAt < r.since || r.health == closed {
 		return
@@ -672,8 +669,7 @@
 }
 
 // ramp is this sender's share of what a receiver back from an outage may be sent, in calls a second.
-// Danger: a cold destination sent a multiple of what it can do falls over for good, and nobody says when it
-// returned.
+// Danger: a cold destination sent a multiple of what it can do falls over for good.
 func (s *Sender) ramp(r *receiver) float64 {
 	start := s.guards.StartShare
 	warm := min(1, float64(s.now-r.since)/float64(max(1, s.guards.WarmWithin)))
@@ -891,8 +887,7 @@
 }
 
 // gathered is when the messages held for a destination that shares calls should go: an idle one's at once,
-// else a while after the last call or when a call is full. Shared calls spare limits and slots, and cost no
-// value.
+// else a while after the last call or when a call is full. Shared calls spare limits and slots.
 func (s *Sender) gathered(d *dst) int64 {
 	if d.kind.Batch < 2 || len(d.held) >= d.kind.Batch {
 		return s.now
@@ -957,8 +952,7 @@
 	}
 }
 
-// refresh guards against connections that died while idle: calls on them get no answer, a row of them looks
-// like an outage, and only a new connection helps. Done while loss is common.
+// refresh guards against connections that died while idle: only a new one helps. Done while loss is common.
 func (s *Sender) refresh(r *receiver) {
 	if r.calls == 0 && s.now < s.distrust && s.now-r.usedAt > staleIdle {
 		s.host.CloseIdle(r.id)
@@ -994,8 +988,7 @@
 }
 
 // patience is how long a leg is waited for: legs given up run on, so give up late while slots are plenty.
-// Danger: where calls get lost on the way, they fill the slots; then only as long as the answer times seen
-// suggest.
+// Danger: calls lost on the way fill the slots; then only as long as the answer times seen suggest.
 func (s *Sender) patience(m *msg, r *receiver) int64 {
 	p := maxPatience * m.lane.Target
 	if r.dst.sampled && (float64(s.calls) > scarceSlots*float64(s.room.Slots) || s.weightOfSilence() < 1) {
--- a/choice/state.go
+++ b/choice/state.go
@@ -84,7 +84,6 @@
 	told      float64 // limit told by answers, calls a second, 0 if none
 	tokens    float64
 	filledAt  int64
-	cutAt     int64
 	row       int   // refusals since the last success
 	piling    bool  // the latest call or probe hung or was refused, so trials may pile up there
 	trialAt   int64 // no probe of a closed receiver before
