--- a/choice/choice.go
+++ b/choice/choice.go
@@ -38,6 +38,8 @@
 
 	strikesToClose = 3.0             // points; three errors in a row, two silent ones or failed connects
 	silentStrike   = 1.5             // points; a leg without any answer says more than an error
+	refusedRow     = 4               // refusals without a success that look like a shut destination
+	refusedSilence = 3 * second      // µs that such a row must last; limiters free room sooner
 	pauseFirst     = second / 4      // µs; pause of a route after a refusal, doubled by each further one
 	pauseTurn      = 0.2             // of the interval of a share of the cold load; the first pause at least
 	pauseMost      = 2 * second      // µs; longest such pause
@@ -181,6 +183,9 @@
 // calling can hold a destination shut for everyone. A row of refusals makes the pauses longer; a success
 // ends them.
 func (p *route) refused(now int64, chance, share float64) {
+	if p.row == 0 {
+		p.rowFrom = now
+	}
 	p.row++
 	if now < p.pause { // refusals of one burst are one signal
 		return
@@ -349,11 +354,8 @@
 	if m.over() {
 		return
 	}
-	lastClean := len(m.legs) == 0
-	if n := len(m.legs); n > 0 {
-		lastClean = m.legs[n-1].settled && m.legs[n-1].outcome.NeverRan()
-	}
-	if lastClean && m.mayPushBack() {
+	n := len(m.legs)
+	if (n == 0 || !m.legs[n-1].mayHaveRun()) && m.mayPushBack() {
 		if !s.allowed.Advice {
 			advice = 0
 		}
@@ -472,13 +474,11 @@
 		s.answered(r, c.sentAt)
 	case Full:
 		r.route.refused(s.now, s.chance(), s.coldShare(r, s.guards.StartShare))
-		if wait >= longWait {
-			s.shut(r.route, d)
-		}
+		s.turnedAway(r, wait)
 	case TimedOut:
 		s.struck(r, c.sentAt, silentStrike)
 	case ConnectFailed:
-		s.scarce(r)
+		s.tell(r, "", &r.scarceTill, scarceFor)
 		s.struck(r, c.sentAt, silentStrike)
 	case Errored, Reset:
 		s.struck(r, c.sentAt, 1)
@@ -515,7 +515,7 @@
 		s.become(r, warming)
 	}
 	if r.health == warming && !r.proved {
-		s.noteBack(r)
+		s.tell(r, backMark, &r.toldBack, backEvery)
 	}
 	r.dst.down = false
 	r.proved = true
@@ -561,27 +561,18 @@
 	return min(1, math.Log(s.shares[len(s.shares)/2])/math.Log(usualLoss))
 }
 
-// scarce guards against connection limits told nowhere: a failed connect may mean that idle connections,
-// ours or others', take all the receiver has. For a while we keep none idle there, and a note asks our
-// fellows to do likewise.
-func (s *Sender) scarce(r *receiver) {
-	if s.now >= r.scarceTill && s.allowed.Notes {
-		s.host.Note(strconv.FormatUint(uint64(r.id), 10))
-	}
-	r.scarceTill = s.now + scarceFor
-}
-
-// noteBack tells the fellows that a closed receiver delivers again. Danger: in a large fleet each alone may
-// try so rarely that it finds a return after minutes.
-func (s *Sender) noteBack(r *receiver) {
-	if s.allowed.Notes && s.now-r.backAt >= backEvery {
-		r.backAt = s.now
-		s.host.Note(backMark + strconv.FormatUint(uint64(r.id), 10))
+// tell notes something of a receiver to the fellows, once in a span. No rule leans on a note: who hears of a
+// return sends no more than its share of the ramp.
+func (s *Sender) tell(r *receiver, mark string, till *int64, span int64) {
+	if s.now >= *till && s.allowed.Notes {
+		s.host.Note(mark + strconv.FormatUint(uint64(r.id), 10))
 	}
+	*till = s.now + span
 }
 
-// Noted takes a fellow's note of a receiver: that connections are scarce, or that it is back. No rule leans
-// on it: who hears of a return sends no more than its share of the ramp.
+// Noted takes a fellow's note of a receiver: connections are scarce there, or it is back. Dangers: idle
+// connections, ours or others', may take all that a receiver has, told nowhere but in a failed connect; and
+// in a large fleet each alone may try so rarely that it finds a return after minutes.
 func (s *Sender) Noted(text string) {
 	number, back := strings.CutPrefix(text, backMark)
 	id, err := strconv.ParseUint(number, 10, 32)
@@ -591,16 +582,21 @@
 	case !back:
 		r.scarceTill = s.now + scarceFor
 	default:
-		r.backAt = s.now
+		r.toldBack = s.now + backEvery
 		if r.health == closed {
 			s.become(r, warming)
 		}
 	}
 }
 
-// shut guards against a destination that tells a wait no limiter tells: it will come back cold.
-func (s *Sender) shut(p *route, d *dst) {
-	for _, o := range d.recvs {
+// turnedAway tells a shut destination, which comes back cold, from a busy one: it tells a long wait, or
+// refuses for longer than limiters do.
+func (s *Sender) turnedAway(r *receiver, wait int64) {
+	p := r.route
+	if wait < longWait && (p.row < refusedRow || s.now-p.rowFrom < refusedSilence) {
+		return
+	}
+	for _, o := range r.dst.recvs {
 		if o.route == p && o.health != closed {
 			s.close(o)
 		}
--- a/choice/state.go
+++ b/choice/state.go
@@ -84,6 +84,7 @@
 	told      float64 // limit told by answers, calls a second, 0 if none
 	tokens    float64
 	filledAt  int64
+	rowFrom   int64 // when that row began
 	row       int   // refusals since the last success
 	piling    bool  // the latest call or probe hung or was refused, so trials may pile up there
 	trialAt   int64 // no probe of a closed receiver before
@@ -116,7 +117,7 @@
 	strikes    float64
 	lost       float64 // recent share of legs without an answer
 	usedAt     int64   // of the latest outcome
-	backAt     int64   // of the latest note of its return
+	toldBack   int64   // until when a note of its return need not be told again
 	scarceTill int64   // until when its connections are scarce
 	proved     bool    // delivered something since it is warming
 	okAt       int64
