--- a/choice/choice.go
+++ b/choice/choice.go
@@ -38,7 +38,7 @@
 
 	strikesToClose = 3.0             // points; three errors in a row, two silent ones or failed connects
 	silentStrike   = 1.5             // points; a leg without any answer says more than an error
-	refusedRow     = 4               // refusals without a success that look like a shut destination
+	refusedRow     = 2               // refusals without a success that look like a shut destination
 	refusedSilence = 3 * second      // µs that such a row must last; limiters free room sooner
 	pauseFirst     = second / 4      // µs; pause of a route after a refusal, doubled by each further one
 	pauseTurn      = 0.2             // of the interval of a share of the cold load; the first pause at least
