--- a/choice/choice.go
+++ b/choice/choice.go
@@ -41,7 +41,7 @@
 	refusedRow     = 2               // refusals without a success that look like a shut destination
 	refusedSilence = 3 * second      // µs that such a row must last; limiters free room sooner
 	pauseFirst     = second / 4      // µs; pause of a route after a refusal, doubled by each further one
-	pauseTurn      = 0.2             // of the interval of a share of the cold load; the first pause at least
+	pauseTurn      = 0.3             // of the interval of a cold share; the first pause at least
 	pauseMost      = 2 * second      // µs; longest such pause
 	longWait       = 5 * second / 2  // µs; no limiter tells waits this long, a shut destination does
 	trialGap       = 7 * second / 10 // µs between trials at a closed route, at least
