--- a/choice/fake_test.go
+++ b/choice/fake_test.go
@@ -75,7 +75,10 @@
 	f.did = nil
 	f.Decide()
 	for end := f.now + d; f.now < end; {
-		f.At(min(end, max(f.ring, f.now+1)))
+		if f.ring <= f.now {
+			f.ring = end
+		}
+		f.At(min(end, f.ring))
 		if f.now == f.ring {
 			f.Rang(0)
 		}
@@ -97,3 +100,15 @@
 		f.ends(m, Delivered, 0)
 	}
 }
+
+// fleet starts senders of one team, each with its own chance, at a destination of the given weight.
+func fleet(t *testing.T, senders int, weight float64) (fs []*fake) {
+	t.Helper()
+	for i := range senders {
+		f := begin(t, keyed, 4, 1, weight, Kind{Batch: 1})
+		f.seed, f.team.Senders, f.allowed.Notes = uint64(i), senders, true
+		f.recvs[1].route.know(weight / float64(senders))
+		fs = append(fs, f)
+	}
+	return fs
+}
--- /dev/null
+++ b/choice/fleet_test.go
@@ -0,0 +1,98 @@
+package choice
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+func TestLargeFleetsTrialsStayUnderTheColdLoad(t *testing.T) {
+	trials := 0
+	for _, f := range fleet(t, 200, 20) {
+		f.close(f.recvs[1])
+		trials += count(f.after(10*second), "probe")
+	}
+	cold := .2 * 2 * 20 * 10 // start share x overload factor x capacity x 10 s
+	assert.Less(t, float64(trials), cold)
+	assert.Greater(t, float64(trials), cold/2, "and find a return soon")
+}
+
+func TestLargeFleetsEvenShareHoldsNoClumpBack(t *testing.T) {
+	f := fleet(t, 200, 5)[0]
+	f.take("a", "b")
+	assert.Equal(t, 2, count(f.after(0), "send"))
+}
+
+func TestRefusedTogetherComeBackApart(t *testing.T) {
+	busiest := map[int64]int{}
+	for _, f := range fleet(t, 200, 20) {
+		f.take("a")
+		f.after(0)
+		f.ends("a", Full, 0)
+		for range 40 {
+			if count(f.after(second/2), "send") > 0 {
+				busiest[f.now/(2*second)]++
+				break
+			}
+		}
+	}
+	for _, sends := range busiest {
+		assert.Less(t, sends, 60, "of 200 in 2 s")
+	}
+	assert.Greater(t, len(busiest), 3, "spans of 2 s")
+}
+
+func TestUnknownCapacityFollowsWhatArrives(t *testing.T) {
+	f := fleet(t, 200, 5)[0]
+	f.trust = NoWeight
+	f.take("a", "b")
+	f.after(20 * second)
+	assert.InDelta(t, 200*2/20., f.capacity(f.recvs[1]), .5)
+}
+
+func TestClientsComingAgainDoNotRaiseTheCapacitySeen(t *testing.T) {
+	f := fleet(t, 2, 200)[0]
+	f.trust = NoWeight
+	quick(f, 40)
+	before := f.capacity(f.recvs[1])
+	for i := range 40 {
+		f.take(fmt.Sprint("again", i))
+	}
+	assert.Equal(t, before, f.capacity(f.recvs[1]))
+}
+
+func TestFellowsHearOfAReturnAndRamp(t *testing.T) {
+	fs := fleet(t, 200, 20)
+	for _, f := range fs[:2] {
+		f.close(f.recvs[1])
+	}
+	finder, fellow := fs[0], fs[1]
+	finder.Probed(1, Delivered, Report{})
+	finder.recvs[1].tokens = 1
+	finder.take("a")
+	assert.Equal(t, 1, count(finder.after(0), "send a"))
+	finder.ends("a", Delivered, 0)
+	assert.Contains(t, finder.did, "note")
+	fellow.take("b", "c", "d")
+	fellow.Noted("+1")
+	assert.Equal(t, warming, fellow.recvs[1].health)
+	assert.LessOrEqual(t, count(fellow.after(2*second), "send"), 1)
+}
+
+func TestTwoRefusalsSecondsApartCloseAShutDestination(t *testing.T) {
+	f := begin(t, keyed, 40, 1, aLot, Kind{Batch: 1})
+	f.take("a")
+	for range 100 {
+		f.after(50 * ms)
+		f.ends("a", Full, 0)
+	}
+	assert.Equal(t, closed, f.recvs[1].health)
+}
+
+func TestHangingLargeDestinationIsStillTriedByALargeFleet(t *testing.T) {
+	f := fleet(t, 200, 200)[0]
+	f.recvs[1].route.piling = true
+	f.close(f.recvs[1])
+	assert.GreaterOrEqual(t, count(f.after(40*second), "probe"), 1)
+}
