First trials after a told wait are drawn over the gap

Covers every shared told wait at closed receivers; may find an opening some seconds late in small fleets.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -599,6 +599,8 @@
 	for _, o := range r.dst.recvs {
 		if o.route == p && o.health != closed {
 			s.close(o)
+		} else if o.route == p {
+			s.spaceTrials(o, true)
 		}
 	}
 }
@@ -620,8 +622,8 @@
 		gap = max(gap, min(int64(s.team.Senders)*fleetGap, pilingRest*gap))
 	}
 	r.route.trialAt = s.now + int64(float64(gap)*(0.75+s.chance()/2))
-	if first { // all senders' first trials together keep to the sum of their shares
-		r.route.trialAt = s.now + trialGap + int64(float64(gap)*s.chance())
+	if first { // all senders' first trials together keep to the sum of their shares, told waits or not
+		r.route.trialAt = max(s.now+trialGap, r.route.waitUntil) + int64(float64(gap)*s.chance())
 	}
 }
 
--- a/choice/fleet_test.go
+++ b/choice/fleet_test.go
@@ -96,3 +96,15 @@
 	f.close(f.recvs[1])
 	assert.GreaterOrEqual(t, count(f.after(40*second), "probe"), 1)
 }
+
+func TestWaitToldToAllEndsInTrialsOverTime(t *testing.T) {
+	trials := 0
+	for _, f := range fleet(t, 200, 20) {
+		f.take("a")
+		f.after(0)
+		f.ends("a", Full, 8*second)
+		assert.Zero(t, count(f.after(8*second-ms), "probe"))
+		trials += count(f.after(2*second), "probe")
+	}
+	assert.Less(t, float64(trials), .2*2*20*2)
+}
