--- a/choice/choice.go
+++ b/choice/choice.go
@@ -453,7 +453,7 @@
 	}
 	window := min(backoffCap, backoffBase<<min(len(m.legs)-1, 10))
 	m.notBefore = s.now + wait + int64(s.chance()*float64(window))
-	if !bucket.withdraw(s.now, percent) || m.notBefore > m.lastChance() || o == Full && d.route.pause > s.now+m.lane.Target {
+	if !bucket.withdraw(s.now, percent) || m.notBefore > m.lastChance() {
 		s.end(m, wait)
 		return
 	}
