Loss on the way is counted where receivers answer again

A lost leg now counts once its receiver answers; receivers that stay silent count for nothing. One figure in place of a sort over all receivers for each call, so a turn costs less too. Covers any loss spread over receivers; may mistake receivers that are slow in turns for loss.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -69,7 +69,7 @@
 	adviceShort    = second      // µs; advice given with a pushback for want of room
 	maxPatience    = 2           // target times; longest a leg is waited for
 	gatherShare    = 0.2         // of the target time; how long messages gather for a call
-	lossStep       = 0.15        // weight of the newest leg in a receiver's share of lost ones
+	lossStep       = 0.03        // weight of the newest leg in the share of lost ones
 	usualLoss      = 0.05        // share of lost legs up to which a row of them counts in full
 	distrustFor    = 60 * second // µs: none trusted, where loss is common; new ones cost less
 	staleIdle      = second / 5  // µs without a call from which a connection counts as idle
@@ -78,7 +78,6 @@
 	backMark       = "+"         // opens a note of a return
 	leastLate      = 3           // destinations overdue at once, at least, that mean trouble on the way
 	lateShare      = 0.66        // of the destinations with calls out, likewise
-	leastMedian    = 5           // receivers below which a median says nothing
 	silentCalls    = 2           // calls out without an answer that may mean a hanging receiver
 )
 
@@ -240,7 +239,7 @@
 	calls    int
 	distrust int64       // until when no idle connection is trusted
 	mean     float64     // µs, answer time over all destinations
-	shares   []float64   // working space of weightOfSilence
+	loss     float64     // recent share of legs lost at receivers that answered again
 	spare    []*receiver // used in this turn, to be left without idle connections; emptied every turn
 	timerAt  int64
 	askAt    int64 // when to subscribe, never while subscribed
@@ -422,13 +421,18 @@
 	}
 }
 
-// countLost keeps a receiver's share of lost legs. The connection that lost one is not used again.
+// countLost keeps the share of legs lost at receivers that answered again: an outage does not count in it,
+// loss on the way does. The connection that lost one is not used again.
 func (s *Sender) countLost(r *receiver, o Outcome) {
 	switch o {
 	case Delivered:
-		r.lost -= r.lost * lossStep
+		if r.missed {
+			s.loss += (1 - s.loss) * lossStep
+		}
+		r.missed = false
+		s.loss -= s.loss * lossStep
 	case TimedOut, Cancelled, Reset, ConnectFailed:
-		r.lost += (1 - r.lost) * lossStep
+		r.missed = o != ConnectFailed
 		s.host.CloseIdle(r.id)
 		if s.weightOfSilence() < 1 {
 			s.distrust = s.now + distrustFor
@@ -524,7 +528,7 @@
 func (s *Sender) become(r *receiver, h health) {
 	s.host.Log(fmt.Sprintf("%d ms: receiver %d of destination %d is %s (%.1f strikes, %d refusals)",
 		s.now/1000, r.id, r.dst.id, h, r.strikes, r.route.row))
-	r.health, r.since, r.strikes, r.proved = h, s.now, 0, false
+	r.health, r.since, r.strikes, r.proved, r.missed = h, s.now, 0, false, false
 	r.tokens, r.filledAt = s.chance(), s.now // chance: else all senders' first calls wait and come together
 	r.dst.wakeAt = 0
 }
@@ -544,21 +548,10 @@
 }
 
 // weightOfSilence tells an outage from loss on the way. Danger: where calls to most receivers get lost now
-// and then, rows of lost calls are chance, and closing on them starves destinations that are well. The
-// median receiver's share of lost legs tells; a few that are down do not move it. A row weighs by how
-// unlikely chance makes it.
+// and then, rows of lost calls are chance, and closing on them starves destinations that are well. A row
+// weighs by how unlikely chance makes it.
 func (s *Sender) weightOfSilence() float64 {
-	s.shares = s.shares[:0]
-	for _, d := range s.order {
-		for _, r := range d.recvs {
-			s.shares = append(s.shares, r.lost)
-		}
-	}
-	if len(s.shares) < leastMedian {
-		return 1
-	}
-	slices.Sort(s.shares)
-	return min(1, math.Log(s.shares[len(s.shares)/2])/math.Log(usualLoss))
+	return min(1, math.Log(s.loss)/math.Log(usualLoss))
 }
 
 // tell notes something of a receiver to the fellows, once in a span. No rule leans on a note: who hears of a
@@ -989,8 +982,13 @@
 // Danger: calls lost on the way fill the slots; then only as long as the answer times seen suggest.
 func (s *Sender) patience(m *msg, r *receiver) int64 {
 	p := maxPatience * m.lane.Target
-	if r.dst.sampled && (float64(s.calls) > scarceSlots*float64(s.room.Slots) || s.weightOfSilence() < 1) {
-		p = min(p, max(int64(r.dst.mean+patienceVar*r.dst.dev), m.lane.Target))
+	lossy := s.weightOfSilence() < 1
+	if r.dst.sampled && (lossy || float64(s.calls) > scarceSlots*float64(s.room.Slots)) {
+		least := m.lane.Target
+		if lossy {
+			least /= 2
+		}
+		p = min(p, max(int64(r.dst.mean+patienceVar*r.dst.dev), least))
 	}
 	return max(1, min(p, m.expires-answerMargin-s.now))
 }
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -171,9 +171,7 @@
 	f := begin(t, keyed, 40, 6, aLot, Kind{Batch: 1})
 	f.take("lost")
 	f.after(0)
-	for _, r := range f.dsts[7].recvs {
-		r.lost = .4
-	}
+	f.loss = .2
 	f.after(4 * second)
 	f.ends("lost", TimedOut, 0)
 	f.after(second)
@@ -184,15 +182,19 @@
 
 func TestLossEverywhereIsNoOutage(t *testing.T) {
 	f := begin(t, keyed, 40, 6, aLot, Kind{Batch: 1})
-	for _, r := range f.dsts[7].recvs {
-		r.lost = .4
-	}
 	r := f.dsts[7].recvs[0]
+	for range 20 { // lost and answered in turns
+		f.countLost(r, TimedOut)
+		f.countLost(r, Delivered)
+	}
 	for range 3 {
 		f.struck(r, f.now, silentStrike)
 	}
 	assert.Equal(t, open, r.health)
-	f.dsts[7].recvs[5].lost, f.dsts[7].recvs[4].lost, f.dsts[7].recvs[3].lost, f.dsts[7].recvs[2].lost = 0, 0, 0, 0
+	for range 200 { // an outage elsewhere: no answer after the lost ones
+		f.countLost(f.dsts[7].recvs[1], TimedOut)
+		f.countLost(r, Delivered)
+	}
 	f.struck(r, f.now, 2*silentStrike)
 	assert.Equal(t, closed, r.health)
 }
--- a/choice/state.go
+++ b/choice/state.go
@@ -115,11 +115,11 @@
 	health     health
 	since      int64 // of the last change of health, or of the last setback while warming
 	strikes    float64
-	lost       float64 // recent share of legs without an answer
-	usedAt     int64   // of the latest outcome
-	toldBack   int64   // until when a note of its return need not be told again
-	scarceTill int64   // until when its connections are scarce
-	proved     bool    // delivered something since it is warming
+	missed     bool  // lost a leg since it last delivered
+	usedAt     int64 // of the latest outcome
+	toldBack   int64 // until when a note of its return need not be told again
+	scarceTill int64 // until when its connections are scarce
+	proved     bool  // delivered something since it is warming
 	okAt       int64
 	probing    bool
 	tokens     float64 // of the ramp
