--- a/choice/choice.go
+++ b/choice/choice.go
@@ -498,6 +498,14 @@
 	d.mean += (t - d.mean) / 8
 }
 
+// answerTime is how long answers take; where a destination has given none, as long as elsewhere.
+func (s *Sender) answerTime(d *dst) (mean, dev float64) {
+	if !d.sampled {
+		return s.mean, s.mean / 2
+	}
+	return d.mean, d.dev
+}
+
 func (s *Sender) reported(r *receiver, rep Report) {
 	if rep.Told && rep.LimitPerSec > 0 {
 		r.route.told = rep.LimitPerSec
@@ -909,10 +917,8 @@
 }
 
 func (s *Sender) urgency(m *msg) float64 {
-	took := max(int64(m.dst.mean), leastTook)
-	if !m.dst.sampled {
-		took = max(int64(s.mean), leastTook)
-	}
+	mean, _ := s.answerTime(m.dst)
+	took := max(int64(mean), leastTook)
 	at := s.now + took
 	return (m.value(at, s.room.HalvesLate) - m.value(at+m.lane.Target, s.room.HalvesLate)) / float64(took)
 }
@@ -983,12 +989,12 @@
 func (s *Sender) patience(m *msg, r *receiver) int64 {
 	p := maxPatience * m.lane.Target
 	lossy := s.weightOfSilence() < 1
-	if r.dst.sampled && (lossy || float64(s.calls) > scarceSlots*float64(s.room.Slots)) {
+	if mean, dev := s.answerTime(r.dst); lossy || float64(s.calls) > scarceSlots*float64(s.room.Slots) {
 		least := m.lane.Target
 		if lossy {
 			least /= 2
 		}
-		p = min(p, max(int64(r.dst.mean+patienceVar*r.dst.dev), least))
+		p = min(p, max(int64(mean+patienceVar*dev), least))
 	}
 	return max(1, min(p, m.expires-answerMargin-s.now))
 }
