--- a/choice/choice.go
+++ b/choice/choice.go
@@ -178,9 +178,8 @@
 	return max(at, p.waitUntil, p.pause)
 }
 
-// refused guards against calling on at a limit: refused calls may use it up too, so a sender that keeps
-// calling can hold a destination shut for everyone. A row of refusals makes the pauses longer; a success
-// ends them.
+// refused guards against calling on at a limit: refused calls may use it up too, so callers can hold a
+// destination shut for everyone. A row of refusals makes the pauses longer; a success ends it.
 func (p *route) refused(now int64, chance, share float64) {
 	if p.row == 0 {
 		p.rowFrom = now
@@ -541,7 +540,7 @@
 	r.dst.wakeAt = 0
 }
 
-// struck guards against any outage that shows as legs gone wrong: down, silent, hung or failing most calls.
+// struck guards against any outage that shows as legs gone wrong: down, silent, hung, failing most calls.
 // Legs sent before the last change say nothing new. A setback while warming starts the ramp anew.
 func (s *Sender) struck(r *receiver, sentAt int64, points float64) {
 	if sentAt < r.since || r.health == closed {
@@ -555,9 +554,8 @@
 	}
 }
 
-// weightOfSilence tells an outage from loss on the way. Danger: where calls to most receivers get lost now
-// and then, rows of lost calls are chance, and closing on them starves destinations that are well. A row
-// weighs by how unlikely chance makes it.
+// weightOfSilence tells an outage from loss on the way. Danger: where calls get lost now and then, rows of
+// lost ones are chance, and closing starves the well. A row weighs by how unlikely chance makes it.
 func (s *Sender) weightOfSilence() float64 {
 	return min(1, math.Log(s.loss)/math.Log(usualLoss))
 }
@@ -571,9 +569,8 @@
 	*till = s.now + span
 }
 
-// Noted takes a fellow's note of a receiver: connections are scarce there, or it is back. Dangers: idle
-// connections, ours or others', may take all that a receiver has, told nowhere but in a failed connect; and
-// in a large fleet each alone may try so rarely that it finds a return after minutes.
+// Noted takes a fellow's note: connections are scarce there, or it is back. Dangers: idle connections, ours
+// or others', may take all that a receiver has; alone in a large fleet a return is found after minutes.
 func (s *Sender) Noted(text string) {
 	number, back := strings.CutPrefix(text, backMark)
 	id, err := strconv.ParseUint(number, 10, 32)
@@ -613,9 +610,8 @@
 }
 
 // spaceTrials keeps probes to what a cold destination may be sent: they weigh like calls, and no one knows
-// when it returns. At a limiter, too many of them would keep it shut for good. Where they hang or are
-// refused they pile up and push it over as it returns, however little each sender tries: there all senders
-// share one spacing.
+// when it returns. Where they hang or are refused they pile up and push it over as it returns, however
+// little each sender tries: there all senders share one spacing.
 func (s *Sender) spaceTrials(r *receiver, first bool) {
 	rate := s.coldShare(r, s.guards.StartShare)
 	gap := max(trialGap, int64(float64(second)/max(rate, leastTrials)))
@@ -662,7 +658,7 @@
 	return float64(s.team.Senders) * s.arriving(r.dst)
 }
 
-// arriving is a destination's mean rate here. Over all senders its sum is right, however thin each.
+// arriving is a destination's mean rate here: over all senders the sum is right, however thin each.
 func (s *Sender) arriving(d *dst) float64 {
 	return float64(d.taken) * float64(second) / float64(max(s.now-s.startAt, arrivalSpan))
 }
@@ -729,9 +725,8 @@
 	return false
 }
 
-// callOff guards against trouble on the way to everyone: with most destinations that have calls out overdue
-// at once and silent since, the calls sit on dead connections. They are called off, and no idle connection
-// is trusted. Done lately, what hangs now hangs on new connections.
+// callOff guards against trouble on the way to everyone: with most destinations overdue at once, calls sit on
+// dead connections. They are called off, no idle one is trusted. Done lately, what hangs is on new ones.
 func (s *Sender) callOff() {
 	var late []*dst
 	busy := 0
@@ -985,11 +980,12 @@
 }
 
 // patience is how long a leg is waited for: legs given up run on, so give up late while slots are plenty.
-// Danger: calls lost on the way fill the slots; then only as long as the answer times seen suggest.
+// Danger: calls lost on the way fill the slots; then only as long as answer times suggest.
 func (s *Sender) patience(m *msg, r *receiver) int64 {
 	p := maxPatience * m.lane.Target
 	lossy := s.weightOfSilence() < 1
-	if mean, dev := s.answerTime(r.dst); lossy || float64(s.calls) > scarceSlots*float64(s.room.Slots) {
+	if mean, dev := s.answerTime(r.dst); lossy ||
+		r.dst.sampled && float64(s.calls) > scarceSlots*float64(s.room.Slots) {
 		least := m.lane.Target
 		if lossy {
 			least /= 2
@@ -999,8 +995,8 @@
 	return max(1, min(p, m.expires-answerMargin-s.now))
 }
 
-// makeRoom pushes back before the holding room is full: then nobody's messages get in, not even those that
-// could go at once. The destination with most held gives way, its least urgent messages first.
+// makeRoom pushes back before the holding room is full, when nobody's messages get in. The destination with
+// most held gives way, its least urgent messages first.
 func (s *Sender) makeRoom() {
 	excess := len(s.expiry) - int(roomKept*float64(s.room.Held))
 	if excess <= 0 {
