--- a/choice/choice.go
+++ b/choice/choice.go
@@ -683,8 +683,8 @@
 // readyAt is when a receiver may get its next call; never for one that waits for an event.
 func (s *Sender) readyAt(r *receiver) int64 {
 	at := r.route.readyAt(s.now)
-	if s.silent(r) || r.route.row > 0 && r.route.share == 0 && len(r.dst.calls) > 0 {
-		return never // hanging, or refusing at an unknown limit: there one call at a time, until a success
+	if s.silent(r) || r.route.row > 0 && len(r.dst.calls) > 0 {
+		return never // hanging, or refusing: there one call at a time, until a success
 	}
 	switch r.health {
 	case closed:
