--- a/choice/choice.go
+++ b/choice/choice.go
@@ -62,6 +62,7 @@
 	scarceSlots    = 0.85        // of the slots; with more in use, patience goes by the answer times
 	patienceVar    = 9           // deviations above the mean answer time until a leg is given up
 	slowVar        = 4           // deviations until a leg out counts as slow
+	meanStep       = 1.0 / 32    // weight of the newest answer time in the mean over all destinations
 	leastTook      = second / 20 // µs; answers quicker than that are alike
 	leastRoom      = 0.1         // odds of a receiver that seems full: it may have room after all
 	farLean        = 0.3         // odds of a receiver across zones where a crossing has a price
@@ -472,7 +473,7 @@
 		d.errs.deposit(s.now, percentCanRetry)
 		d.told.deposit(s.now, percentCanRetry*toldWaitBonus)
 		d.timed(float64(s.now - c.sentAt))
-		s.mean += (float64(s.now-c.sentAt) - s.mean) / 32
+		s.mean += (float64(s.now-c.sentAt) - s.mean) * meanStep
 		r.route.succeeded(s.now, r.health == open)
 		s.answered(r, c.sentAt)
 	case Full:
