--- /dev/null
+++ b/internal/lab/loop/loop_test.go
@@ -0,0 +1,83 @@
+package loop
+
+import (
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"pgregory.net/rapid"
+)
+
+type recorder struct {
+	l    *Loop
+	seen []int64
+	nums []uint64
+	more int
+}
+
+func (r *recorder) Handle(_ uint8, n uint64) {
+	r.seen, r.nums = append(r.seen, r.l.Now()), append(r.nums, n)
+	if r.more > 0 {
+		r.more--
+		r.l.At(r.l.Now(), r, 0, 1000+n)
+	}
+}
+
+func TestEventsRunByTimeAndThenInTheOrderAskedFor(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := New()
+		r := &recorder{l: l, more: rapid.IntRange(0, 5).Draw(t, "more")}
+		ats := rapid.SliceOfN(rapid.Int64Range(0, 20), 1, 200).Draw(t, "ats")
+		for i, at := range ats {
+			l.At(Origin+at, r, 0, uint64(i))
+		}
+		assert.True(t, l.Drain(1000))
+		assert.True(t, slices.IsSorted(r.seen))
+		for i := 1; i < len(r.seen); i++ {
+			if r.seen[i] == r.seen[i-1] && r.nums[i] < 1000 && r.nums[i-1] < 1000 {
+				assert.Less(t, r.nums[i-1], r.nums[i])
+			}
+		}
+	})
+}
+
+func TestRunStopsAtItsEndAndLeavesTheRest(t *testing.T) {
+	l := New()
+	r := &recorder{l: l}
+	l.At(Origin+5, r, 0, 1)
+	l.At(Origin+6, r, 0, 2)
+	l.Run(Origin + 5)
+	assert.Equal(t, []uint64{1}, r.nums)
+	assert.Equal(t, 1, l.Pending())
+	l.Run(Origin + 100)
+	assert.Equal(t, Origin+100, l.Now())
+	l.At(Origin, r, 0, 3) // past: at once, never back in time
+	l.Run(Origin + 100)
+	assert.Equal(t, Origin+100, r.seen[2])
+}
+
+// hop asks for itself again and again, at a pseudo-random distance: the classic hold model of event queues.
+type hop struct {
+	l *Loop
+	x uint64
+}
+
+func (h *hop) Handle(kind uint8, n uint64) {
+	h.x = h.x*6364136223846793005 + 1442695040888963407
+	h.l.At(h.l.Now()+int64(h.x>>44), h, kind, n)
+}
+
+func BenchmarkHold(b *testing.B) {
+	for _, pending := range []int{100, 10_000, 1_000_000} {
+		b.Run(map[int]string{100: "100", 10_000: "10k", 1_000_000: "1M"}[pending], func(b *testing.B) {
+			l := New()
+			for i := range pending {
+				h := &hop{l: l, x: uint64(i)}
+				h.Handle(0, 0)
+			}
+			b.ResetTimer()
+			l.Drain(uint64(b.N))
+			b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "events/s")
+		})
+	}
+}
