ravenlab run: the world in virtual time, baselines, a bound, and judges of the six rules

Change: internal/lab/scenario (strict TOML with places of faults), policy (the module as it is, baselines, a bound), rules (judges), world; cmd/ravenlab run on cobra.

--- /dev/null
+++ b/cmd/ravenlab/show.go
@@ -0,0 +1,61 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"text/tabwriter"
+
+	"ravenlink/internal/lab/loop"
+	"ravenlink/internal/lab/rules"
+	"ravenlink/internal/lab/scenario"
+	"ravenlink/internal/lab/world"
+)
+
+func printResult(out io.Writer, r *world.Result) {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	row := func(name, format string, a ...any) { fmt.Fprintf(w, "%s\t%s\n", name, fmt.Sprintf(format, a...)) }
+	row("scenario", "%s, policy %s, seed %d", r.Scenario, r.Policy, r.Seed)
+	row("service", "%.4f (worst 10 s %.3f)", r.Service, r.Worst)
+	row("messages", "%d asked, %d delivered, %d of them in time, %d pushed back, %d failed, %d left, %d lost with a sender",
+		r.Asked, r.Delivered, r.InTime, r.Ends["pushed back"], r.Ends["failed"], r.Ends["left"], r.Ends["lost"])
+	row("legs", "%d (%.2f a message), %d repeats, %d turned away, %d in error, %d timed out, %d reset, %d not connected", r.Legs, r.PerOrder,
+		r.Repeats, r.Outcomes["full"], r.Outcomes["errored"], r.Outcomes["timed out"], r.Outcomes["reset"], r.Outcomes["not connected"])
+	row("waste", "%.1f%% of the work done delivered nothing; %d probes, %d connections, %d pushed over", 100*r.Waste, r.Probes, r.Connections, r.Fell)
+	row("answers", "p50 %.0f ms, p90 %.0f, p99 %.0f, p99.9 %.0f", r.Answer.P50, r.Answer.P90, r.Answer.P99, r.Answer.P999)
+	row("undelivered", "told after p50 %.0f ms, p99 %.0f", r.Undone.P50, r.Undone.P99)
+	row("events", "%d", r.Events)
+	for _, rule := range rules.All {
+		if n := r.Rules[rule]; n > 0 {
+			row("BROKEN", "%s, %d times", rule, n)
+		}
+	}
+	_ = w.Flush()
+}
+
+const before = 10_000_000 // µs of a destination's events shown before it was pushed over
+
+// printBreaches plays the day once more and prints what concerns the first breach of each rule.
+func printBreaches(out io.Writer, s *scenario.Scenario, r *world.Result) error {
+	var shown []rules.Rule
+	for _, b := range r.Breaches {
+		if slices.Contains(shown, b.Rule) {
+			continue
+		}
+		shown = append(shown, b.Rule)
+		fmt.Fprintf(out, "\nrule %s, %.3f s: %s\n", b.Rule, float64(b.At-loop.Origin)/1e6, b.What)
+		t := world.NewTrace(out)
+		if b.Message != "" {
+			t.Message = b.Message
+		} else {
+			t.Dst, t.From, t.To = b.Dst, b.At-loop.Origin-before, b.At-loop.Origin
+		}
+		if _, err := world.Play(s, r.Seed, r.Policy, t); err != nil {
+			return err
+		}
+		if err := t.Close(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/lab/receivers/effect.go
+++ b/internal/lab/receivers/effect.go
@@ -199,5 +199,16 @@
 	}
 }
 
+// Retire takes a receiver away for good: another answers at its address.
+func (r *Receiver) Retire() {
+	r.breakAll()
+	rt := r.Route
+	rt.receivers = slices.DeleteFunc(slices.Clone(rt.receivers), func(o *Receiver) bool { return o == r })
+	if r.ill {
+		r.ill = false
+		rt.ills--
+	}
+}
+
 // Start begins a receiver's life cold, as one that replaces another.
 func (r *Receiver) Start() { r.upSince = r.clock.Now() }
--- a/internal/lab/receivers/receiver.go
+++ b/internal/lab/receivers/receiver.go
@@ -60,6 +60,7 @@
 	Probe    bool
 	Sink     Sink
 	Came     int64 // when it came, set by Offer
+	Used     int64 // µs of a place that it took, set as its work is done
 
 	at       *Receiver
 	state    callState
@@ -152,6 +153,17 @@
 func (r *Receiver) Waiting() int { return r.queue.len() }
 func (r *Receiver) Done() int64  { return r.done }
 
+// Took is how long a message of mean work takes just now, in µs.
+func (r *Receiver) Took() float64 {
+	return r.Nature.Work.Mean * r.effects.slow() / (r.speed * r.share(r.clock.Now()))
+}
+
+// Fails is the share of calls that fail fast just now.
+func (r *Receiver) Fails() float64 { return r.effects.errors }
+
+// Paused tells whether its work rests.
+func (r *Receiver) Paused() bool { return r.effects.paused > 0 }
+
 // Room tells how many further calls would be worked on at once.
 func (r *Receiver) Room() int { return max(0, r.Nature.Places-r.busy-r.queue.len()) }
 
@@ -190,7 +202,10 @@
 		c.Sink.Answered(c, Answer{Kind: Over})
 		return
 	}
-	if wait, taken := r.Route.admit(now, c, r.chance); !taken {
+	if wait, taken := r.Route.admit(now, r.chance); !taken {
+		if c.Probe { // as on the platform: a probe is answered yes or no, and told no wait
+			wait = 0
+		}
 		c.Sink.Answered(c, Answer{Kind: Full, Wait: wait, Load: r.Route.load(now)})
 		return
 	}
@@ -274,7 +289,8 @@
 	}
 	r.busy--
 	r.work = slices.DeleteFunc(r.work, func(o *Call) bool { return o == c })
-	r.done += now - c.began
+	c.Used = now - c.began
+	r.done += c.Used
 	r.next(now)
 	if r.effects.hung > 0 || r.effects.silent > 0 { // the work is done, the answer does not come out
 		r.hold(c)
@@ -323,6 +339,7 @@
 // breakAll ends every call here: its process is gone.
 func (r *Receiver) breakAll() {
 	r.Since++
+	r.Conns = 0
 	var out []*Call
 	out = append(out, r.stuck...)
 	r.stuck = nil
--- a/internal/lab/receivers/route.go
+++ b/internal/lab/receivers/route.go
@@ -62,6 +62,7 @@
 type Route struct {
 	Number    int
 	Dst       int64
+	Coming    int // calls on their way to it; kept by the network
 	Fell      func(rt *Route, knowing float64) // a cold route fell over; the share of the load from senders that knew
 	limit     Limit
 	guard     Guard
@@ -129,22 +130,29 @@
 	return sum
 }
 
-// Allows tells whether a call would pass the limit now, without counting it; for those that see the true state.
-func (rt *Route) Allows(now int64) bool {
+// Spare is how many calls would pass the limit now, without counting any; for those that see the true state.
+func (rt *Route) Spare(now int64) float64 {
 	if rt.shut > 0 {
-		return false
+		return 0
 	}
 	switch rt.limit.Counting {
 	case PlainRate:
 		rt.fill(now)
-		return rt.tokens >= 1
+		return math.Floor(rt.tokens)
 	case PerSpan:
 		rt.span(now)
-		return rt.inSpan < rt.perSpan()
+		return rt.perSpan() - rt.inSpan
 	case Sliding:
-		return rt.times[rt.timesHead] <= now-rt.limit.Span
+		free := 0
+		for i := range rt.times {
+			if at := rt.times[(rt.timesHead+i)%len(rt.times)]; at != 0 && at > now-rt.limit.Span {
+				break
+			}
+			free++
+		}
+		return float64(free)
 	}
-	return true
+	return math.Inf(1)
 }
 
 // ColdRoom is how many calls may come now before the guard is met; infinite where nothing is cold.
@@ -176,7 +184,7 @@
 }
 
 // admit passes a call through the limit. A refused one may be told a wait, at whose end there is room again.
-func (rt *Route) admit(now int64, c *Call, chance *rand.Rand) (wait int64, taken bool) {
+func (rt *Route) admit(now int64, chance *rand.Rand) (wait int64, taken bool) {
 	if rt.shut > 0 {
 		wait = rt.opensAt - now
 	} else if wait = rt.count(now); wait == 0 {
