--- a/cmd/ravenlab/root.go
+++ b/cmd/ravenlab/root.go
@@ -51,7 +51,7 @@
 	}
 	root.SetOut(out)
 	root.SetErr(errs)
-	root.AddCommand(newRun())
+	root.AddCommand(newRun(), newSweep(), newCompare(), newTable(), newSearch(), newReport(), newPolicies())
 	return root
 }
 
--- a/cmd/ravenlab/show.go
+++ b/cmd/ravenlab/show.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"slices"
@@ -33,7 +34,16 @@
 	_ = w.Flush()
 }
 
-const before = 10_000_000 // µs of a destination's events shown before it was pushed over
+const (
+	before    = 10_000_000 // µs of a destination's events looked at before it was pushed over
+	linesMost = 60         // lines of a trace that are printed, the last ones; --trace has them all
+)
+
+// tail keeps the last lines of a text.
+func tail(text []byte) []byte {
+	lines := bytes.SplitAfter(text, []byte("\n"))
+	return bytes.Join(lines[max(0, len(lines)-1-linesMost):], nil)
+}
 
 // printBreaches plays the day once more and prints what concerns the first breach of each rule.
 func printBreaches(out io.Writer, s *scenario.Scenario, r *world.Result) error {
@@ -44,7 +54,8 @@
 		}
 		shown = append(shown, b.Rule)
 		fmt.Fprintf(out, "\nrule %s, %.3f s: %s\n", b.Rule, float64(b.At-loop.Origin)/1e6, b.What)
-		t := world.NewTrace(out)
+		var text bytes.Buffer
+		t := world.NewTrace(&text)
 		if b.Message != "" {
 			t.Message = b.Message
 		} else {
@@ -56,6 +67,9 @@
 		if err := t.Close(); err != nil {
 			return err
 		}
+		if _, err := out.Write(tail(text.Bytes())); err != nil {
+			return fmt.Errorf("breaches: %w", err)
+		}
 	}
 	return nil
 }
--- a/internal/lab/policy/plain.go
+++ b/internal/lab/policy/plain.go
@@ -19,7 +19,8 @@
 	creditLife = 10 * second  // µs; of a budget's credits
 	floorRate  = 3            // repeats a second that a budget always allows
 	tallySpan  = 30 * second  // µs; over which throttling counts, halved as each such span ends
-	plantSpan  = 2 * second   // µs; in which two sorts of trouble must be seen to set off the planted fault
+	plantSpan  = 2 * second   // µs; in which two sorts of trouble must be seen to set off the planted fault:
+	plantWait  = 3 * second   // µs; errors, and a wait as long as only what is shut tells
 )
 
 // style is how a plain policy repeats, and what is wrong with it.
@@ -146,8 +147,8 @@
 	blocked []*item // in the order they came; emptied as slots come free
 	out     int
 	ringAt  int64
-	errAt   int64 // latest error, reset or time-out seen anywhere
-	fullAt  int64 // latest refusal
+	errAt   int64 // latest error or reset seen anywhere
+	fullAt  int64 // latest refusal that told a long wait
 }
 
 func newPlain(s Start, how style, by int) *plain {
@@ -299,7 +300,9 @@
 			d.credits = append(d.credits, p.now)
 		}
 	case choice.Full:
-		p.fullAt = p.now
+		if wait >= plantWait {
+			p.fullAt = p.now
+		}
 		if wait > 0 && !p.how.alone {
 			if d.apart {
 				r.waitUntil = max(r.waitUntil, p.now+wait)
@@ -307,7 +310,7 @@
 				d.waitUntil = max(d.waitUntil, p.now+wait)
 			}
 		}
-	default:
+	case choice.Errored, choice.Reset:
 		p.errAt = p.now
 	}
 }
--- a/internal/lab/receivers/route.go
+++ b/internal/lab/receivers/route.go
@@ -62,7 +62,7 @@
 type Route struct {
 	Number    int
 	Dst       int64
-	Coming    int // calls on their way to it; kept by the network
+	Coming    int                              // calls on their way to it; kept by the network
 	Fell      func(rt *Route, knowing float64) // a cold route fell over; the share of the load from senders that knew
 	limit     Limit
 	guard     Guard
--- a/internal/lab/world/call.go
+++ b/internal/lab/world/call.go
@@ -62,7 +62,10 @@
 )
 
 func newCall(s *sender, to *receiver, patience int64) *call {
-	return &call{s: s, life: s.life, to: to, patience: patience}
+	c := &call{s: s, life: s.life, to: to, patience: patience, route: to.model.Route}
+	c.to.coming++
+	c.route.Coming++
+	return c
 }
 
 func (c *call) join(h *hand, number int, patience int64) {
@@ -78,9 +81,6 @@
 func (c *call) depart() {
 	w := c.s.w
 	c.sentAt = w.Now()
-	c.to.coming++
-	c.route = c.to.model.Route
-	c.route.Coming++
 	w.At(c.sentAt+max(1, int64(float64(c.patience)/(1+c.s.drift))), c, evPatience, 0)
 	if c.conn = c.s.idleConn(c.to); c.conn != nil {
 		w.At(w.Now()+w.oneWay(c.s.zone, c.to.zone), c, evArrive, 0)
