--- a/internal/lab/policy/plain.go
+++ b/internal/lab/policy/plain.go
@@ -18,6 +18,7 @@
 	lookAgain  = second / 10  // µs until a message finds out whether there is a receiver by now
 	creditLife = 10 * second  // µs; of a budget's credits
 	floorRate  = 3            // repeats a second that a budget always allows
+	rushGap    = second / 20  // µs between the repeats of a policy that rushes
 	tallySpan  = 30 * second  // µs; over which throttling counts, halved as each such span ends
 	plantSpan  = 2 * second   // µs; in which two sorts of trouble must be seen to set off the planted fault:
 	plantWait  = 3 * second   // µs; errors, and a wait as long as only what is shut tells
@@ -37,6 +38,7 @@
 	clings   bool // keeps what drains
 	jumbles  bool // no order
 	deaf     bool // a told wait binds nobody
+	rushes   bool // repeats at once, again and again
 	planted  bool // deaf where two sorts of trouble were seen lately
 }
 
@@ -359,6 +361,8 @@
 		jitter = 0
 	case p.how.ignore:
 		wait = 0
+	case p.how.rushes:
+		wait, jitter = 0, rushGap
 	}
 	m.notBefore = p.now + wait + jitter
 	if m.notBefore > p.lastChance(m) {
--- a/internal/lab/policy/policy.go
+++ b/internal/lab/policy/policy.go
@@ -85,7 +85,7 @@
 	"broken-answer": {legs: 3, forgets: true},
 	"broken-effect": {legs: 3, careless: true},
 	"broken-drain":  {legs: 3, clings: true},
-	"broken-return": {legs: 1000, alone: true, ignore: true},
+	"broken-return": {legs: 1000, alone: true, rushes: true},
 	"broken-order":  {legs: 3, jumbles: true},
 	"broken-wait":   {legs: 3, deaf: true},
 	"planted-wait":  {legs: 1000, planted: true},
--- a/internal/lab/rules/rules.go
+++ b/internal/lab/rules/rules.go
@@ -110,13 +110,14 @@
 }
 
 type line struct {
-	msgs []*Message
-	rest int64
+	msgs   []*Message
+	rest   int64
+	restBy *Message // its own further legs need not wait for it
 }
 
 type told struct{ at, until int64 }
 
-// Desk is what one sender has been told since it started.
+// Desk is what one sender has been told since it started. Its tables are as large as there are routes, receivers and keys.
 type Desk struct {
 	sender   int
 	waits    map[int]told     // by route
@@ -182,7 +183,7 @@
 		switch {
 		case l.msgs[0] != m:
 			say(Order, "message %s of the same key is not over", l.msgs[0].ID)
-		case now < l.rest:
+		case now < l.rest && l.restBy != m:
 			say(Order, "the key rests for %d ms more", (l.rest-now)/1000)
 		}
 	}
@@ -222,7 +223,7 @@
 func (j *Judge) Settled(m *Message, number int, o choice.Outcome, final bool, now int64) {
 	m.Legs[number].Settled, m.Legs[number].Outcome = true, o
 	if m.line != nil && (o == choice.TimedOut || o == choice.Reset || o == choice.Cancelled) {
-		m.line.rest = now + j.figures.KeyRest
+		m.line.rest, m.line.restBy = now+j.figures.KeyRest, m
 	}
 	if final {
 		m.Ended = true
