--- a/choice/choice.go
+++ b/choice/choice.go
@@ -274,7 +274,8 @@
 			s.become(r, closed)
 		}
 	}
-	r.zone, r.weight, r.listedAt, d.wakeAt = e.Zone, e.Weight, s.now, 0
+	r.zone, r.weight, r.listedAt = e.Zone, e.Weight, s.now
+	s.wake(d)
 	d.recvs = slices.DeleteFunc(d.recvs, func(o *receiver) bool { return o == r })
 	if e.Listed {
 		d.recvs = append(d.recvs, r)
@@ -323,7 +324,7 @@
 		m.dst.held = append(m.dst.held, m)
 	}
 	m.state = to
-	m.dst.wakeAt = 0
+	s.wake(m.dst)
 	switch to {
 	case held:
 		m.giveUp = m.lastChance()
@@ -400,10 +401,11 @@
 	if c.open == 0 {
 		s.calls, c.r.calls = s.calls-1, c.r.calls-1
 		c.r.dst.calls = slices.DeleteFunc(c.r.dst.calls, func(x *call) bool { return x == c })
+		s.keepBusy(c.r.dst)
 		s.observe(c, o, wait)
 	}
 	s.reported(c.r, rep)
-	c.r.dst.wakeAt = 0
+	s.wake(c.r.dst)
 	s.countLost(c.r, o)
 	if m.line != nil && (o == TimedOut || o == Reset || o == Cancelled) {
 		m.line.rest = s.now + s.guards.KeyRest
@@ -538,7 +540,8 @@
 	s.host.Log(fmt.Sprintf("%d ms: receiver %d of destination %d is %s (%.1f strikes, %d refusals)",
 		s.now/1000, r.id, r.dst.id, h, r.strikes, r.route.row))
 	r.health, r.since, r.strikes, r.proved, r.missed = h, s.now, 0, false, false
-	r.tokens, r.filledAt, r.dst.wakeAt = s.chance(), s.now, 0 // chance: else all senders' first calls coincide
+	r.tokens, r.filledAt = s.chance(), s.now // chance: else all senders' first calls coincide
+	s.wake(r.dst)
 }
 
 // struck guards against any outage that shows as legs gone wrong: down, silent, hung, failing most calls.
@@ -634,7 +637,7 @@
 	}
 	r.probing = false
 	r.route.piling = o == TimedOut || o == Full
-	r.dst.wakeAt = 0
+	s.wake(r.dst)
 	s.reported(r, rep)
 	if r.health == closed && o == Delivered {
 		s.become(r, warming)
@@ -726,15 +729,12 @@
 func (s *Sender) callOff() {
 	var late []*dst
 	busy := 0
-	for _, d := range s.order {
-		if len(d.calls) == 0 {
-			continue
-		}
+	for _, d := range s.busy {
 		busy++
 		s.callOffOvertaken(d)
 		sentAt := d.calls[0].sentAt
 		if due := sentAt + int64(d.slowAfter()); due > s.now {
-			d.wakeAt = min(d.wakeAt, due)
+			s.wakeBy(d, due)
 			continue
 		}
 		spoke := slices.ContainsFunc(d.recvs, func(r *receiver) bool { return r.okAt > sentAt })
@@ -772,7 +772,7 @@
 	for _, c := range d.calls {
 		after := max(int64(d.mean+patienceVar*d.dev), int64(overtakenLeast*float64(c.msgs[0].lane.Target)))
 		if due := c.sentAt + after; due > s.now {
-			d.wakeAt = min(d.wakeAt, due)
+			s.wakeBy(d, due)
 		} else if !c.off && float64(c.r.okSent-c.sentAt) > d.slowAfter() && c.msgs[0].lane.Repeat != NonRetriable {
 			s.cancel(c)
 		}
@@ -801,9 +801,8 @@
 		s.end(s.expiry[0], 0)
 	}
 	var ready []*dst
-	for _, d := range s.order {
-		if d.wakeAt <= s.now && (len(d.held) > 0 || len(d.recvs) > 0) {
-			d.wakeAt = never
+	for _, d := range s.awake() {
+		if len(d.held) > 0 || len(d.recvs) > 0 {
 			s.tryClosed(d)
 			ready = append(ready, d)
 		}
@@ -824,7 +823,7 @@
 			continue
 		}
 		if at := max(r.route.trialAt, r.route.waitUntil); at > s.now {
-			d.wakeAt = min(d.wakeAt, at)
+			s.wakeBy(d, at)
 			continue
 		}
 		r.probing = true
@@ -846,7 +845,7 @@
 		slices.SortStableFunc(cands, func(a, b candidate) int { return cmp.Compare(b.urgent, a.urgent) })
 		if s.calls >= s.room.Slots {
 			for _, c := range cands {
-				c.m.dst.wakeAt = 0
+				s.wake(c.m.dst)
 			}
 			return
 		}
@@ -864,7 +863,7 @@
 		if at := s.readyAt(r); at <= s.now {
 			rs = append(rs, r)
 		} else {
-			d.wakeAt = min(d.wakeAt, at)
+			s.wakeBy(d, at)
 		}
 	}
 	return rs
@@ -875,7 +874,7 @@
 		return candidate{}
 	}
 	if at := s.gathered(d); at > s.now {
-		d.wakeAt = min(d.wakeAt, at)
+		s.wakeBy(d, at)
 		return candidate{}
 	}
 	return s.mostUrgent(d, s.usable(d))
@@ -906,7 +905,7 @@
 
 func (s *Sender) mayGo(m *msg) bool {
 	if m.notBefore > s.now {
-		m.dst.wakeAt = min(m.dst.wakeAt, m.notBefore)
+		s.wakeBy(m.dst, m.notBefore)
 		return false
 	}
 	return m.line == nil || m.line.msgs[0] == m
@@ -931,6 +930,7 @@
 	c := &call{r: r, sentAt: s.now}
 	s.calls, r.calls = s.calls+1, r.calls+1
 	d.calls, d.calledAt = append(d.calls, c), s.now
+	s.keepBusy(d)
 	r.route.tokens--
 	r.tokens--
 	if r.health == closed {
--- a/choice/heap.go
+++ b/choice/heap.go
@@ -38,3 +38,42 @@
 		heap.Fix(h, m.at)
 	}
 }
+
+// wakeHeap holds the destinations to be looked at later, the earliest first.
+type wakeHeap []*dst
+
+func (h wakeHeap) Len() int           { return len(h) }
+func (h wakeHeap) Less(i, j int) bool { return h[i].wakeAt < h[j].wakeAt }
+func (h wakeHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].at, h[j].at = i, j
+}
+
+// Push is for container/heap.
+func (h *wakeHeap) Push(x any) {
+	d := x.(*dst)
+	d.at = len(*h)
+	*h = append(*h, d)
+}
+
+// Pop is for container/heap.
+func (h *wakeHeap) Pop() any {
+	d := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	d.at = -1
+	return d
+}
+
+func (h *wakeHeap) place(d *dst) {
+	if d.at < 0 {
+		heap.Push(h, d)
+		return
+	}
+	heap.Fix(h, d.at)
+}
+
+func (h *wakeHeap) drop(d *dst) {
+	if d.at >= 0 {
+		heap.Remove(h, d.at)
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -151,8 +151,11 @@
 	mean     float64 // µs, answer time
 	dev      float64
 	sampled  bool
-	down     bool // no receiver was open at the latest closing, and none has delivered since
-	wakeAt   int64
+	down     bool  // no receiver was open at the latest closing, and none has delivered since
+	wakeAt   int64 // when it is to be looked at again; now or past: it is among the due ones
+	due      bool  // it is
+	at       int   // place in the heap of wake-ups, -1 for none
+	number   int   // in the order in which destinations came to be known
 	calledAt int64 // when the latest call went out
 	taken    int   // messages taken since the start
 }
@@ -175,6 +178,10 @@
 	msgs     map[string]*msg      // emptied as messages are over and their legs settled
 	dsts     map[int64]*dst       // as many as destinations; emptied by sweep
 	order    []*dst               // the same in a fixed order
+	known    int                  // destinations ever known
+	due      []*dst               // to be looked at in this turn; emptied by it
+	wakes    wakeHeap             // to be looked at later
+	busy     []*dst               // with calls out, in the fixed order
 	recvs    map[uint32]*receiver // emptied by sweep of those unlisted for keepGone
 	lines    map[string]*keyLine  // emptied as lines run empty and keys have rested
 	resting  []*keyLine           // empty lines until their rest is over
@@ -205,13 +212,56 @@
 func (s *Sender) dst(id int64) *dst {
 	d := s.dsts[id]
 	if d == nil {
-		d = &dst{id: id, route: &route{}, kind: Kind{Batch: 1}}
+		d = &dst{id: id, route: &route{}, kind: Kind{Batch: 1}, at: -1, number: s.known}
+		s.known++
 		s.dsts[id] = d
 		s.order = append(s.order, d)
+		s.wake(d)
 	}
 	return d
 }
 
+// wake has the coming turn look at a destination; wakeBy has it looked at by then.
+func (s *Sender) wake(d *dst) { s.wakeBy(d, s.now) }
+
+func (s *Sender) wakeBy(d *dst, at int64) {
+	switch {
+	case d.due:
+	case at <= s.now:
+		s.wakes.drop(d)
+		d.due = true
+		s.due = append(s.due, d)
+	case at < never && (d.at < 0 || at < d.wakeAt):
+		d.wakeAt = at
+		s.wakes.place(d)
+	}
+}
+
+// awake takes out all that is to be looked at in this turn, in the fixed order. So a turn costs what it has to do, and not
+// a walk over all destinations.
+func (s *Sender) awake() (ds []*dst) {
+	for len(s.wakes) > 0 && s.wakes[0].wakeAt <= s.now {
+		s.wake(s.wakes[0])
+	}
+	ds, s.due = s.due, nil
+	slices.SortFunc(ds, func(a, b *dst) int { return a.number - b.number })
+	for _, d := range ds {
+		d.due = false
+	}
+	return ds
+}
+
+// keepBusy keeps the list of destinations with calls out.
+func (s *Sender) keepBusy(d *dst) {
+	i, is := slices.BinarySearchFunc(s.busy, d, func(a, b *dst) int { return a.number - b.number })
+	switch {
+	case len(d.calls) > 0 && !is:
+		s.busy = slices.Insert(s.busy, i, d)
+	case len(d.calls) == 0 && is:
+		s.busy = slices.Delete(s.busy, i, i+1)
+	}
+}
+
 // forget drops a message that is over once nothing of it is out, and lets the next of its key go.
 func (s *Sender) forget(m *msg) {
 	if !m.over() || m.openLegs() > 0 {
@@ -228,7 +278,7 @@
 		return
 	}
 	l.msgs[0].notBefore = max(l.msgs[0].notBefore, l.rest)
-	l.msgs[0].dst.wakeAt = 0
+	s.wake(l.msgs[0].dst)
 }
 
 func (s *Sender) restOver() {
@@ -248,10 +298,8 @@
 	if s.allowed.Subscribe {
 		at = min(at, s.askAt)
 	}
-	for _, d := range s.order {
-		if d.wakeAt > s.now {
-			at = min(at, d.wakeAt)
-		}
+	if len(s.wakes) > 0 {
+		at = min(at, s.wakes[0].wakeAt)
 	}
 	if at < s.timerAt && at < never {
 		s.timerAt = at
@@ -301,6 +349,7 @@
 			return false
 		}
 		delete(s.dsts, d.id)
+		s.wakes.drop(d)
 		return true
 	})
 }
--- a/internal/lab/policy/bound.go
+++ b/internal/lab/policy/bound.go
@@ -7,8 +7,9 @@
 )
 
 const (
-	boundLooks = second / 100 // µs between looks at the true state while something waits
-	boundScans = 200          // held messages of one destination weighed for each leg; further ones wait their turn
+	boundLooks    = second / 100 // µs between looks at the true state while something waits
+	boundPatience = 6            // times the mean work at that receiver for which it waits for an answer
+	boundScans    = 200          // held messages of one destination weighed for each leg; further ones wait their turn
 )
 
 // bound sees the true state of every receiver and sends only what will be worked on at once. It is no policy that could
@@ -237,5 +238,6 @@
 	d.held = slices.DeleteFunc(d.held, func(o *boundItem) bool { return o == m })
 	b.out++
 	m.legs = append(m.legs, past{r: t, at: b.now})
-	b.Host.Send(m.id, t.id, max(1, m.expires-margin-b.now))
+	patience := max(m.lane.Target, int64(boundPatience*b.Truth.Took(t.id))) // answers get lost, which nobody sees before
+	b.Host.Send(m.id, t.id, max(1, min(patience, m.expires-margin-b.now)))
 }
--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -303,13 +303,13 @@
 func (w *World) Room(sender int, id uint32) int {
 	x := w.recvs[id]
 	m := x.model
-	if !x.listed || m.Ill() || m.Paused() || w.isCut(sender, x) {
+	if m.Ill() || m.Paused() || w.isCut(sender, x) {
 		return 0
 	}
 	now := w.Now()
 	free := min(m.Route.Spare(now), m.Route.ColdRoom(now)/2) - float64(m.Route.Coming)
 	if m.Nature.MostConns > 0 {
-		free = min(free, float64(m.Nature.MostConns-m.Conns))
+		free = min(free, float64(m.Nature.MostConns-m.Conns+len(w.senders[sender].pools[id])))
 	}
 	return int(min(free, float64(m.Room()-x.coming)))
 }
