The engine leaves package main: relay, platform and daemon

Need: further fronts and carriers (an inbox, a plug-in) must stand on the same engine; all of it stood in package main. Change: internal/relay takes, records, carries and ends messages, with Ends and Carrier as interfaces; internal/platform is the RESP2 front, calls, notices, discovery; internal/daemon the phases. Behaviour is as it was.

--- a/cmd/ravenlink/program.go
+++ b/internal/daemon/program.go
@@ -1,4 +1,5 @@
-package main
+// Package daemon is one sender's process: it joins the parts and takes them through its phases.
+package daemon
 
 import (
 	"context"
@@ -11,6 +12,8 @@
 
 	"go.uber.org/zap"
 
+	"ravenlink/internal/platform"
+	"ravenlink/internal/relay"
 	"ravenlink/internal/routing"
 	"ravenlink/internal/spool"
 	"ravenlink/internal/startup"
@@ -45,44 +48,39 @@
 	tallyEvery  = 10 * time.Second        // between lines of counts
 )
 
-// program is one sender's process.
-type program struct {
+// Program is one sender's process.
+type Program struct {
 	log    *zap.Logger
 	env    func(string) string
 	reload <-chan os.Signal
-	agent  *agent
+	agent  *platform.Agent
 	phase  phase // changes in enter only
-	clock  clock
+	clock  relay.Clock
 	spool  *spool.Spool
 	router *routing.Router
 	pool   *transport.Pool
 	server *transport.Server
 	notes  *transport.Datagrams // nil where senders may not write to one another
 
-	tally     *tally
-	intake    *intake
-	couriers  *couriers
-	notices   *notices
-	discovery *discovery
+	engine    *relay.Engine
+	front     *platform.Front
+	calls     *platform.Calls
+	notices   *platform.Notices
+	discovery *platform.Discovery
 
-	probeFor  time.Duration // how long a probe may take
-	probeLoad bool          // probes ask for a report
-	work      sync.WaitGroup
+	probeFor time.Duration // how long a probe may take
+	probes   atomic.Int64
+	work     sync.WaitGroup
 }
 
-// clock is the wall time of the start plus the monotonic time since: no step of the wall clock reaches it,
-// and its times mean the same after a restart.
-type clock struct{ start time.Time }
-
-func (c clock) now() int64 { return c.start.UnixMicro() + time.Since(c.start).Microseconds() }
-
 // enter is the one place where the phase changes.
-func (p *program) enter(next phase) {
+func (p *Program) enter(next phase) {
 	p.log.Info("phase", zap.Stringer("from", p.phase), zap.Stringer("to", next))
 	p.phase = next
 }
 
-func newProgram(env func(string) string, log *zap.Logger, reload <-chan os.Signal) (*program, error) {
+// New reads the start file and opens all that a sender needs before it serves.
+func New(env func(string) string, log *zap.Logger, reload <-chan os.Signal) (*Program, error) {
 	c, err := startup.Read(env)
 	if err != nil {
 		return nil, err
@@ -90,23 +88,23 @@
 	runtime.GOMAXPROCS(startup.Cores(c))
 	debug.SetMemoryLimit(int64(memoryShare * float64(startup.Memory(c))))
 	listen, discoveryAt := startup.Addresses(env, c)
-	p := &program{log: log.With(zap.String("sender", startup.Name(c))), env: env, reload: reload, agent: newAgent(discoveryAt),
-		clock: clock{time.Now()}, tally: &tally{}}
+	p := &Program{log: log.With(zap.String("sender", startup.Name(c))), env: env, reload: reload, agent: platform.NewAgent(discoveryAt),
+		clock: relay.NewClock()}
 	if err := p.openSpool(startup.StateDir(env), int64(diskShare*float64(startup.Disk(c)))); err != nil {
 		return nil, err
 	}
 	settings := startup.Module(c)
 	up, idle := startup.Connections(settings)
 	p.pool = transport.NewPool(up, time.Duration(idleShare*float64(idle)), startup.Sockets(c)/callPart)
-	p.router = routing.New(startup.Seed(c), settings, p.clock.now, p.pool.CloseIdle, func(text string) { p.log.Info(text) })
+	p.router = routing.New(startup.Seed(c), settings, p.clock.Now, p.pool.CloseIdle, func(text string) { p.log.Info(text) })
 	p.probeFor = up
-	_, p.probeLoad = startup.Reports(settings)
-	p.notices = newNotices(p.log, p.spool, p.agent, up)
-	p.couriers = &couriers{log: p.log, clock: p.clock, router: p.router, spool: p.spool, pool: p.pool,
-		notices: p.notices, tally: p.tally, held: map[string]*spool.Message{}}
-	p.discovery = &discovery{log: p.log, router: p.router, agent: p.agent, within: up,
-		onlyAsked: startup.Subscribes(settings), ask: make(chan struct{}, 1)}
-	if err := p.discovery.known(startup.Known(c)); err != nil {
+	_, probeLoad := startup.Reports(settings)
+	p.calls = platform.NewCalls(p.pool, p.clock, p.router, probeLoad)
+	p.engine = relay.New(p.log, p.clock, p.router, p.spool, p.calls)
+	p.notices = platform.NewNotices(p.log, p.agent, up, p.told)
+	p.engine.Tell(p.notices)
+	p.discovery = platform.NewDiscovery(p.log, p.router, p.agent, up, startup.Subscribes(settings))
+	if err := p.discovery.Known(startup.Known(c)); err != nil {
 		return nil, err
 	}
 	if startup.Notes(settings) {
@@ -115,12 +113,12 @@
 			return nil, err
 		}
 	}
-	p.intake = &intake{log: p.log, clock: p.clock, router: p.router, spool: p.spool, couriers: p.couriers, tally: p.tally}
-	p.server, err = transport.Listen(listen, startup.Sockets(c)/clientPart, p.intake.serve)
+	p.front = platform.NewFront(p.log, p.engine)
+	p.server, err = transport.Listen(listen, startup.Sockets(c)/clientPart, p.front.Serve)
 	return p, err
 }
 
-func (p *program) openSpool(dir string, room int64) error {
+func (p *Program) openSpool(dir string, room int64) error {
 	s, notes, err := spool.Open(dir, room)
 	for _, n := range notes {
 		p.log.Warn("spool", zap.String("note", n))
@@ -129,19 +127,19 @@
 	return err
 }
 
-// run takes the program through its phases; ending ctx drains it.
-func (p *program) run(ctx context.Context) error {
+// Run takes the program through its phases; ending ctx drains it.
+func (p *Program) Run(ctx context.Context) error {
 	picking, stopPicking := context.WithCancel(context.Background())
 	working, stopWorking := context.WithCancel(context.Background())
 	defer stopWorking()
 	defer stopPicking()
-	p.couriers.picking, p.couriers.working = picking, working
+	p.engine.Begin(picking, working)
 	p.enter(recovering)
 	p.start(working)
 	for _, m := range p.spool.Owed() {
-		p.couriers.resume(m)
+		p.engine.Resume(m)
 	}
-	p.couriers.running.Go(p.couriers.run)
+	p.engine.Run()
 	p.enter(serving)
 	p.goWork(func() {
 		if err := p.server.Serve(working); err != nil {
@@ -158,7 +156,7 @@
 	return p.spool.Close()
 }
 
-func (p *program) goWork(f func()) {
+func (p *Program) goWork(f func()) {
 	p.work.Add(1)
 	go func() {
 		defer p.work.Done()
@@ -167,10 +165,10 @@
 }
 
 // start sets going all that does not depend on clients.
-func (p *program) start(working context.Context) {
+func (p *Program) start(working context.Context) {
 	p.goWork(func() { p.router.Tick(working) })
-	p.goWork(func() { p.notices.run(working) })
-	p.goWork(func() { p.discovery.run(working) })
+	p.goWork(func() { p.notices.Run(working) })
+	p.goWork(func() { p.discovery.Run(working) })
 	p.goWork(func() { p.chores(working) })
 	p.goWork(func() { p.reloads(working) })
 	p.goWork(func() { p.count(working) })
@@ -180,7 +178,7 @@
 }
 
 // drain keeps on for a while, then lets go of the clients, then starts no more legs, then waits for those out.
-func (p *program) drain(stopPicking context.CancelFunc) {
+func (p *Program) drain(stopPicking context.CancelFunc) {
 	begun := time.Now()
 	p.until(begun.Add(doorsOpen), func() bool { return false })
 	var gone atomic.Bool // the clients
@@ -188,14 +186,14 @@
 		p.server.Close()
 		gone.Store(true)
 	})
-	told := func() bool { return gone.Load() && p.notices.owed() == 0 }
+	told := func() bool { return gone.Load() && p.notices.Owed() == 0 }
 	p.until(begun.Add(picksEnd), func() bool { return told() && p.router.Owed() == 0 })
 	stopPicking()
-	p.until(begun.Add(drainEnd), func() bool { return told() && p.couriers.out.Load() == 0 })
+	p.until(begun.Add(drainEnd), func() bool { return told() && p.engine.Out() == 0 })
 }
 
 // until waits for a moment, or until all is done.
-func (p *program) until(end time.Time, done func() bool) {
+func (p *Program) until(end time.Time, done func() bool) {
 	look := time.NewTicker(glance)
 	defer look.Stop()
 	for time.Now().Before(end) && !done() {
@@ -203,29 +201,36 @@
 	}
 }
 
-func (p *program) close() {
+func (p *Program) close() {
 	if p.notes != nil {
 		p.notes.Close()
 	}
 	p.server.Cut()
 	p.server.Close()
-	p.couriers.wait()
+	p.engine.Wait()
 	p.pool.Close()
-	p.notices.pool.Close()
+	p.notices.Close()
 	p.work.Wait()
 }
 
 // count writes a line of counts now and then.
-func (p *program) count(ctx context.Context) {
+func (p *Program) count(ctx context.Context) {
 	every := time.NewTicker(tallyEvery)
 	defer every.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			p.tally.line(p.log, p)
+			p.countLine()
 			return
 		case <-every.C:
-			p.tally.line(p.log, p)
+			p.countLine()
 		}
 	}
 }
+
+// told lets go of messages of whose end the platform knows.
+func (p *Program) told(us []relay.Undelivered) {
+	for _, u := range us {
+		p.engine.Over(u.Msg)
+	}
+}
--- /dev/null
+++ b/internal/daemon/reload.go
@@ -0,0 +1,27 @@
+package daemon
+
+import (
+	"context"
+
+	"go.uber.org/zap"
+
+	"ravenlink/internal/startup"
+)
+
+// reloads reads the start file again at each signal. Of a row of signals the last one counts, and one that
+// comes while the file is read has it read once more.
+func (p *Program) reloads(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.reload:
+			addr, err := startup.Moved(p.env)
+			if err != nil {
+				p.log.Error("start file not taken, the old one stays in force", zap.Error(err))
+				continue
+			}
+			p.log.Info("start file read again", zap.String("discovery", addr), zap.Bool("moved", p.agent.Move(addr)))
+		}
+	}
+}
--- a/cmd/ravenlink/standin_test.go
+++ b/internal/daemon/standin_test.go
@@ -1,4 +1,4 @@
-package main
+package daemon
 
 import (
 	"bufio"
@@ -180,11 +180,11 @@
 func (w *world) start() (stop func()) {
 	w.t.Helper()
 	w.writeConfig()
-	p, err := newProgram(w.env, zap.NewNop(), nil)
+	p, err := New(w.env, zap.NewNop(), nil)
 	require.NoError(w.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
-	go func() { done <- p.run(ctx) }()
+	go func() { done <- p.Run(ctx) }()
 	var once sync.Once
 	stop = func() {
 		once.Do(func() {
--- a/cmd/ravenlink/tally.go
+++ b/internal/daemon/tally.go
@@ -1,25 +1,16 @@
-package main
+package daemon
 
 import (
 	"runtime"
-	"sync/atomic"
 
 	"go.uber.org/zap"
 
 	"ravenlink/internal/routing"
 )
 
-// tally counts what happened since the start.
-type tally struct {
-	taken, busy, refused          atomic.Int64 // hand-ins: taken on, pushed back at once, in error
-	delivered, pushedBack, failed atomic.Int64 // messages taken on, by their end
-	legs                          [resultKinds]atomic.Int64
-	probes                        atomic.Int64
-}
-
-const resultKinds = int(routing.CalledOff) + 1
-
-func (t *tally) line(log *zap.Logger, p *program) {
+// countLine writes how things stand.
+func (p *Program) countLine() {
+	t := p.engine.Tally
 	var mem runtime.MemStats
 	runtime.ReadMemStats(&mem)
 	var dropped int64
@@ -27,21 +18,21 @@
 		dropped = p.notes.Dropped()
 	}
 	b, crowd := p.router.Believes(), p.server.Crowd()
-	leg := func(r routing.Result) int64 { return t.legs[r].Load() }
-	log.Info("counts", zap.Int64("taken", t.taken.Load()), zap.Int64("busy", t.busy.Load()),
-		zap.Int64("refused", t.refused.Load()), zap.Int64("delivered", t.delivered.Load()),
-		zap.Int64("pushed_back", t.pushedBack.Load()), zap.Int64("failed", t.failed.Load()),
+	leg := func(r routing.Result) int64 { return t.Legs[r].Load() }
+	p.log.Info("counts", zap.Int64("taken", t.Taken.Load()), zap.Int64("busy", p.front.Busy.Load()),
+		zap.Int64("refused", p.front.Refused.Load()), zap.Int64("delivered", t.Delivered.Load()),
+		zap.Int64("pushed_back", t.PushedBack.Load()), zap.Int64("failed", t.Failed.Load()),
 		zap.Int64("legs_turned_away", leg(routing.TurnedAway)), zap.Int64("legs_not_connected", leg(routing.NotConnected)),
 		zap.Int64("legs_not_sent", leg(routing.NotSent)), zap.Int64("legs_errored", leg(routing.Errored)),
 		zap.Int64("legs_timed_out", leg(routing.TimedOut)), zap.Int64("legs_reset", leg(routing.Reset)),
 		zap.Int64("legs_called_off", leg(routing.CalledOff)), zap.Int64("legs_gone", leg(routing.GoneThere)),
-		zap.Int64("legs_out", p.couriers.out.Load()), zap.Int("calls_believed", b.Calls), zap.Int("receivers_known", b.Known),
-		zap.Int("receivers_closed", b.Closed), zap.Int64("probes", t.probes.Load()), zap.Int64("notes_dropped", dropped),
+		zap.Int64("legs_out", p.engine.Out()), zap.Int("calls_believed", b.Calls), zap.Int("receivers_known", b.Known),
+		zap.Int("receivers_closed", b.Closed), zap.Int64("probes", p.probes.Load()), zap.Int64("notes_dropped", dropped),
 		zap.Int("clients", crowd.Open), zap.Int("clients_idle", crowd.Idle), zap.Int("clients_served", crowd.Served),
 		zap.Int("clients_taken", crowd.Taken), zap.Int("clients_turned_away", crowd.TurnedAway),
 		zap.Int("clients_let_go_unserved", crowd.LetGoUnserved), zap.Int("clients_let_go_served", crowd.LetGoServed),
 		zap.Int("clients_quiet", crowd.Quiet), zap.Int("clients_begun", crowd.Begun),
-		zap.Int("owed", p.router.Owed()), zap.Int("notices_owed", p.notices.owed()),
+		zap.Int("owed", p.router.Owed()), zap.Int("notices_owed", p.notices.Owed()),
 		zap.Int("connections", p.pool.Open()), zap.Int("goroutines", runtime.NumGoroutine()),
 		zap.Uint64("heap_bytes", mem.HeapInuse))
 }
--- /dev/null
+++ b/internal/platform/agent.go
@@ -0,0 +1,47 @@
+package platform
+
+import (
+	"context"
+	"sync"
+)
+
+// Agent is where discovery and the platform are. A new start file may move it.
+type Agent struct {
+	mu   sync.Mutex
+	addr string
+	here context.Context // ends when it moves
+	left context.CancelFunc
+}
+
+// NewAgent is at an address.
+func NewAgent(addr string) *Agent {
+	a := &Agent{addr: addr}
+	a.here, a.left = context.WithCancel(context.Background())
+	return a
+}
+
+// during does something at the address, within a context that ends with ctx or when the address is no longer the
+// one, and tells whether that was cut short.
+func (a *Agent) during(ctx context.Context, do func(here context.Context, addr string)) (cut bool) {
+	a.mu.Lock()
+	addr, stays := a.addr, a.here
+	a.mu.Unlock()
+	here, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(stays, cancel)()
+	do(here, addr)
+	return here.Err() != nil
+}
+
+// Move has all that goes on at the old address begin anew at the new one.
+func (a *Agent) Move(addr string) (moved bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if addr == a.addr {
+		return false
+	}
+	a.left()
+	a.addr = addr
+	a.here, a.left = context.WithCancel(context.Background())
+	return true
+}
--- /dev/null
+++ b/internal/platform/calls.go
@@ -0,0 +1,114 @@
+package platform
+
+import (
+	"bufio"
+	"context"
+	"time"
+
+	"ravenlink/internal/protocol"
+	"ravenlink/internal/relay"
+	"ravenlink/internal/routing"
+	"ravenlink/internal/transport"
+)
+
+// Calls carries legs and probes as calls over HTTP/1.1.
+type Calls struct {
+	pool      *transport.Pool
+	clock     relay.Clock
+	router    *routing.Router
+	probeLoad bool // probes ask for a report
+}
+
+// NewCalls makes a carrier over a pool of connections.
+func NewCalls(pool *transport.Pool, clock relay.Clock, router *routing.Router, probeLoad bool) *Calls {
+	return &Calls{pool: pool, clock: clock, router: router, probeLoad: probeLoad}
+}
+
+// Carry is one leg.
+func (c *Calls) Carry(ctx context.Context, l relay.Leg) relay.Journey {
+	var answer protocol.Answer
+	stage := c.pool.Do(ctx, l.To.ID, l.To.Addr, l.Patience, transport.Exchange{
+		Ready: l.Ready,
+		Write: func(w *bufio.Writer) error {
+			wait := max(1, (l.Until-c.clock.Now())/microsInMilli)
+			return protocol.WriteCall(w, l.To.Addr, l.Msg.ID, l.Msg.Key, wait, l.Msg.Body)
+		},
+		Read: into(&answer),
+	})
+	res, wait := result(stage, answer)
+	return relay.Journey{Result: res, Wait: wait, Load: load(answer.Load), Stage: uint8(stage), Status: answer.Status}
+}
+
+// Probe asks a receiver how it is. The module has one out for a receiver at most.
+func (c *Calls) Probe(ctx context.Context, to routing.Receiver, patience time.Duration) {
+	var a protocol.Answer
+	stage := c.pool.Do(ctx, to.ID, to.Addr, patience, transport.Exchange{
+		Ready: func() bool { return c.router.Reachable(to) },
+		Write: func(w *bufio.Writer) error { return protocol.WriteProbe(w, to.Addr, c.probeLoad) },
+		Read:  into(&a),
+	})
+	res, _ := result(stage, a)
+	c.router.Probed(to, res, load(probed(a)))
+}
+
+// probed is the report in the answer to a probe, which is its body.
+func probed(a protocol.Answer) []byte {
+	if len(a.Load) > 0 {
+		return a.Load
+	}
+	return a.Body
+}
+
+// into reads an exchange's answer.
+func into(a *protocol.Answer) func(r *bufio.Reader) (keep bool, err error) {
+	return func(r *bufio.Reader) (keep bool, err error) {
+		*a, err = protocol.ReadAnswer(r)
+		return !a.Close, err
+	}
+}
+
+// result reads an outcome off how far the exchange came and what was answered.
+func result(stage transport.Stage, a protocol.Answer) (res routing.Result, wait int64) {
+	switch stage {
+	case transport.NotReady, transport.NoRoom:
+		return routing.NotSent, 0
+	case transport.NotConnected, transport.NotWritten:
+		return routing.NotConnected, 0
+	}
+	if a.Status == 200 { // the first line is enough
+		return routing.Delivered, 0
+	}
+	switch stage {
+	case transport.TimedOut:
+		return routing.TimedOut, 0
+	case transport.CalledOff:
+		return routing.CalledOff, 0
+	case transport.Broken:
+		return routing.Reset, 0
+	}
+	return answered(a)
+}
+
+func answered(a protocol.Answer) (res routing.Result, wait int64) {
+	switch a.Status {
+	case 500:
+		return routing.Errored, 0
+	case 429:
+		return routing.TurnedAway, a.WaitMicros
+	case 503:
+		if a.NoSlot {
+			return routing.NotSent, 0
+		}
+		return routing.TurnedAway, 0
+	case 504:
+		return routing.NotSent, 0
+	case 410:
+		return routing.GoneThere, 0
+	}
+	return routing.Reset, 0 // nonsense: it may have run
+}
+
+func load(report []byte) (l routing.Load) {
+	l.ShareLeft, l.Limit, l.Told = protocol.ParseLoad(report)
+	return l
+}
--- a/cmd/ravenlink/discovery.go
+++ b/internal/platform/discovery.go
@@ -1,4 +1,4 @@
-package main
+package platform
 
 import (
 	"context"
@@ -18,19 +18,24 @@
 	watchAgain = 500 * time.Millisecond // after a watch broke, by a draw from a tenth to all
 )
 
-// discovery follows the list of receivers.
-type discovery struct {
+// Discovery follows the list of receivers.
+type Discovery struct {
 	log       *zap.Logger
 	router    *routing.Router
-	agent     *agent
+	agent     *Agent
 	within    time.Duration
 	onlyAsked bool          // the module says when to watch
 	ask       chan struct{} // it said so
 	revision  int64
 }
 
-// known takes the list from before the start.
-func (d *discovery) known(text []byte) error {
+// NewDiscovery makes a follower. With onlyAsked it watches only when Asked; a connection comes up within a time or not at all.
+func NewDiscovery(log *zap.Logger, router *routing.Router, agent *Agent, within time.Duration, onlyAsked bool) *Discovery {
+	return &Discovery{log: log, router: router, agent: agent, within: within, onlyAsked: onlyAsked, ask: make(chan struct{}, 1)}
+}
+
+// Known takes the list from before the start.
+func (d *Discovery) Known(text []byte) error {
 	l, err := protocol.ParseList(text)
 	if err != nil {
 		return fmt.Errorf("known list: %w", err)
@@ -40,8 +45,8 @@
 	return nil
 }
 
-// run keeps a watch open until ctx ends.
-func (d *discovery) run(ctx context.Context) {
+// Run keeps a watch open until ctx ends.
+func (d *Discovery) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		if d.onlyAsked {
 			select {
@@ -56,7 +61,7 @@
 			return
 		}
 		if moved { // the list is not lost: the new address goes on from the same revision, and nobody need ask
-			d.asked()
+			d.Asked()
 			continue
 		}
 		d.log.Warn("watch on the list broke", zap.Error(err), zap.Int64("revision", d.revision))
@@ -71,7 +76,8 @@
 	}
 }
 
-func (d *discovery) asked() {
+// Asked says that the module wants a watch.
+func (d *Discovery) Asked() {
 	select {
 	case d.ask <- struct{}{}:
 	default:
@@ -79,7 +85,7 @@
 }
 
 // watch follows the list at one address until that watch breaks.
-func (d *discovery) watch(ctx context.Context, addr string) error {
+func (d *Discovery) watch(ctx context.Context, addr string) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	c, err := transport.Dial(ctx, addr, d.within)
--- a/cmd/ravenlink/notices.go
+++ b/internal/platform/notices.go
@@ -1,4 +1,4 @@
-package main
+package platform
 
 import (
 	"bufio"
@@ -10,7 +10,7 @@
 	"go.uber.org/zap"
 
 	"ravenlink/internal/protocol"
-	"ravenlink/internal/spool"
+	"ravenlink/internal/relay"
 	"ravenlink/internal/transport"
 )
 
@@ -22,30 +22,25 @@
 	platform       = "platform"
 )
 
-// notice is what the platform is to hear of one message. It stands apart from the message, which is the spool's.
-type notice struct {
-	msg        *spool.Message
-	pushedBack bool
-	advice     int64 // µs
-}
-
-// notices tells the platform which messages ended undelivered, each until it has said that it knows.
-type notices struct {
+// Notices tells the platform which messages ended undelivered, each until it has said that it knows.
+type Notices struct {
 	log   *zap.Logger
-	spool *spool.Spool
+	over  func([]relay.Undelivered) // they are told
 	pool  *transport.Pool
-	agent *agent
+	agent *Agent
 
 	mu      sync.Mutex
-	waiting []notice // bounded by the spool's room
+	waiting []relay.Undelivered // bounded by the spool's room
 	more    chan struct{}
 }
 
-func newNotices(log *zap.Logger, s *spool.Spool, agent *agent, up time.Duration) *notices {
-	return &notices{log: log, spool: s, pool: transport.NewPool(up, time.Second, 1), agent: agent, more: make(chan struct{}, 1)}
+// NewNotices makes the teller; over hears of those that the platform knows.
+func NewNotices(log *zap.Logger, agent *Agent, up time.Duration, over func([]relay.Undelivered)) *Notices {
+	return &Notices{log: log, over: over, pool: transport.NewPool(up, time.Second, 1), agent: agent, more: make(chan struct{}, 1)}
 }
 
-func (n *notices) owe(one notice) {
+// Undelivered is for the engine.
+func (n *Notices) Undelivered(one relay.Undelivered) {
 	n.mu.Lock()
 	n.waiting = append(n.waiting, one)
 	n.mu.Unlock()
@@ -55,17 +50,18 @@
 	}
 }
 
-func (n *notices) owed() int {
+// Owed counts those that the platform does not know yet.
+func (n *Notices) Owed() int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return len(n.waiting)
 }
 
-// run posts what waits until ctx ends.
-func (n *notices) run(ctx context.Context) {
+// Run posts what waits until ctx ends.
+func (n *Notices) Run(ctx context.Context) {
 	pause := retryFirst
 	for {
-		if n.owed() == 0 {
+		if n.Owed() == 0 {
 			select {
 			case <-ctx.Done():
 				return
@@ -89,13 +85,13 @@
 }
 
 // post sends the oldest notices on one post; with 204, or 400 that no repeat would mend, they are over.
-func (n *notices) post(ctx context.Context, addr string) bool {
+func (n *Notices) post(ctx context.Context, addr string) bool {
 	n.mu.Lock()
 	batch := n.waiting[:min(len(n.waiting), mostInPost)]
 	n.mu.Unlock()
 	var lines []byte
 	for _, one := range batch {
-		lines = protocol.AppendNotice(lines, one.msg.ID, one.pushedBack, millisUp(one.advice))
+		lines = protocol.AppendNotice(lines, one.Msg.ID, one.PushedBack, millisUp(one.Advice))
 	}
 	var a protocol.Answer
 	stage := n.pool.Do(ctx, platform, addr, noticePatience, transport.Exchange{
@@ -115,13 +111,14 @@
 	return true
 }
 
-func (n *notices) settle(batch []notice) {
-	for _, one := range batch {
-		over(n.log, n.spool, one.msg)
-	}
+func (n *Notices) settle(batch []relay.Undelivered) {
+	n.over(batch)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.waiting = n.waiting[len(batch):]; len(n.waiting) == 0 {
 		n.waiting = nil
 	}
 }
+
+// Close closes its connections.
+func (n *Notices) Close() { n.pool.Close() }
--- /dev/null
+++ b/internal/relay/courier.go
@@ -0,0 +1,235 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+
+	"go.uber.org/zap"
+
+	"ravenlink/internal/routing"
+	"ravenlink/internal/spool"
+)
+
+// Engine carries the messages taken on to their ends: one goroutine takes in what is decided, and each leg out has one.
+type Engine struct {
+	log     *zap.Logger
+	clock   Clock
+	router  *routing.Router
+	spool   *spool.Spool
+	carrier Carrier
+	ends    Ends
+
+	Tally *Tally
+
+	picking context.Context // ends when no leg may start any more
+	working context.Context // ends when those out are given up
+	out     atomic.Int64    // legs out, as many as the settings' slots at most
+	running sync.WaitGroup
+
+	mu   sync.Mutex
+	held map[string]*carried // emptied as messages end
+}
+
+// carried is a message on its way, and what became of its legs in this process.
+type carried struct {
+	msg   *spool.Message
+	story []Told // as many as legs
+}
+
+// Tally counts what happened since the start.
+type Tally struct {
+	Taken, Delivered, PushedBack, Failed atomic.Int64 // messages taken on, by their end
+	Legs                                 [resultKinds]atomic.Int64
+}
+
+const resultKinds = int(routing.CalledOff) + 1
+
+// New makes an engine; Run sets it going. Ends may call back at once.
+func New(log *zap.Logger, clock Clock, router *routing.Router, s *spool.Spool, carrier Carrier) *Engine {
+	return &Engine{log: log, clock: clock, router: router, spool: s, carrier: carrier, Tally: &Tally{}, held: map[string]*carried{}}
+}
+
+// Tell names who hears of ends. It comes before any message.
+func (e *Engine) Tell(ends Ends) { e.ends = ends }
+
+// Begin sets the contexts of all that follows: no leg starts after picking ends, none goes on after working does.
+func (e *Engine) Begin(picking, working context.Context) { e.picking, e.working = picking, working }
+
+// Wait waits for all that Run and its legs do.
+func (e *Engine) Wait() { e.running.Wait() }
+
+// Out counts the legs out.
+func (e *Engine) Out() int64 { return e.out.Load() }
+
+// Lane finds a lane by its name.
+func (e *Engine) Lane(name string) (int, bool) { return e.router.Lane(name) }
+
+// Now is the time messages live in, in µs since 1970.
+func (e *Engine) Now() int64 { return e.clock.Now() }
+
+// Take hands a message to the decisions, which may end it on the spot, and if they hold it, writes it down: from then on its
+// end is owed. Nothing is sent before Carry.
+func (e *Engine) Take(m *spool.Message, lane int) (way routing.Way, advice int64) {
+	way, advice = e.router.Take(message(m, lane))
+	if way != routing.Held {
+		return way, advice
+	}
+	if err := e.spool.Take(m); err != nil {
+		e.log.Warn("not taken on", zap.Error(err))
+		e.router.Forget(m.ID)
+		return routing.NoRoom, e.router.ComeBackIn()
+	}
+	e.Tally.Taken.Add(1)
+	return way, 0
+}
+
+// Withdraw takes back a message whose client never heard that it was taken on.
+func (e *Engine) Withdraw(id string) { e.router.Withdraw(id) }
+
+func message(m *spool.Message, lane int) routing.Message {
+	r := routing.Message{ID: m.ID, Lane: lane, OrderKey: m.OrderKey, Dst: m.Dst, Expires: m.Expires}
+	for _, l := range m.Legs {
+		r.Past = append(r.Past, routing.PastLeg(l))
+	}
+	return r
+}
+
+// Resume takes up a message that the sender owed before its restart.
+func (e *Engine) Resume(m *spool.Message) {
+	if m.Ended {
+		e.ends.Undelivered(Undelivered{Msg: m, PushedBack: m.PushedBack, Advice: m.Advice})
+		return
+	}
+	way, advice := routing.Failed, int64(0)
+	if lane, known := e.router.Lane(m.Lane); known {
+		way, advice = e.router.Take(message(m, lane))
+	}
+	switch way {
+	case routing.Held:
+		e.Carry(m)
+	default:
+		e.undelivered(&carried{msg: m}, way != routing.Failed, advice)
+	}
+}
+
+// Carry takes a message to its end.
+func (e *Engine) Carry(m *spool.Message) {
+	e.mu.Lock()
+	e.held[m.ID] = &carried{msg: m}
+	e.mu.Unlock()
+	e.router.Carry(m.ID)
+}
+
+// Run carries out what is decided until no leg may start any more.
+func (e *Engine) Run() { e.running.Go(e.run) }
+
+func (e *Engine) run() {
+	for {
+		p, err := e.router.Pick(e.picking)
+		if err != nil {
+			return
+		}
+		c := e.carried(p)
+		switch p.Way {
+		case routing.Leg:
+			e.running.Go(func() { e.leg(c, p) })
+		case routing.Over:
+			e.Over(c.msg)
+		default:
+			e.undelivered(c, p.Way == routing.PushedBack, p.Advice)
+		}
+	}
+}
+
+// carried finds the message of a decision; with its end it is let go.
+func (e *Engine) carried(p routing.Pick) *carried {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	c := e.held[p.ID]
+	if p.Way != routing.Leg {
+		delete(e.held, p.ID)
+	}
+	return c
+}
+
+// Over puts on record that nothing is owed for a message any more.
+func (e *Engine) Over(m *spool.Message) {
+	if err := e.spool.Over(m); err != nil {
+		e.log.Error("end not recorded", zap.String("id", m.ID), zap.Error(err))
+	}
+}
+
+func (e *Engine) undelivered(c *carried, pushedBack bool, advice int64) {
+	if pushedBack {
+		e.Tally.PushedBack.Add(1)
+	} else {
+		e.Tally.Failed.Add(1)
+	}
+	m := c.msg
+	if err := e.spool.End(m, pushedBack, advice); err != nil {
+		e.log.Error("end not recorded", zap.String("id", m.ID), zap.Error(err))
+	}
+	e.mu.Lock()
+	story := c.story
+	e.mu.Unlock()
+	e.ends.Undelivered(Undelivered{Msg: m, PushedBack: pushedBack, Advice: advice, Story: story})
+}
+
+// leg carries out one leg and reports how it went.
+func (e *Engine) leg(c *carried, p routing.Pick) {
+	e.out.Add(1)
+	defer e.out.Add(-1)
+	m := c.msg
+	ctx, cancel := context.WithCancel(p.Ctx)
+	defer cancel()
+	defer context.AfterFunc(e.working, cancel)()
+	began := e.clock.Now()
+	recorded := false
+	j := e.carrier.Carry(ctx, Leg{Msg: m, To: p.Receiver, Patience: p.Patience, Until: began + p.Patience.Microseconds(),
+		Ready: func() bool {
+			if !e.router.Stands(p) {
+				return false
+			}
+			recorded = e.record(m, p, false)
+			return recorded
+		}})
+	if e.working.Err() != nil && j.Result == routing.CalledOff {
+		return // the process ends: the leg may have run, and the record says so
+	}
+	e.settle(m, p, j.Result, recorded)
+	took := e.clock.Now() - began
+	e.mu.Lock()
+	c.story = append(c.story, Told{At: began, Took: took, Receiver: p.Receiver.ID, Result: j.Result.String(), Wait: j.Wait})
+	e.mu.Unlock()
+	e.log.Debug("leg", zap.String("id", m.ID), zap.Int64("dst", m.Dst), zap.String("receiver", p.Receiver.ID), zap.Int("number", p.Number),
+		zap.Uint8("stage", j.Stage), zap.Int("status", j.Status), zap.Int64("took_us", took),
+		zap.Duration("patience", p.Patience), zap.Int64("wait_us", j.Wait))
+	e.router.Report(p, j.Result, j.Wait, j.Load)
+}
+
+// settle counts a leg and puts on record that it never ran, where that is sure.
+func (e *Engine) settle(m *spool.Message, p routing.Pick, res routing.Result, recorded bool) {
+	e.Tally.Legs[res].Add(1)
+	if res == routing.Delivered {
+		e.Tally.Delivered.Add(1)
+	}
+	if !res.NeverRan() || res == routing.GoneThere {
+		return
+	}
+	if !recorded {
+		e.record(m, p, true)
+		return
+	}
+	if err := e.spool.NeverRan(m); err != nil {
+		e.log.Warn("leg not recorded as never run", zap.String("id", m.ID), zap.Error(err))
+	}
+}
+
+func (e *Engine) record(m *spool.Message, p routing.Pick, neverRan bool) bool {
+	err := e.spool.Leg(m, spool.Leg{SentAt: e.clock.Now(), Zone: p.Receiver.Zone, NeverRan: neverRan})
+	if err != nil {
+		e.log.Error("leg not recorded", zap.String("id", m.ID), zap.Error(err))
+	}
+	return err == nil
+}
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,71 @@
+// Package relay is a message's life from take to end, whoever hands it in and however its legs travel: it is given to the
+// decisions, written down, carried, and its one end is told.
+package relay
+
+import (
+	"context"
+	"time"
+
+	"ravenlink/internal/routing"
+	"ravenlink/internal/spool"
+)
+
+// Clock is the wall time of the start plus the monotonic time since: no step of the wall clock reaches it,
+// and its times mean the same after a restart.
+type Clock struct{ start time.Time }
+
+// NewClock starts one.
+func NewClock() Clock { return Clock{time.Now()} }
+
+// Now is in µs since 1970.
+func (c Clock) Now() int64 { return c.start.UnixMicro() + time.Since(c.start).Microseconds() }
+
+// Undelivered is the end of a message that was taken on and is not delivered. It stands apart from the message, which is
+// the spool's.
+type Undelivered struct {
+	Msg        *spool.Message
+	PushedBack bool
+	Advice     int64 // µs after which its client should come again, 0 for none
+	Story      []Told
+}
+
+// Told is a leg and what became of it, as far as this process has seen it.
+type Told struct {
+	At       int64  `json:"at_us"`
+	Took     int64  `json:"took_us"`
+	Receiver string `json:"receiver"`
+	Result   string `json:"result"`
+	Wait     int64  `json:"wait_us,omitempty"`
+}
+
+// Ends hears of messages that end undelivered, each once in a process. It calls the engine's Over for a message once
+// nobody need be told of it any more; until then the message outlasts restarts.
+type Ends interface {
+	Undelivered(u Undelivered)
+}
+
+// Leg is one to be carried.
+type Leg struct {
+	Msg      *spool.Message
+	To       routing.Receiver
+	Patience time.Duration
+	Until    int64       // µs; when patience ends
+	Ready    func() bool // asked right before the first byte: whether the leg may still begin, and is on record
+}
+
+// Journey is how a leg went.
+type Journey struct {
+	Result routing.Result
+	Wait   int64 // µs told by a refusal, 0 for none
+	Load   routing.Load
+	Stage  uint8 // for logs
+	Status int   // for logs
+}
+
+// Carrier is a way in which legs travel. Carry returns when the leg has an outcome, and soon after ctx ends.
+type Carrier interface {
+	Carry(ctx context.Context, l Leg) Journey
+}
+
+// A front hands messages in: it calls Take, tells its client, and then either Carry or, if the client never heard, Withdraw
+// before Carry. What a client hears later it hears through Ends.
--- a/internal/routing/report.go
+++ b/internal/routing/report.go
@@ -24,6 +24,10 @@
 	CalledOff
 )
 
+func (r Result) String() string {
+	return [...]string{"turned away", "not connected", "not sent", "gone there", "delivered", "errored", "timed out", "reset", "called off"}[r]
+}
+
 // NeverRan tells whether the leg surely had no effect.
 func (r Result) NeverRan() bool { return r <= GoneThere }
 
