--- a/internal/lab/scenario/check.go
+++ b/internal/lab/scenario/check.go
@@ -6,6 +6,8 @@
 	"reflect"
 	"slices"
 	"strings"
+
+	"ravenlink/internal/strict"
 )
 
 // The most that a scenario may ask for, so that a slip of a digit is told at once and not by a machine out of memory.
@@ -145,7 +147,7 @@
 func words(v reflect.Value, path string, fault func(path, what string)) {
 	for i := range v.NumField() {
 		f := v.Type().Field(i)
-		name := tag(f)
+		name := strict.Name(f)
 		if name == "" {
 			continue
 		}
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -5,35 +5,17 @@
 import (
 	"fmt"
 	"strings"
-	"time"
 
 	"ravenlink/internal/lab/draw"
 	"ravenlink/internal/lab/receivers"
+	"ravenlink/internal/strict"
 )
 
 // Version of the form. A file says which one it is in.
 const Version = 1
 
 // Span is a length of time in µs, written like "250ms".
-type Span int64
-
-// UnmarshalText reads a length of time.
-func (s *Span) UnmarshalText(text []byte) error {
-	d, err := time.ParseDuration(string(text))
-	if err != nil {
-		return fmt.Errorf("%q is no length of time, such as 250ms or 1m30s", text)
-	}
-	if d < 0 {
-		return fmt.Errorf("a length of time is never below 0")
-	}
-	*s = Span(d.Microseconds())
-	return nil
-}
-
-// MarshalText writes it.
-func (s Span) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
-
-func (s Span) String() string { return (time.Duration(s) * time.Microsecond).String() }
+type Span = strict.Span
 
 // Word is a text out of a few. Each field of that type names its own few in its tag `of`.
 type Word string
