A receiver new among others starts on the ramp

Change: a receiver that a change of the list adds to a destination with others starts warming; what is listed at the start does not.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -253,12 +253,12 @@
 		}
 	}
 	for _, e := range entries {
-		s.listedOne(e)
+		s.listedOne(form, e)
 	}
 	s.sweep()
 }
 
-func (s *Sender) listedOne(e Entry) {
+func (s *Sender) listedOne(form ListForm, e Entry) {
 	d := s.dst(e.Dst)
 	if e.Kind >= 0 && e.Kind < len(s.kinds) {
 		d.kind = s.kinds[e.Kind]
@@ -272,6 +272,8 @@
 		s.recvs[e.Receiver] = r
 		if d.down { // danger: a machine that replaces a dead one is cold, and the whole backlog waits for it
 			s.become(r, closed)
+		} else if form == Changes && len(d.recvs) > 0 { // danger: it may replace one ill unseen, and is cold then
+			s.become(r, warming)
 		}
 	}
 	r.zone, r.weight, r.listedAt = e.Zone, e.Weight, s.now
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -445,3 +445,15 @@
 	f.take("another")
 	assert.NotContains(t, f.after(5*second), "cancel another 0", "one alone may just be slow")
 }
+
+// A machine that replaces one ill unseen is cold: it starts on the ramp, not at the usual rate.
+func TestAReceiverNewAmongOthersStartsOnTheRamp(t *testing.T) {
+	f := begin(t, keyed, 40, 2, 20, Kind{Batch: 1})
+	quick(f, 5)
+	assert.Equal(t, open, f.recvs[2].health, "what was listed at the start is taken for warm")
+	f.Listed(Changes, []Entry{{Receiver: 3, Dst: 7, Weight: 20, Listed: true}})
+	assert.Equal(t, warming, f.recvs[3].health)
+	f.Listed(Changes, []Entry{{Receiver: 1, Dst: 7, Weight: 20}, {Receiver: 2, Dst: 7, Weight: 20}})
+	f.take("a", "b", "c")
+	assert.Equal(t, 1, count(f.after(4*second), "send"), "one call until it has delivered")
+}
