--- a/choice/state.go
+++ b/choice/state.go
@@ -383,3 +383,9 @@
 	r := s.recvs[receiver]
 	return r != nil && slices.Contains(r.dst.recvs, r) && s.now >= r.route.waitUntil
 }
+
+// Healthy tells whether a destination is listed and none of its receivers is thought ill.
+func (s *Sender) Healthy(id int64) bool {
+	d := s.dsts[id]
+	return d != nil && len(d.recvs) > 0 && !slices.ContainsFunc(d.recvs, (*receiver).sick)
+}
--- a/cmd/ravenlink/main.go
+++ b/cmd/ravenlink/main.go
@@ -1,16 +1,8 @@
 // Command ravenlink is one sender: it takes messages from clients and hands them on to receivers.
 package main
 
-import (
-	"fmt"
-	"os"
-
-	"ravenlink/internal/daemon"
-)
+import "os"
 
 func main() {
-	if err := daemon.Serve(os.Getenv); err != nil {
-		fmt.Fprintln(os.Stderr, "ravenlink:", err)
-		os.Exit(1)
-	}
+	os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
 }
--- a/internal/daemon/program.go
+++ b/internal/daemon/program.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"os"
 	"runtime"
 	"runtime/debug"
@@ -10,8 +11,11 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/tidwall/gjson"
 	"go.uber.org/zap"
 
+	"ravenlink/internal/keep"
+	"ravenlink/internal/kept"
 	"ravenlink/internal/platform"
 	"ravenlink/internal/relay"
 	"ravenlink/internal/routing"
@@ -50,17 +54,22 @@
 
 // Program is one sender's process.
 type Program struct {
-	log    *zap.Logger
-	env    func(string) string
-	reload <-chan os.Signal
-	agent  *platform.Agent
-	phase  phase // changes in enter only
-	clock  relay.Clock
-	spool  *spool.Spool
-	router *routing.Router
-	pool   *transport.Pool
-	server *transport.Server
-	notes  *transport.Datagrams // nil where senders may not write to one another
+	log      *zap.Logger
+	env      func(string) string
+	reload   <-chan os.Signal
+	agent    *platform.Agent
+	levels   *levels // nil without an operator's file
+	opFile   string
+	keeper   *keep.Keeper // nil where nothing is kept
+	phase    phase        // changes in enter only
+	clock    relay.Clock
+	state    string // the folder that lasts
+	settings gjson.Result
+	spool    *spool.Spool
+	router   *routing.Router
+	pool     *transport.Pool
+	server   *transport.Server
+	notes    *transport.Datagrams // nil where senders may not write to one another
 
 	engine    *relay.Engine
 	front     *platform.Front
@@ -94,16 +103,18 @@
 		return nil, err
 	}
 	settings := startup.Module(c)
+	p.settings, p.state = settings, startup.StateDir(env)
 	up, idle := startup.Connections(settings)
 	p.pool = transport.NewPool(up, time.Duration(idleShare*float64(idle)), startup.Sockets(c)/callPart)
-	p.router = routing.New(startup.Seed(c), settings, p.clock.Now, p.pool.CloseIdle, func(text string) { p.log.Info(text) })
+	module := part(p.log, "module")
+	p.router = routing.New(startup.Seed(c), settings, p.clock.Now, p.pool.CloseIdle, func(text string) { module.Info(text) })
 	p.probeFor = up
 	_, probeLoad := startup.Reports(settings)
 	p.calls = platform.NewCalls(p.pool, p.clock, p.router, probeLoad)
-	p.engine = relay.New(p.log, p.clock, p.router, p.spool, p.calls)
-	p.notices = platform.NewNotices(p.log, p.agent, up, p.told)
+	p.engine = relay.New(part(p.log, "messages"), p.clock, p.router, p.spool, p.calls)
+	p.notices = platform.NewNotices(part(p.log, "notices"), p.agent, up, p.told)
 	p.engine.Tell(p.notices)
-	p.discovery = platform.NewDiscovery(p.log, p.router, p.agent, up, startup.Subscribes(settings))
+	p.discovery = platform.NewDiscovery(part(p.log, "discovery"), p.router, p.agent, up, startup.Subscribes(settings))
 	if err := p.discovery.Known(startup.Known(c)); err != nil {
 		return nil, err
 	}
@@ -113,7 +124,7 @@
 			return nil, err
 		}
 	}
-	p.front = platform.NewFront(p.log, p.engine)
+	p.front = platform.NewFront(part(p.log, "clients"), p.engine)
 	p.server, err = transport.Listen(listen, startup.Sockets(c)/clientPart, p.front.Serve)
 	return p, err
 }
@@ -140,6 +151,9 @@
 		p.engine.Resume(m)
 	}
 	p.engine.Run()
+	if p.keeper != nil {
+		p.goWork(func() { p.keeper.Run(picking) })
+	}
 	p.enter(serving)
 	p.goWork(func() {
 		if err := p.server.Serve(working); err != nil {
@@ -153,6 +167,9 @@
 	stopWorking()
 	p.close()
 	p.enter(stopped)
+	if p.keeper != nil {
+		return errors.Join(p.keeper.Close(), p.spool.Close())
+	}
 	return p.spool.Close()
 }
 
@@ -228,8 +245,32 @@
 	}
 }
 
-// told lets go of messages of whose end the platform knows.
+// operated has the operator's file read again at each reload.
+func (p *Program) operated(file string, ls *levels) { p.opFile, p.levels = file, ls }
+
+// Keep has what ends undelivered kept. It comes before Run. A store that cannot be had keeps nobody from serving.
+func (p *Program) Keep(t keep.Table) {
+	log := part(p.log, "kept")
+	store, err := keep.Open(p.state, int64(t.MostMB*1e6), int64(t.Age))
+	if err == nil {
+		lanes := func(name string) (l kept.Lane) {
+			l.Known, l.Retriable, l.Keyed, l.Window = startup.Repeats(p.settings, name)
+			return l
+		}
+		p.keeper, err = keep.NewKeeper(log, store, t, p.engine, lanes, p.router.Healthy, p.router.Owed, p.router.Room(), p.spool.Owed())
+	}
+	if err != nil {
+		log.Error("nothing is kept", zap.Error(err))
+		return
+	}
+	p.engine.Delivered = p.keeper.Delivered
+}
+
+// told lets go of messages of whose end the platform knows, once they are kept where that is wanted.
 func (p *Program) told(us []relay.Undelivered) {
+	if p.keeper != nil {
+		p.keeper.Keep(us)
+	}
 	for _, u := range us {
 		p.engine.Over(u.Msg)
 	}
--- a/internal/daemon/program_test.go
+++ b/internal/daemon/program_test.go
@@ -22,8 +22,9 @@
 )
 
 const (
-	asSender = "RAVENLINK_TEST_AS_SENDER" // has the test program be a sender
-	fewFiles = "RAVENLINK_TEST_FEW_FILES" // with few descriptors
+	asSender   = "RAVENLINK_TEST_AS_SENDER" // has the test program be a sender
+	asOperator = "RAVENLINK_TEST_OPERATOR"  // with this operator's file
+	fewFiles   = "RAVENLINK_TEST_FEW_FILES" // with few descriptors
 )
 
 func TestMain(m *testing.M) {
@@ -31,7 +32,7 @@
 		if os.Getenv(fewFiles) != "" {
 			_ = syscall.Setrlimit(syscall.RLIMIT_NOFILE, &syscall.Rlimit{Cur: 32, Max: 32})
 		}
-		if err := Serve(os.Getenv); err != nil {
+		if err := Serve(os.Getenv, os.Getenv(asOperator)); err != nil {
 			fmt.Fprintln(os.Stderr, "ravenlink:", err)
 			os.Exit(1)
 		}
@@ -229,7 +230,7 @@
 // sender is a real process.
 func sender(w *world) *exec.Cmd {
 	cmd := exec.Command(os.Args[0])
-	cmd.Env = append(os.Environ(), asSender+"=1", logLevel+"=error")
+	cmd.Env = append(os.Environ(), asSender+"=1", logLevel+"=error", asOperator+"="+w.operators)
 	for _, name := range []string{"RELAY_CONFIG", "RELAY_STATE", "RELAY_LISTEN", "RELAY_DISCOVERY"} {
 		cmd.Env = append(cmd.Env, name+"="+w.env(name))
 	}
--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -16,6 +16,7 @@
 		case <-ctx.Done():
 			return
 		case <-p.reload:
+			p.reloadOperators()
 			addr, err := startup.Moved(p.env)
 			if err != nil {
 				p.log.Error("start file not taken, the old one stays in force", zap.Error(err))
@@ -25,3 +26,20 @@
 		}
 	}
 }
+
+func (p *Program) reloadOperators() {
+	if p.opFile == "" {
+		return
+	}
+	f, err := p.levels.follow(p.opFile)
+	if err != nil {
+		p.log.Error("operator's file not taken, the old one stays in force", zap.Error(err))
+		return
+	}
+	if p.keeper != nil && f.Kept != nil {
+		p.keeper.Rule(f.Kept.Rules)
+	} else if (p.keeper != nil) != (f.Kept != nil) {
+		p.log.Warn("keeping is begun and ended at a start only")
+	}
+	p.log.Info("operator's file read again", zap.String("file", p.opFile))
+}
--- a/internal/daemon/standin_test.go
+++ b/internal/daemon/standin_test.go
@@ -18,6 +18,8 @@
 
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
+
+	"ravenlink/internal/operator"
 )
 
 const (
@@ -27,16 +29,17 @@
 
 // world stands in for receivers, discovery and the platform.
 type world struct {
-	t        *testing.T
-	dir      string
-	listen   string
-	platform *httptest.Server
-	told     string // where the environment says it is
-	receiver *httptest.Server
-	answer   func(id string, call int, w http.ResponseWriter)
-	list     chan string // lines for the watch at the newest platform
-	settings string
-	diskMB   float64
+	t         *testing.T
+	dir       string
+	listen    string
+	platform  *httptest.Server
+	told      string // where the environment says it is
+	receiver  *httptest.Server
+	answer    func(id string, call int, w http.ResponseWriter)
+	list      chan string // lines for the watch at the newest platform
+	settings  string
+	diskMB    float64
+	operators string // the operator's file, empty for none
 
 	mu      sync.Mutex
 	calls   map[string]int
@@ -183,6 +186,11 @@
 	p, err := New(w.env, zap.NewNop(), nil)
 	require.NoError(w.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
+	if w.operators != "" {
+		f, err := operator.Read(w.operators)
+		require.NoError(w.t, err)
+		p.Keep(*f.Kept)
+	}
 	done := make(chan error, 1)
 	go func() { done <- p.Run(ctx) }()
 	var once sync.Once
--- /dev/null
+++ b/internal/keep/keeper.go
@@ -0,0 +1,330 @@
+package keep
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"ravenlink/internal/kept"
+	"ravenlink/internal/relay"
+	"ravenlink/internal/routing"
+	"ravenlink/internal/spool"
+	"ravenlink/internal/strict"
+)
+
+// Table is `kept` in the operator's file. Kept is on where the table is there.
+type Table struct {
+	MostMB float64     `toml:"most_mb"` // of the store
+	Age    strict.Span `toml:"age"`     // after which a record gives way
+	Rules  []kept.Rule `toml:"rule"`
+}
+
+// What stands for settings left out.
+const (
+	usualMB  = 64
+	usualAge = strict.Span(30 * 24 * 3600 * 1e6)
+	leastMB  = 0.1
+	lookIn   = time.Second // between looks for what is due
+	roomPart = 2           // kept messages go out while less than one part in so many of the holding room is in use
+)
+
+// Fill sets what was left out, and Check names what is wrong.
+func (t *Table) Fill() {
+	t.MostMB, t.Age = cmp.Or(t.MostMB, usualMB), cmp.Or(t.Age, usualAge)
+	for i := range t.Rules {
+		t.Rules[i].Fill()
+	}
+}
+
+// Check names what is wrong, by setting; number is that of a rule from 0, -1 for the table's own.
+func (t Table) Check(fault func(number int, setting, what string)) {
+	if t.MostMB < leastMB {
+		fault(-1, "most_mb", "that is less than a tenth of a megabyte")
+	}
+	for i, r := range t.Rules {
+		r.Check(func(setting, what string) { fault(i, setting, what) })
+	}
+}
+
+// Engine is what the keeper needs of the engine.
+type Engine interface {
+	Lane(name string) (int, bool)
+	Take(m *spool.Message, lane int) (routing.Way, int64)
+	Carry(m *spool.Message)
+	Now() int64
+}
+
+// Keeper keeps what ends undelivered, and sends it again by rule, each record at most once.
+type Keeper struct {
+	log     *zap.Logger
+	store   *Store
+	engine  Engine
+	lanes   func(name string) kept.Lane
+	healthy func(dst int64) bool // by the module's belief
+	owed    func() int           // messages with the sender
+	room    int                  // how many it may hold
+
+	mu     sync.Mutex
+	rules  []kept.Rule
+	sentAs map[string]string // ids sent again and not over, to the records they come from; as many as are in Intended or Sent
+	pace   kept.Pace
+	done   []string // of sentAs, delivered and not written down yet; emptied at each look
+}
+
+// NewKeeper takes up a store. owedNow are the ids that the sender owes from before its start: an intention whose message is
+// among them goes on; any other counts as sent, for nobody can tell.
+func NewKeeper(log *zap.Logger, s *Store, t Table, engine Engine, lanes func(string) kept.Lane, healthy func(int64) bool,
+	owed func() int, room int, owedNow []*spool.Message) (*Keeper, error) {
+	k := &Keeper{log: log, store: s, engine: engine, lanes: lanes, healthy: healthy, owed: owed, room: room, rules: t.Rules,
+		sentAs: map[string]string{}}
+	var unsure []*kept.Record
+	err := k.each(func(r *kept.Record) {
+		if r.State == kept.Intended {
+			unsure = append(unsure, r)
+		}
+		if r.State == kept.Sent && slices.ContainsFunc(owedNow, func(m *spool.Message) bool { return m.ID == r.SentAs }) {
+			k.sentAs[r.SentAs] = r.ID
+		}
+	})
+	if err != nil {
+		return nil, err
+	}
+	for _, r := range unsure {
+		why := "intended before a restart: it may have been sent"
+		if slices.ContainsFunc(owedNow, func(m *spool.Message) bool { return m.ID == r.SentAs }) {
+			why = "intended before a restart, and on record as taken on"
+			k.sentAs[r.SentAs] = r.ID
+		}
+		if err := s.Change(r.ID, func(r *kept.Record) error { return r.Turn(kept.Sent, engine.Now(), why) }); err != nil {
+			return nil, err
+		}
+	}
+	return k, nil
+}
+
+// Rule puts other rules in force. What is out under the old ones stays out.
+func (k *Keeper) Rule(rules []kept.Rule) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.rules = rules
+}
+
+// each walks all records, a page at a time.
+func (k *Keeper) each(f func(*kept.Record)) error {
+	for from := []byte(nil); ; {
+		rs, next, err := k.store.Page(from, nil)
+		if err != nil {
+			return err
+		}
+		for _, r := range rs {
+			f(r)
+		}
+		if from = next; from == nil {
+			return nil
+		}
+	}
+}
+
+// Keep writes ends down; it returns once they are on disk. A store that fails keeps nobody from serving: it is logged.
+func (k *Keeper) Keep(us []relay.Undelivered) {
+	now := k.engine.Now()
+	var rs []*kept.Record
+	for _, u := range us {
+		before := k.before(u.Msg.ID)
+		m := u.Msg
+		rs = append(rs, kept.New(m.ID, m.Lane, m.Dst, m.Key, m.OrderKey, m.Body, now, u.PushedBack, u.Advice, legs(u), before))
+	}
+	gaveWay, err := k.store.Keep(rs, now)
+	if err != nil {
+		k.log.Error("ends not kept", zap.Int("count", len(rs)), zap.Error(err))
+		return
+	}
+	if gaveWay > 0 {
+		k.log.Warn("kept messages gave way to newer ones", zap.Int("count", gaveWay))
+	}
+	for _, u := range us {
+		k.settle(u.Msg.ID, kept.Followed, "ended undelivered, and is kept as "+u.Msg.ID)
+	}
+}
+
+// before finds the record that a message was sent again from, nil for none.
+func (k *Keeper) before(id string) *kept.Record {
+	k.mu.Lock()
+	from := k.sentAs[id]
+	k.mu.Unlock()
+	if from == "" {
+		return nil
+	}
+	r, err := k.store.Get(from)
+	if err != nil {
+		k.log.Warn("record of what was sent again", zap.String("id", id), zap.Error(err))
+		return nil
+	}
+	return r
+}
+
+// legs joins what the spool has of them with what this process saw.
+func legs(u relay.Undelivered) (ls []kept.Leg) {
+	for _, l := range u.Msg.Legs {
+		ls = append(ls, kept.Leg{At: l.SentAt, NeverRan: l.NeverRan})
+	}
+	for i, told := range slices.Backward(u.Story) { // the latest ones are this process's
+		at := len(ls) - (len(u.Story) - i)
+		if at >= 0 {
+			ls[at].Took, ls[at].Receiver, ls[at].Result, ls[at].Wait = told.Took, told.Receiver, told.Result, told.Wait
+		}
+	}
+	return ls
+}
+
+// Delivered says that a message is over and was not undelivered. Those that were not sent again are of no interest; the
+// others are written down by Run, so that nobody waits for the disk.
+func (k *Keeper) Delivered(id string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.sentAs[id] != "" {
+		k.done = append(k.done, id)
+	}
+}
+
+func (k *Keeper) writeDone() {
+	k.mu.Lock()
+	done := k.done
+	k.done = nil
+	k.mu.Unlock()
+	for _, id := range done {
+		k.settle(id, kept.Done, "delivered")
+	}
+}
+
+// settle ends the sending again of a record.
+func (k *Keeper) settle(id string, to kept.State, why string) {
+	k.mu.Lock()
+	from := k.sentAs[id]
+	delete(k.sentAs, id)
+	k.mu.Unlock()
+	if from == "" {
+		return
+	}
+	if err := k.store.Change(from, func(r *kept.Record) error { return r.Turn(to, k.engine.Now(), why) }); err != nil {
+		k.log.Error("end of what was sent again not recorded", zap.String("id", from), zap.Error(err))
+	}
+}
+
+// Run looks for what is due until ctx ends.
+func (k *Keeper) Run(ctx context.Context) {
+	look := time.NewTicker(lookIn)
+	defer look.Stop()
+	for {
+		if err := k.Look(ctx); err != nil && ctx.Err() == nil {
+			k.log.Error("kept messages", zap.Error(err))
+		}
+		select {
+		case <-ctx.Done():
+			k.writeDone()
+			return
+		case <-look.C:
+		}
+	}
+}
+
+// Close lets go of the store.
+func (k *Keeper) Close() error { return k.store.Close() }
+
+// Look does once what is due.
+func (k *Keeper) Look(ctx context.Context) error {
+	k.writeDone()
+	k.mu.Lock()
+	rules := k.rules
+	k.pace.Tidy(k.engine.Now())
+	k.mu.Unlock()
+	var due []*kept.Record
+	if err := k.each(func(r *kept.Record) {
+		if r.State == kept.Waiting {
+			due = append(due, &kept.Record{ID: r.ID}) // bodies are read again as their turn comes
+		}
+	}); err != nil {
+		return err
+	}
+	for _, d := range due {
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		r, err := k.store.Get(d.ID)
+		if errors.Is(err, ErrUnknown) {
+			continue
+		}
+		if err == nil {
+			err = k.act(r, kept.Decide(r, rules, k.lanes(r.Lane), k.engine.Now()))
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (k *Keeper) act(r *kept.Record, v kept.Verdict) error {
+	now := k.engine.Now()
+	switch {
+	case v.Act == kept.Hold:
+		return k.store.Change(r.ID, func(r *kept.Record) error { return r.Turn(kept.Held, now, v.Why) })
+	case now < v.At:
+	case v.Act == kept.Drop:
+		return k.store.Drop(r.ID)
+	case v.Act == kept.Send && (v.Sick || k.healthy(r.Dst)) && k.owed()*roomPart < k.room:
+		k.mu.Lock()
+		free := k.pace.Free(r.Dst, v.Rate, now)
+		k.mu.Unlock()
+		if free {
+			return k.send(r.ID, v)
+		}
+	}
+	return nil
+}
+
+// send has a record go out again under a new id. The intention is on disk before the message can have a first byte.
+func (k *Keeper) send(id string, v kept.Verdict) error {
+	var r kept.Record
+	err := k.store.Change(id, func(now *kept.Record) error {
+		now.SentAs = now.NextID()
+		if err := now.Turn(kept.Intended, k.engine.Now(), v.Why); err != nil {
+			return err
+		}
+		r = *now
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	lane, known := k.engine.Lane(r.Lane)
+	until, _ := kept.MaySend(&r, k.lanes(r.Lane))
+	m := &spool.Message{ID: r.SentAs, Lane: r.Lane, Key: r.Key, OrderKey: r.OrderKey, Dst: r.Dst, Body: r.Body,
+		Expires: min(k.engine.Now()+v.Deadline, until)}
+	k.mu.Lock()
+	k.sentAs[r.SentAs] = id
+	k.mu.Unlock()
+	way := routing.Failed
+	if known {
+		way, _ = k.engine.Take(m, lane)
+	}
+	if way != routing.Held {
+		k.mu.Lock()
+		delete(k.sentAs, r.SentAs)
+		k.mu.Unlock()
+		return k.store.Change(id, func(r *kept.Record) error {
+			r.SentAs = ""
+			return r.Turn(kept.Waiting, k.engine.Now(), "not taken on just now; nothing went out")
+		})
+	}
+	if err := k.store.Change(id, func(r *kept.Record) error { return r.Turn(kept.Sent, k.engine.Now(), "sent again as "+r.SentAs) }); err != nil {
+		k.log.Error("sending again not recorded; the intention is", zap.String("id", id), zap.Error(err))
+	}
+	k.engine.Carry(m)
+	return nil
+}
--- a/internal/relay/courier.go
+++ b/internal/relay/courier.go
@@ -22,6 +22,9 @@
 
 	Tally *Tally
 
+	// Delivered, where it is set, hears of messages that are over and not undelivered. It must not block for long.
+	Delivered func(id string)
+
 	picking context.Context // ends when no leg may start any more
 	working context.Context // ends when those out are given up
 	out     atomic.Int64    // legs out, as many as the settings' slots at most
@@ -136,6 +139,9 @@
 			e.running.Go(func() { e.leg(c, p) })
 		case routing.Over:
 			e.Over(c.msg)
+			if e.Delivered != nil {
+				e.Delivered(c.msg.ID)
+			}
 		default:
 			e.undelivered(c, p.Way == routing.PushedBack, p.Advice)
 		}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -315,6 +315,16 @@
 	return r.sender.Believes()
 }
 
+// Healthy tells whether the module thinks a destination well.
+func (r *Router) Healthy(dst int64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.sender.Healthy(dst)
+}
+
+// Room is how many messages may be held.
+func (r *Router) Room() int { return r.room }
+
 // ComeBackIn is what a client is told for which there was no room.
 func (r *Router) ComeBackIn() int64 {
 	r.mu.Lock()
--- a/internal/startup/startup.go
+++ b/internal/startup/startup.go
@@ -111,6 +111,17 @@
 	return ns
 }
 
+// Repeats gives, for a lane's name, whether it is known, may run again, carries a key, and for how long that is remembered in µs.
+func Repeats(c gjson.Result, name string) (known, retriable, keyed bool, window int64) {
+	for i, n := range LaneNames(c) {
+		if n == name {
+			l := lanes(c)[i]
+			return true, l.Repeat == choice.Retriable, l.Repeat == choice.Keyed && l.AnyInDst, l.Window
+		}
+	}
+	return false, false, false, 0
+}
+
 // KindNames names the kinds of destination by number.
 func KindNames(c gjson.Result) []string { return names(c.Get("machine_types")) }
 
