The keeper reads only what is due and may go: a long list costs the sender little

Cause: each look, once a second, read and decoded every record that waits; a hundred thousand would take a core. Change: when each record is to be looked at again stands in memory; a look reads 500 at most, the longest due first, none of a destination whose rate leaves no place. Result: two thousand due at 0.5 a second go out five in ten seconds; an intention from before a restart is sent no second time, tested without a process too.

--- a/internal/keep/keeper.go
+++ b/internal/keep/keeper.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -26,11 +27,12 @@
 
 // What stands for settings left out.
 const (
-	usualMB  = 64
-	usualAge = strict.Span(30 * 24 * 3600 * 1e6)
-	leastMB  = 0.1
-	lookIn   = time.Second // between looks for what is due
-	roomPart = 2           // kept messages go out while less than one part in so many of the holding room is in use
+	usualMB   = 64
+	usualAge  = strict.Span(30 * 24 * 3600 * 1e6)
+	leastMB   = 0.1
+	lookIn    = time.Second // between looks for what is due
+	mostReads = 500         // records read in one look
+	roomPart  = 2           // kept messages go out while less than one part in so many of the holding room is in use
 )
 
 // Fill sets what was left out, and Check names what is wrong.
@@ -73,7 +75,14 @@
 	rules  []kept.Rule
 	sentAs map[string]string // ids sent again and not over, to the records they come from; as many as are in Intended or Sent
 	pace   kept.Pace
-	done   []string // of sentAs, delivered and not written down yet; emptied at each look
+	due    map[string]wait // records that wait, as many as the store holds; emptied as they are decided on
+	done   []string        // of sentAs, delivered and not written down yet; emptied at each look
+}
+
+// wait is when a record is to be looked at again.
+type wait struct {
+	at  int64
+	dst int64
 }
 
 // NewKeeper takes up a store. owedNow are the ids that the sender owes from before its start: an intention whose message is
@@ -81,9 +90,12 @@
 func NewKeeper(log *zap.Logger, s *Store, t Table, engine Engine, lanes func(string) kept.Lane, healthy func(int64) bool,
 	owed func() int, room int, owedNow []*spool.Message) (*Keeper, error) {
 	k := &Keeper{log: log, store: s, engine: engine, lanes: lanes, healthy: healthy, owed: owed, room: room, rules: t.Rules,
-		sentAs: map[string]string{}}
+		sentAs: map[string]string{}, due: map[string]wait{}}
 	var unsure []*kept.Record
 	err := k.each(func(r *kept.Record) {
+		if r.State == kept.Waiting {
+			k.due[r.ID] = wait{0, r.Dst}
+		}
 		if r.State == kept.Intended {
 			unsure = append(unsure, r)
 		}
@@ -112,6 +124,9 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.rules = rules
+	for id, w := range k.due {
+		k.due[id] = wait{0, w.dst}
+	}
 }
 
 // each walks all records, a page at a time.
@@ -147,6 +162,11 @@
 	if gaveWay > 0 {
 		k.log.Warn("kept messages gave way to newer ones", zap.Int("count", gaveWay))
 	}
+	k.mu.Lock()
+	for _, r := range rs {
+		k.due[r.ID] = wait{0, r.Dst}
+	}
+	k.mu.Unlock()
 	for _, u := range us {
 		k.settle(u.Msg.ID, kept.Followed, "ended undelivered, and is kept as "+u.Msg.ID)
 	}
@@ -236,58 +256,89 @@
 // Close lets go of the store.
 func (k *Keeper) Close() error { return k.store.Close() }
 
-// Look does once what is due.
+// Look does once what is due, the longest due first. It reads so many records at most, and none of a destination that may
+// get nothing now, so that a long list costs the sender little.
 func (k *Keeper) Look(ctx context.Context) error {
 	k.writeDone()
+	now := k.engine.Now()
 	k.mu.Lock()
 	rules := k.rules
-	k.pace.Tidy(k.engine.Now())
-	k.mu.Unlock()
-	var due []*kept.Record
-	if err := k.each(func(r *kept.Record) {
-		if r.State == kept.Waiting {
-			due = append(due, &kept.Record{ID: r.ID}) // bodies are read again as their turn comes
+	k.pace.Tidy(now)
+	var ids []string
+	for id, w := range k.due {
+		if w.at <= now && k.pace.Ready(w.dst, now) {
+			ids = append(ids, id)
 		}
-	}); err != nil {
-		return err
 	}
-	for _, d := range due {
+	slices.SortFunc(ids, func(a, b string) int { return cmp.Or(cmp.Compare(k.due[a].at, k.due[b].at), strings.Compare(a, b)) })
+	k.mu.Unlock()
+	for _, id := range ids[:min(len(ids), mostReads)] {
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
-		r, err := k.store.Get(d.ID)
-		if errors.Is(err, ErrUnknown) {
-			continue
-		}
-		if err == nil {
-			err = k.act(r, kept.Decide(r, rules, k.lanes(r.Lane), k.engine.Now()))
-		}
-		if err != nil {
+		if err := k.one(id, rules); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func (k *Keeper) act(r *kept.Record, v kept.Verdict) error {
+// one decides on one record and carries that out, or says when to look again.
+func (k *Keeper) one(id string, rules []kept.Rule) error {
+	k.mu.Lock()
+	w, ready := k.due[id], k.pace.Ready(k.due[id].dst, k.engine.Now())
+	k.mu.Unlock()
+	if !ready {
+		return nil
+	}
+	r, err := k.store.Get(id)
+	if errors.Is(err, ErrUnknown) {
+		k.decided(id)
+		return nil
+	}
+	if err != nil {
+		return err
+	}
 	now := k.engine.Now()
+	v := kept.Decide(r, rules, k.lanes(r.Lane), now)
 	switch {
+	case v.Act == "":
+		k.decided(id)
+		return nil
 	case v.Act == kept.Hold:
-		return k.store.Change(r.ID, func(r *kept.Record) error { return r.Turn(kept.Held, now, v.Why) })
+		k.decided(id)
+		return k.store.Change(id, func(r *kept.Record) error { return r.Turn(kept.Held, now, v.Why) })
 	case now < v.At:
+		w.at = v.At
 	case v.Act == kept.Drop:
-		return k.store.Drop(r.ID)
-	case v.Act == kept.Send && (v.Sick || k.healthy(r.Dst)) && k.owed()*roomPart < k.room:
-		k.mu.Lock()
-		free := k.pace.Free(r.Dst, v.Rate, now)
-		k.mu.Unlock()
-		if free {
-			return k.send(r.ID, v)
-		}
+		k.decided(id)
+		return k.store.Drop(id)
+	case (v.Sick || k.healthy(r.Dst)) && k.owed()*roomPart < k.room && k.take(r.Dst, v.Rate, now):
+		k.decided(id)
+		return k.send(id, v)
+	default:
+		w.at = now + lookIn.Microseconds()
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if _, still := k.due[id]; still {
+		k.due[id] = w
 	}
 	return nil
 }
 
+func (k *Keeper) decided(id string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	delete(k.due, id)
+}
+
+func (k *Keeper) take(dst int64, rate float64, now int64) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.pace.Free(dst, rate, now)
+}
+
 // send has a record go out again under a new id. The intention is on disk before the message can have a first byte.
 func (k *Keeper) send(id string, v kept.Verdict) error {
 	var r kept.Record
@@ -316,6 +367,7 @@
 	if way != routing.Held {
 		k.mu.Lock()
 		delete(k.sentAs, r.SentAs)
+		k.due[id] = wait{k.engine.Now() + lookIn.Microseconds(), r.Dst}
 		k.mu.Unlock()
 		return k.store.Change(id, func(r *kept.Record) error {
 			r.SentAs = ""
--- /dev/null
+++ b/internal/keep/keeper_test.go
@@ -0,0 +1,126 @@
+package keep
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"ravenlink/internal/kept"
+	"ravenlink/internal/relay"
+	"ravenlink/internal/routing"
+	"ravenlink/internal/spool"
+)
+
+// fake is an engine that takes everything, or nothing.
+type fake struct {
+	now     int64
+	full    bool
+	taken   []string
+	carried []string
+}
+
+func (f *fake) Lane(string) (int, bool) { return 0, true }
+func (f *fake) Now() int64              { return f.now }
+func (f *fake) Carry(m *spool.Message)  { f.carried = append(f.carried, m.ID) }
+func (f *fake) Take(m *spool.Message, _ int) (routing.Way, int64) {
+	if f.full {
+		return routing.NoRoom, 0
+	}
+	f.taken = append(f.taken, m.ID)
+	return routing.Held, 0
+}
+
+var ill = map[int64]bool{}
+
+func keeper(t *testing.T, s *Store, f *fake, rule kept.Rule, owed ...*spool.Message) *Keeper {
+	t.Helper()
+	rule.Fill()
+	k, err := NewKeeper(zap.NewNop(), s, Table{Rules: []kept.Rule{rule}}, f, func(string) kept.Lane { return kept.Lane{Known: true, Retriable: true} },
+		func(dst int64) bool { return !ill[dst] }, func() int { return 0 }, 10, owed)
+	require.NoError(t, err)
+	return k
+}
+
+func ended(ids ...string) (us []relay.Undelivered) {
+	for _, id := range ids {
+		us = append(us, relay.Undelivered{Msg: &spool.Message{ID: id, Lane: "order", Dst: 7}})
+	}
+	return us
+}
+
+func TestALongListGoesOutAtItsRateAndToTheWellOnly(t *testing.T) {
+	f := &fake{now: 1000 * second}
+	s := open(t, t.TempDir(), 0, 0)
+	k := keeper(t, s, f, kept.Rule{Act: kept.Send, Rate: 0.5})
+	for i := range 20 {
+		var ids []string
+		for j := range 100 {
+			ids = append(ids, fmt.Sprintf("m%04d", i*100+j))
+		}
+		k.Keep(ended(ids...))
+	}
+	ill[7] = true
+	defer delete(ill, 7)
+	require.NoError(t, k.Look(context.Background()))
+	assert.Empty(t, f.taken)
+	delete(ill, 7)
+	for range 10 {
+		f.now += second
+		require.NoError(t, k.Look(context.Background()))
+	}
+	assert.Len(t, f.taken, 5, "half a second, for ten seconds")
+	assert.Equal(t, f.taken, f.carried)
+}
+
+func TestWithoutRoomNothingWentOutAndItWaitsOn(t *testing.T) {
+	f := &fake{now: 1000 * second, full: true}
+	s := open(t, t.TempDir(), 0, 0)
+	k := keeper(t, s, f, kept.Rule{Act: kept.Send, Rate: 100})
+	k.Keep(ended("a"))
+	require.NoError(t, k.Look(context.Background()))
+	r, err := s.Get("a")
+	require.NoError(t, err)
+	assert.Equal(t, kept.Waiting, r.State)
+	f.full = false
+	f.now += 2 * second
+	require.NoError(t, k.Look(context.Background()))
+	assert.Equal(t, []string{"a-r1"}, f.carried)
+	k.Delivered("a-r1")
+	require.NoError(t, k.Look(context.Background()))
+	r, err = s.Get("a")
+	require.NoError(t, err)
+	assert.Equal(t, kept.Done, r.State)
+}
+
+func TestAnIntentionFromBeforeARestartCountsAsSent(t *testing.T) {
+	for _, owed := range []bool{false, true} {
+		f := &fake{now: 1000 * second}
+		s := open(t, t.TempDir(), 0, 0)
+		_, err := s.Keep([]*kept.Record{record("a", second)}, second)
+		require.NoError(t, err)
+		require.NoError(t, s.Change("a", func(r *kept.Record) error { r.SentAs = "a-r1"; return r.Turn(kept.Intended, second, "") }))
+		var with []*spool.Message
+		if owed {
+			with = append(with, &spool.Message{ID: "a-r1"})
+		}
+		k := keeper(t, s, f, kept.Rule{Act: kept.Send, Rate: 100}, with...)
+		require.NoError(t, k.Look(context.Background()))
+		assert.Empty(t, f.taken)
+		k.Keep(ended("a-r1")) // it ends undelivered
+		r, err := s.Get("a")
+		require.NoError(t, err)
+		next, err := s.Get("a-r1")
+		require.NoError(t, err)
+		if owed {
+			assert.Equal(t, kept.Followed, r.State)
+			assert.Equal(t, 1, next.Generation)
+			assert.Equal(t, "a", next.Before)
+		} else {
+			assert.Equal(t, kept.Sent, r.State)
+		}
+	}
+}
--- a/internal/kept/rules.go
+++ b/internal/kept/rules.go
@@ -220,6 +220,16 @@
 	return true
 }
 
+// Ready tells whether one might be free, without taking its place. A time far ahead, from before a clock was set back, does
+// not count.
+func (p *Pace) Ready(dst, now int64) bool {
+	at := p.next[dst]
+	return at <= now || at > now+longestGap
+}
+
+// longestGap is the gap of the slowest rate that is heeded so: one a day.
+const longestGap = int64(86_400_000_000)
+
 // Tidy forgets destinations whose time has come.
 func (p *Pace) Tidy(now int64) {
 	for d, at := range p.next {
