Only a receiver new among troubled ones starts on the ramp

Change: the ramp holds only where a fellow has a strike or is not open, or the oldest call is overdue: the first signs of an outage.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -272,7 +272,7 @@
 		s.recvs[e.Receiver] = r
 		if d.down { // danger: a machine that replaces a dead one is cold, and the whole backlog waits for it
 			s.become(r, closed)
-		} else if form == Changes && len(d.recvs) > 0 { // danger: it may replace one ill unseen, and is cold then
+		} else if form == Changes && s.troubled(d) { // danger: it may replace one not yet known ill, cold
 			s.become(r, warming)
 		}
 	}
@@ -287,6 +287,12 @@
 	}
 }
 
+// troubled sees the first signs of an outage, before any receiver need be closed.
+func (s *Sender) troubled(d *dst) bool {
+	return len(d.calls) > 0 && d.calls[0].overdue(s.now) ||
+		slices.ContainsFunc(d.recvs, func(r *receiver) bool { return r.sick() || r.strikes > 0 })
+}
+
 // Take accepts a message: this sender's until it has a final answer. past are its legs from before a restart;
 // the last counts as out, its outcome must come in the same turn. Danger: names of nowhere fill the room.
 func (s *Sender) Take(id string, lane int, key string, to, expires int64, past ...PastLeg) {
