--- a/internal/lab/world/clients.go
+++ b/internal/lab/world/clients.go
@@ -80,17 +80,16 @@
 
 // clients make the traffic, and come again.
 type clients struct {
-	w       *World
-	arrive  *rand.Rand // when
-	orders  *rand.Rand // what
-	habits  *rand.Rand // who, and how they wait
-	fronts  *rand.Rand
-	lanes   draw.Shares
-	dsts    draw.Shares
-	full    float64 // factor of all bursts on the whole
-	number  uint64
-	each    []int // orders left of each closed client
-	classes int
+	w      *World
+	arrive *rand.Rand // when
+	orders *rand.Rand // what
+	habits *rand.Rand // who, and how they wait
+	fronts *rand.Rand
+	lanes  draw.Shares
+	dsts   draw.Shares
+	full   float64 // factor of all bursts on the whole
+	number uint64
+	each   []int // orders left of each closed client
 }
 
 // The events of the clients as a whole.
