A leg does not begin after its key's window ended while its connection came up

Checked: in all 1,569 messages with a repeat after a leg that may have run, no pick lies beyond 6.376 s, the window less keyMargin, so the choice itself keeps to it. At fault: Stands in choice/state.go, asked right before the first byte, looked at waits, drains and ends but not at the last chance. Change: it does now. Covers any slow connect: cut-off zones, full accept queues, lost SYNs. Such a leg is settled as not sent and the message is given up at once.

--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -30,6 +30,20 @@
 	assert.Empty(t, f.msgs)
 }
 
+func TestLegWhoseConnectionComesUpAfterTheWindowDoesNotBegin(t *testing.T) {
+	f := begin(t, keyed, 20, 1, aLot, Kind{Batch: 1})
+	f.take("a")
+	f.after(0)
+	f.At(f.now + window - second)
+	f.ends("a", Reset, 0)
+	assert.Equal(t, 1, count(f.after(200*ms), "send"), "a second leg goes, inside the window")
+	assert.True(t, f.Stands("a", 1))
+	f.At(f.now + 800*ms)
+	assert.False(t, f.Stands("a", 1), "the key is forgotten over there: it would run twice")
+	f.ends("a", Skipped, 0)
+	assert.Equal(t, []string{"push back a"}, f.after(second))
+}
+
 func TestToldWaitBindsEveryMessageOfTheDestination(t *testing.T) {
 	f := begin(t, keyed, 20, 2, aLot, Kind{Batch: 1})
 	f.take("a")
--- a/choice/state.go
+++ b/choice/state.go
@@ -371,11 +371,12 @@
 // Knows tells whether a receiver is still remembered.
 func (s *Sender) Knows(receiver uint32) bool { return s.recvs[receiver] != nil }
 
-// Stands tells whether a leg decided a moment ago may still begin: its message is not over, and its receiver
-// may be sent to.
+// Stands tells whether a leg decided a moment ago may still begin: its message is not over, its last chance has not
+// passed while a connection came up, and its receiver may be sent to. Danger: a keyed message whose window ended
+// meanwhile runs a second time.
 func (s *Sender) Stands(id string, receiver uint32) bool {
 	m := s.msgs[id]
-	return m != nil && !m.over() && s.Reachable(receiver)
+	return m != nil && !m.over() && s.now <= m.lastChance() && s.Reachable(receiver)
 }
 
 // Reachable tells whether a receiver is listed and no wait has been told there that still runs.
