A refusal is told to the whole team and slows each of its senders

Destination 7 takes about 200 calls a second (weight 180). In its 12th second 502 messages were handed in, 233 calls refused, none delivered; the 13th 0 delivered, 166 refused; the 14th 0 and 137. Other destinations alike (20, weight 44: 0 delivered and 30 to 50 refused in each of seconds 6 to 10). 18,609 of 58,116 calls were refused; receivers were closed 4,181 times. One sender's log: "receiver of destination 4 is closed (0.0 strikes, 4 refusals)", "... is warming ...", "... is closed (0.0 strikes, 5 refusals)" within 2.5 s, and nothing was ill. Cause: refused calls use up the limit there. Each sender may send paceLeast = 3 calls at once and 1.3 even shares: 900 calls and 30% too much from 300 senders at a destination that takes 44 a second. Each learns of the limit by its own refusals only, seconds apart, so the sum stays above the limit and nobody gets through; two refusals 3 s apart then pass for an outage. At fault: refill and know in choice.go, and that a refusal was news to one sender alone. Ruled out: the holding room (no NoRoom, way 5), connections (no failed connect), slots (no X-Line-Busy), uneven weights (the list's weight is the limit, give or take). Change: a refusal, own or told in a note ("-" and the receiver), takes a route to one even share without a clump, later ones to 0.8 of what it was, once a second at most; 0.05 shares a second come back. Without notes each still learns from its own. In doubt (a limit lowered, a shut destination) it only goes slower.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -53,6 +53,10 @@
 
 	paceShares     = 1.3         // even shares of a known limit: others may leave some of theirs
 	paceLeast      = 3.0         // calls that may go at once at least, however small the even share
+	pressCut       = 0.8         // of the shares; left to each sender by a refusal anywhere in the team
+	pressRise      = 0.05        // shares a second given back after that
+	pressLeast     = 0.1         // shares; never less, or a limit that rose again is not found
+	pressGap       = second      // µs between two cuts; the last one must have shown first
 	leastShareLeft = 0.2         // of a limit; told less, a route waits for the next token
 	paceBurst      = 0.3         // seconds of the rate that may go at once
 	okSpan         = 2 * second  // µs; successes are counted over such spans at least,
@@ -78,6 +82,7 @@
 	scarceFor      = 60 * second // µs after a failed connect for which no connection is kept idle there
 	backEvery      = 2 * second  // µs between two notes of one receiver's return
 	backMark       = "+"         // opens a note of a return
+	pressMark      = "-"         // opens a note of a refusal
 	leastLate      = 3           // destinations overdue at once, at least, that mean trouble on the way
 	lateShare      = 0.66        // of the destinations with calls out, likewise
 	leaveStep      = 1.0 / 8     // weight of the newest message found given up in the age at which clients leave
@@ -168,9 +173,37 @@
 	p.share = share
 }
 
+// shares is how many even shares of its limit a route may be sent by each sender now.
+func (p *route) shares(now int64) float64 {
+	if p.pressedAt == 0 {
+		return paceShares
+	}
+	return min(paceShares, p.press+pressRise*float64(now-p.pressedAt)/float64(second))
+}
+
+// pressed takes in that a route refused someone of the team, and tells whether that is news. Danger: what each
+// of a large team may send at once is harmless alone and in sum many seconds of the limit; where refused calls
+// use it up too, nobody gets through until each has been refused by itself.
+func (p *route) pressed(now int64, chance float64) bool {
+	if p.pressedAt != 0 && now-p.pressedAt < pressGap {
+		return false
+	}
+	p.refill(now)
+	shares := p.shares(now)
+	if shares >= paceShares { // else all senders' first calls coincide
+		p.tokens = min(p.tokens, chance)
+	}
+	p.press, p.pressedAt = max(pressLeast, min(1, shares*pressCut)), now
+	return true
+}
+
 func (p *route) refill(now int64) {
-	rate := p.share * paceShares
-	p.tokens = min(p.tokens+rate*float64(now-p.filledAt)/float64(second), max(paceLeast, rate*paceBurst))
+	shares, least := p.shares(now), paceLeast
+	if shares < paceShares {
+		least = 1
+	}
+	rate := p.share * shares
+	p.tokens = min(p.tokens+rate*float64(now-p.filledAt)/float64(second), max(least, rate*paceBurst))
 	p.filledAt = now
 }
 
@@ -179,7 +212,7 @@
 	p.refill(now)
 	at := now
 	if p.share > 0 && p.tokens < 1 {
-		at = now + int64((1-p.tokens)/(p.share*paceShares)*float64(second)) + 1
+		at = now + int64((1-p.tokens)/(p.share*p.shares(now))*float64(second)) + 1
 	}
 	return max(at, p.waitUntil, p.pause)
 }
@@ -488,6 +521,9 @@
 		r.route.succeeded(s.now, r.health == open)
 		s.answered(r, c.sentAt)
 	case Full:
+		if r.route.pressed(s.now, s.chance()) && s.allowed.Notes {
+			s.host.Note(pressMark + strconv.FormatUint(uint64(r.id), 10))
+		}
 		r.route.refused(s.now, s.chance(), s.coldShare(r, s.guards.StartShare))
 		s.turnedAway(r, wait)
 	case TimedOut:
@@ -586,10 +622,14 @@
 // or others', may take all that a receiver has; alone in a large fleet a return is found after minutes.
 func (s *Sender) Noted(text string) {
 	number, back := strings.CutPrefix(text, backMark)
+	number, press := strings.CutPrefix(number, pressMark)
 	id, err := strconv.ParseUint(number, 10, 32)
 	r := s.recvs[uint32(id)]
 	switch {
 	case err != nil || r == nil:
+	case press:
+		r.route.pressed(s.now, s.chance())
+		s.wake(r.dst)
 	case !back:
 		r.scarceTill = s.now + scarceFor
 	default:
--- a/choice/fleet_test.go
+++ b/choice/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -108,3 +109,40 @@
 	}
 	assert.Less(t, float64(trials), .2*2*20*2)
 }
+
+func TestARefusalSlowsTheWholeFleetToItsLimit(t *testing.T) {
+	const limit, seconds = 50, 4
+	fs := fleet(t, 200, limit)
+	first := fs[0]
+	first.take("first")
+	first.after(0)
+	first.ends("first", Full, 0)
+	assert.Equal(t, 1, count(first.did, "note"), "told once")
+	sent := 0
+	for _, f := range fs[1:] {
+		f.Noted("-1")
+		for i := range 5 { // as many at once from each as one sender alone may well send
+			f.take(fmt.Sprint(i))
+		}
+		for range seconds * 10 {
+			f.did = nil
+			for _, d := range f.after(second / 10) {
+				if m, is := strings.CutPrefix(d, "send "); is {
+					sent++
+					f.ends(m, Delivered, 0)
+				}
+			}
+		}
+	}
+	assert.Less(t, sent, limit*seconds*3/2)
+	assert.Greater(t, sent, limit*seconds/2, "and no further")
+}
+
+func TestARefusalHeardOfIsForgottenInTime(t *testing.T) {
+	f := fleet(t, 200, 50)[0]
+	f.Noted("-1")
+	assert.Less(t, f.recvs[1].route.shares(f.now), 1.1)
+	f.after(20 * second)
+	f.take("a", "b", "c")
+	assert.Equal(t, 2, count(f.after(0), "send"), "the cap again, no pace")
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -86,11 +86,13 @@
 	told      float64 // limit told by answers, calls a second, 0 if none
 	tokens    float64
 	filledAt  int64
-	rowFrom   int64 // when that row began
-	row       int   // refusals since the last success
-	piling    bool  // the latest call or probe hung or was refused, so trials may pile up there
-	trialAt   int64 // no probe of a closed receiver before
-	pause     int64 // until when a row of refusals keeps all calls back
+	press     float64 // even shares that it bore right after the latest refusal in the team
+	pressedAt int64   // when that counted, 0 for never
+	rowFrom   int64   // when that row began
+	row       int     // refusals since the last success
+	piling    bool    // the latest call or probe hung or was refused, so trials may pile up there
+	trialAt   int64   // no probe of a closed receiver before
+	pause     int64   // until when a row of refusals keeps all calls back
 	okFrom    int64
 	okNow     float64 // successes in the span since okFrom
 	okPeak    float64 // most successes a second over a span
--- a/internal/routing/report.go
+++ b/internal/routing/report.go
@@ -116,7 +116,7 @@
 			continue
 		}
 		r.numbers[l.ID], known = n, true
-		r.log(fmt.Sprintf("receiver %d of destination %d is %s at %s", n, l.Dst, l.ID, l.Addr))
+		r.log(fmt.Sprintf("receiver %d of destination %d is %s at %s, weight %g", n, l.Dst, l.ID, l.Addr, l.Weight))
 	}
 	to := r.receivers[n]
 	to.ID, to.number = l.ID, n
