A pressed route starts higher where shares are thin; one that fails keeps to an even share

Change: a route starts at half a call of each sender in a target time where its even share is less; refusals bring that down by the same steps.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -53,8 +53,9 @@
 
 	paceShares     = 1.3         // even shares of a known limit: others may leave some of theirs
 	paceLeast      = 3.0         // calls that may go at once at least, however small the even share
+	pressStart     = 0.5         // calls of each sender in a target time, where its even share is less
 	pressCut       = 0.8         // of the shares; left to each sender by a refusal anywhere in the team
-	pressRise      = 0.05        // shares a second given back after that
+	pressRise      = 0.05        // of the shares after the first refusal, given back each second
 	pressLeast     = 0.1         // shares; never less, or a limit that rose again is not found
 	pressGap       = second      // µs between two cuts; the last one must have shown first
 	leastShareLeft = 0.2         // of a limit; told less, a route waits for the next token
@@ -178,28 +179,38 @@
 	if p.pressedAt == 0 {
 		return paceShares
 	}
-	return min(paceShares, p.press+pressRise*float64(now-p.pressedAt)/float64(second))
+	if p.ill { // danger: the backlog of all senders meets a return while few of them have closed it
+		return min(1, p.press)
+	}
+	return min(paceShares*p.full, p.press+pressRise*p.full*float64(now-p.pressedAt)/float64(second))
+}
+
+func (p *route) isPressed(now int64) bool {
+	return p.pressedAt > 0 && p.shares(now) < paceShares*p.full
 }
 
 // pressed takes in that a route refused someone of the team, and tells whether that is news. Danger: what each
 // of a large team may send at once is harmless alone and in sum many seconds of the limit; where refused calls
-// use it up too, nobody gets through until each has been refused by itself.
-func (p *route) pressed(now int64, chance float64) bool {
+// use it up too, nobody gets through until each has been refused by itself. Where an even share is a call in many
+// target times, few senders hold a message at once, so each starts with more, and refusals bring that down.
+func (p *route) pressed(now, target int64, chance float64) bool {
 	if p.pressedAt != 0 && now-p.pressedAt < pressGap {
 		return false
 	}
 	p.refill(now)
 	shares := p.shares(now)
-	if shares >= paceShares { // else all senders' first calls coincide
-		p.tokens = min(p.tokens, chance)
+	if !p.isPressed(now) {
+		p.tokens = min(p.tokens, chance) // else all senders' first calls coincide
+		p.full = max(1, pressStart*float64(second)/(max(p.share, leastTrials)*float64(target)))
+		shares = paceShares * p.full
 	}
-	p.press, p.pressedAt = max(pressLeast, min(1, shares*pressCut)), now
+	p.press, p.pressedAt = max(pressLeast, min(p.full, shares*pressCut)), now
 	return true
 }
 
 func (p *route) refill(now int64) {
 	shares, least := p.shares(now), paceLeast
-	if shares < paceShares {
+	if p.isPressed(now) {
 		least = 1
 	}
 	rate := p.share * shares
@@ -258,7 +269,11 @@
 	if !allowed.Advice {
 		allowed.MaxAdvice = 0
 	}
-	return &Sender{host: h, seed: seed, team: team, lanes: lanes, kinds: kinds, room: room, allowed: allowed,
+	target := never
+	for _, l := range lanes {
+		target = min(target, l.Target)
+	}
+	return &Sender{host: h, seed: seed, target: target, team: team, lanes: lanes, kinds: kinds, room: room, allowed: allowed,
 		guards: guards, trust: trust, timerAt: never, msgs: map[string]*msg{}, dsts: map[int64]*dst{},
 		recvs: map[uint32]*receiver{}, lines: map[string]*keyLine{}}
 }
@@ -512,6 +527,7 @@
 func (s *Sender) observe(c *call, o Outcome, wait int64) {
 	r, d := c.r, c.r.dst
 	r.route.piling = o == TimedOut || o == Full
+	r.route.ill = o != Delivered && (r.route.ill || o == TimedOut || o == ConnectFailed || o == Errored || o == Reset)
 	switch o {
 	case Delivered:
 		d.errs.deposit(s.now, percentCanRetry)
@@ -521,7 +537,7 @@
 		r.route.succeeded(s.now, r.health == open)
 		s.answered(r, c.sentAt)
 	case Full:
-		if r.route.pressed(s.now, s.chance()) && s.allowed.Notes {
+		if r.route.pressed(s.now, s.target, s.chance()) && s.allowed.Notes {
 			s.host.Note(pressMark + strconv.FormatUint(uint64(r.id), 10))
 		}
 		r.route.refused(s.now, s.chance(), s.coldShare(r, s.guards.StartShare))
@@ -628,7 +644,7 @@
 	switch {
 	case err != nil || r == nil:
 	case press:
-		r.route.pressed(s.now, s.chance())
+		r.route.pressed(s.now, s.target, s.chance())
 		s.wake(r.dst)
 	case !back:
 		r.scarceTill = s.now + scarceFor
--- a/choice/fleet_test.go
+++ b/choice/fleet_test.go
@@ -146,3 +146,22 @@
 	f.take("a", "b", "c")
 	assert.Equal(t, 2, count(f.after(0), "send"), "the cap again, no pace")
 }
+
+func TestThinShareOfAPressedRouteIsNoStarvation(t *testing.T) {
+	sent := 0
+	for _, f := range fleet(t, 200, 5)[:20] { // an even share is a call in 40 s
+		f.Noted("-1")
+		f.take("a")
+		sent += count(f.after(5*second), "send")
+	}
+	assert.Greater(t, sent, 15)
+}
+
+func TestPressedRouteThatFailsKeepsToOneEvenShare(t *testing.T) {
+	f := fleet(t, 200, 5)[0]
+	f.Noted("-1")
+	f.take("a", "b", "c")
+	f.after(5 * second)
+	f.ends("a", Errored, 0)
+	assert.Zero(t, count(f.after(15*second), "send"), "its return would meet the backlog of all")
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -86,7 +86,9 @@
 	told      float64 // limit told by answers, calls a second, 0 if none
 	tokens    float64
 	filledAt  int64
+	full      float64 // even shares that it is sent when first refused; pace gives back up to a little more
 	press     float64 // even shares that it bore right after the latest refusal in the team
+	ill       bool    // a call failed there since the last success
 	pressedAt int64   // when that counted, 0 for never
 	rowFrom   int64   // when that row began
 	row       int     // refusals since the last success
@@ -168,6 +170,7 @@
 	seed    uint64
 	draws   uint64
 	now     int64
+	target  int64 // the shortest of the lanes
 	startAt int64
 	team    Team
 	lanes   []Lane
