--- a/internal/lab/world/sender.go
+++ b/internal/lab/world/sender.go
@@ -1,6 +1,7 @@
 package world
 
 import (
+	"math"
 	"slices"
 
 	"ravenlink/choice"
@@ -78,7 +79,7 @@
 // now is the time by its own clock.
 func (s *sender) now() int64 {
 	s.wind()
-	return s.w.Now() + int64(s.offset)
+	return s.w.Now() + int64(math.Round(s.offset)) // a sum of many parts is a hair off whole microseconds
 }
 
 func (s *sender) wind() {
