A failing pressed route gives back up to one even share

While a route's latest call had failed, its last cut held for good: a thin share of 0.1 would have kept a sender away for minutes after an outage (shares in choice.go).

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -179,10 +179,11 @@
 	if p.pressedAt == 0 {
 		return paceShares
 	}
+	most := paceShares * p.full
 	if p.ill { // danger: the backlog of all senders meets a return while few of them have closed it
-		return min(1, p.press)
+		most = 1
 	}
-	return min(paceShares*p.full, p.press+pressRise*p.full*float64(now-p.pressedAt)/float64(second))
+	return min(most, p.press+pressRise*p.full*float64(now-p.pressedAt)/float64(second))
 }
 
 func (p *route) isPressed(now int64) bool {
--- a/choice/fleet_test.go
+++ b/choice/fleet_test.go
@@ -164,4 +164,6 @@
 	f.after(5 * second)
 	f.ends("a", Errored, 0)
 	assert.Zero(t, count(f.after(15*second), "send"), "its return would meet the backlog of all")
+	f.recvs[1].route.press = pressLeast
+	assert.InDelta(t, 1, f.recvs[1].route.shares(f.now), .01, "but no less than that for good")
 }
