Pressed routes share by what each sender takes on, told in the notes of refusals

At fault: the share in know(), weight / senders, that pace goes by. Change: a note of a refusal tells the sender's rate; each sender's pace is multiplied by its own rate over the mean, 0.5 to 4 times. The ramp of returning destinations keeps its even share.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -84,6 +84,10 @@
 	backEvery      = 2 * second  // µs between two notes of one receiver's return
 	backMark       = "+"         // opens a note of a return
 	pressMark      = "-"         // opens a note of a refusal
+	rateMark       = "/"         // stands before the teller's messages a second in it
+	takenSpan      = 60 * second // µs; what was taken longer ago counts half, for traffic shifts
+	partLeast      = 0.5         // means of the team; a sender just started has seen little
+	partMost       = 4.0         // means of the team; no single sender gets more
 	leastLate      = 3           // destinations overdue at once, at least, that mean trouble on the way
 	lateShare      = 0.66        // of the destinations with calls out, likewise
 	leaveStep      = 1.0 / 8     // weight of the newest message found given up in the age at which clients leave
@@ -209,22 +213,53 @@
 	return true
 }
 
+// rate is how many calls a second this sender may send now.
+func (p *route) rate(now int64) float64 { return p.share * p.shares(now) * cmp.Or(p.part, 1) }
+
 func (p *route) refill(now int64) {
-	shares, least := p.shares(now), paceLeast
+	least := paceLeast
 	if p.isPressed(now) {
 		least = 1
 	}
-	rate := p.share * shares
+	rate := p.rate(now)
 	p.tokens = min(p.tokens+rate*float64(now-p.filledAt)/float64(second), max(least, rate*paceBurst))
 	p.filledAt = now
 }
 
+// part is what this sender takes on, in means of the team, where fellows have told. Danger: where some get several
+// times the mean, an even share refuses most of theirs beside room that the others leave.
+func (s *Sender) part() float64 {
+	if s.meanGap == 0 || s.rate() == 0 {
+		return 1
+	}
+	return min(partMost, max(partLeast, s.rate()*s.meanGap))
+}
+
+// rate is how many messages a second this sender takes on, 0 while it has not run long enough to tell.
+func (s *Sender) rate() float64 {
+	if s.now-s.takenFrom < arrivalSpan {
+		return 0
+	}
+	return float64(s.taken) * float64(second) / float64(s.now-s.takenFrom)
+}
+
+// heardRate takes a fellow's rate. Busy ones are refused and heard more often in step with their rates, so the mean
+// of the gaps between messages, not of the rates, is the team's.
+func (s *Sender) heardRate(text string) {
+	if rate, err := strconv.ParseFloat(text, 64); err == nil && rate > 0 {
+		if s.meanGap == 0 {
+			s.meanGap = 1 / rate
+		}
+		s.meanGap += (1/rate - s.meanGap) * meanStep
+	}
+}
+
 // readyAt is when pace and told wait let a call go.
 func (p *route) readyAt(now int64) int64 {
 	p.refill(now)
 	at := now
 	if p.share > 0 && p.tokens < 1 {
-		at = now + int64((1-p.tokens)/(p.share*p.shares(now))*float64(second)) + 1
+		at = now + int64((1-p.tokens)/p.rate(now)*float64(second)) + 1
 	}
 	return max(at, p.waitUntil, p.pause)
 }
@@ -282,7 +317,7 @@
 // At sets the clock for the events that follow.
 func (s *Sender) At(now int64) {
 	if s.now == 0 {
-		s.startAt = now
+		s.startAt, s.takenFrom = now, now
 	}
 	s.now = now
 }
@@ -356,6 +391,9 @@
 	}
 	s.msgs[id] = m
 	m.dst.taken++
+	if s.taken++; s.now-s.takenFrom > takenSpan {
+		s.taken, s.takenFrom = s.taken/2, (s.now+s.takenFrom)/2
+	}
 	if m.lane.InOrder && key != "" {
 		m.line = s.lines[key]
 		if m.line == nil {
@@ -539,7 +577,7 @@
 		s.answered(r, c.sentAt)
 	case Full:
 		if r.route.pressed(s.now, s.target, s.chance()) && s.allowed.Notes {
-			s.host.Note(pressMark + strconv.FormatUint(uint64(r.id), 10))
+			s.host.Note(fmt.Sprintf("%s%d%s%.2f", pressMark, r.id, rateMark, s.rate()))
 		}
 		r.route.refused(s.now, s.chance(), s.coldShare(r, s.guards.StartShare))
 		s.turnedAway(r, wait)
@@ -640,11 +678,13 @@
 func (s *Sender) Noted(text string) {
 	number, back := strings.CutPrefix(text, backMark)
 	number, press := strings.CutPrefix(number, pressMark)
+	number, rate, _ := strings.Cut(number, rateMark)
 	id, err := strconv.ParseUint(number, 10, 32)
 	r := s.recvs[uint32(id)]
 	switch {
 	case err != nil || r == nil:
 	case press:
+		s.heardRate(rate)
 		r.route.pressed(s.now, s.target, s.chance())
 		s.wake(r.dst)
 	case !back:
@@ -746,6 +786,7 @@
 
 // readyAt is when a receiver may get its next call; never for one that waits for an event.
 func (s *Sender) readyAt(r *receiver) int64 {
+	r.route.part = s.part()
 	at := r.route.readyAt(s.now)
 	if s.silent(r) || r.route.row > 0 && len(r.dst.calls) > 0 {
 		return never // hanging, or refusing: there one call at a time, until a success
--- a/choice/fleet_test.go
+++ b/choice/fleet_test.go
@@ -167,3 +167,38 @@
 	f.recvs[1].route.press = pressLeast
 	assert.InDelta(t, 1, f.recvs[1].route.shares(f.now), .01, "but no less than that for good")
 }
+
+func TestBusySendersShareOfAPressedRouteIsLarger(t *testing.T) {
+	f := fleet(t, 200, 200)[0]
+	f.takenFrom = f.now - 20*second
+	for i := range 60 {
+		f.take(fmt.Sprint(i))
+	}
+	f.Noted("-1/1.00") // we take on three a second, a mean sender one
+	f.after(0)
+	p := f.recvs[1].route
+	assert.InDelta(t, 3, p.part, .1)
+	assert.InDelta(t, 3*p.share*p.shares(f.now), p.rate(f.now), .1)
+	for range 200 {
+		f.Noted("-1/0.01")
+	}
+	f.after(0)
+	assert.LessOrEqual(t, p.part, partMost)
+	for range 400 {
+		f.Noted("-1/99")
+	}
+	f.after(0)
+	assert.GreaterOrEqual(t, p.part, partLeast)
+	for _, odd := range []string{"-1/", "-1/x", "-1/-3", "-1/0", "-/1", "-1/1e999", "-1/NaN"} {
+		f.Noted(odd)
+	}
+	f.after(0)
+	assert.GreaterOrEqual(t, p.part, partLeast, "notes that make no sense change nothing")
+	assert.LessOrEqual(t, p.part, partMost)
+	f.At(f.now + takenSpan)
+	f.take("later")
+	assert.Equal(t, 30, f.taken, "half of it counts no more")
+	f.takenFrom = f.now
+	f.after(0)
+	assert.EqualValues(t, 1, f.part(), "just started, it cannot tell")
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -89,6 +89,7 @@
 	full      float64 // even shares that it is sent when first refused; pace gives back up to a little more
 	press     float64 // even shares that it bore right after the latest refusal in the team
 	ill       bool    // a call failed there since the last success
+	part      float64 // of its sender in the team's messages, in means; 0 for not known
 	pressedAt int64   // when that counted, 0 for never
 	rowFrom   int64   // when that row began
 	row       int     // refusals since the last success
@@ -180,26 +181,29 @@
 	guards  Guards
 	trust   WeightTrust
 
-	msgs     map[string]*msg      // emptied as messages are over and their legs settled
-	dsts     map[int64]*dst       // as many as destinations; emptied by sweep
-	order    []*dst               // the same in a fixed order
-	known    int                  // destinations ever known
-	due      []*dst               // to be looked at in this turn; emptied by it
-	wakes    wakeHeap             // to be looked at later
-	busy     []*dst               // with calls out, in the fixed order
-	recvs    map[uint32]*receiver // emptied by sweep of those unlisted for keepGone
-	lines    map[string]*keyLine  // emptied as lines run empty and keys have rested
-	resting  []*keyLine           // empty lines until their rest is over
-	expiry   expiryHeap           // messages not over
-	calls    int
-	distrust int64       // until when no idle connection is trusted
-	mean     float64     // µs, answer time over all destinations
-	loss     float64     // recent share of legs lost at receivers that answered again
-	spare    []*receiver // used in this turn, to be left without idle connections; emptied every turn
-	timerAt  int64
-	leaveAge float64 // µs, age at which messages were found given up by their clients
-	leftTill int64   // until when that counts
-	askAt    int64   // when to subscribe, never while subscribed
+	msgs      map[string]*msg      // emptied as messages are over and their legs settled
+	dsts      map[int64]*dst       // as many as destinations; emptied by sweep
+	order     []*dst               // the same in a fixed order
+	known     int                  // destinations ever known
+	due       []*dst               // to be looked at in this turn; emptied by it
+	wakes     wakeHeap             // to be looked at later
+	busy      []*dst               // with calls out, in the fixed order
+	recvs     map[uint32]*receiver // emptied by sweep of those unlisted for keepGone
+	lines     map[string]*keyLine  // emptied as lines run empty and keys have rested
+	resting   []*keyLine           // empty lines until their rest is over
+	expiry    expiryHeap           // messages not over
+	calls     int
+	distrust  int64   // until when no idle connection is trusted
+	mean      float64 // µs, answer time over all destinations
+	loss      float64 // recent share of legs lost at receivers that answered again
+	taken     int     // messages taken since takenFrom
+	takenFrom int64
+	meanGap   float64     // seconds between messages of a mean sender, as fellows tell; 0 if none has
+	spare     []*receiver // used in this turn, to be left without idle connections; emptied every turn
+	timerAt   int64
+	leaveAge  float64 // µs, age at which messages were found given up by their clients
+	leftTill  int64   // until when that counts
+	askAt     int64   // when to subscribe, never while subscribed
 }
 
 // age is the time since a message's client sent it.
