--- a/internal/daemon/standin_test.go
+++ b/internal/daemon/standin_test.go
@@ -40,6 +40,7 @@
 	settings  string
 	diskMB    float64
 	operators string // the operator's file, empty for none
+	sender    *Program
 
 	mu      sync.Mutex
 	calls   map[string]int
@@ -185,6 +186,7 @@
 	w.writeConfig()
 	p, err := New(w.env, zap.NewNop(), nil)
 	require.NoError(w.t, err)
+	w.sender = p
 	ctx, cancel := context.WithCancel(context.Background())
 	if w.operators != "" {
 		f, err := operator.Read(w.operators)
