--- a/choice/choice.go
+++ b/choice/choice.go
@@ -196,7 +196,7 @@
 	return p.pressedAt > 0 && p.shares(now) < paceShares*p.full
 }
 
-// pressed takes in that a route refused someone of the team, and tells whether that is news. Danger: what each
+// pressed takes in that a route refused one of the team, and tells whether that is news. Danger: what each
 // of a large team may send at once is harmless alone, in sum many seconds of the limit; where refused calls
 // use it up too, nobody gets through until each was refused by itself. Where an even share is a call in many
 // target times, few hold a message at once: each starts with more, and refusals bring that down. A limit not
