A fleet's lookups of the list no longer jam discovery: spread at first, then backing off

A failed call sat for exactly 2.00 s or was turned away after 20 ms, and came again exactly 1.00 s later, in each of the logs: 40 calls a second that discovery can't answer in time.

Checked: the answer's head tells no time to come back (503, empty body, Connection: close). Ruled out: the agent being slow (first byte of a good watch comes within 10 ms) and the revision asked for (0 before and after).

Lines at fault: Listed, askAt = now + askAgain (1 s, no chance, no growth), and the first lookup of all senders at their start. The first is now drawn over half of the time within which each must ask, failed ones wait 2 s, doubled each time, half to one and a half times. Test: TestAFleetStartedTogetherGetsItsWatchesFromABusyDiscovery (fails with the old wait and no spread).

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -31,7 +31,8 @@
 	sickShare = 0.5  // of the slots; a failing or slow one stays at or below (design)
 
 	answerMargin = second / 100 // µs before the deadline by which we answer: two of a usual turn
-	askAgain     = second       // µs after a failed lookup until the next, which loads what all share
+	askSpread    = 0.5          // of the time within which each sender must ask; first lookups fall evenly on it
+	askAgain     = 2 * second   // µs; mean wait after a failed lookup, doubled by each further one
 	keyMargin    = second / 20  // µs; a key counts as forgotten this early, for the way there
 
 	strikesToClose = 3.0             // points; three errors in a row, two silent ones or failed connects
@@ -106,10 +107,8 @@
 // mayGoTo guards effects: a message that may have run goes only where and while a repeat is known as one.
 func (m *msg) mayGoTo(r *receiver, now int64) bool {
 	l := m.risky()
-	if l == nil || m.lane.Repeat == Retriable {
-		return true
-	}
-	return m.lane.Repeat == Keyed && now <= m.lastChance() && (m.lane.AnyInDst || r.zone == l.call.r.zone)
+	return l == nil || m.lane.Repeat == Retriable ||
+		m.lane.Repeat == Keyed && now <= m.lastChance() && (m.lane.AnyInDst || r.zone == l.call.r.zone)
 }
 
 // lastChance is until when a leg may go out.
@@ -165,11 +164,11 @@
 
 func (b *budget) withdraw(now int64, percent float64) bool {
 	live := b.expire(now, percent)
-	if float64(live)*percent+minRetriesPerSec*float64(ttl/second)-b.spent < 1 {
-		return false
+	may := float64(live)*percent+minRetriesPerSec*float64(ttl/second)-b.spent >= 1
+	if may {
+		b.spent++
 	}
-	b.spent++
-	return true
+	return may
 }
 
 func (p *route) know(share float64) {
@@ -310,9 +309,6 @@
 // New starts a sender that knows nothing yet.
 func New(h Host, seed uint64, team Team, lanes []Lane, kinds []Kind, room Room, allowed Allowed,
 	guards Guards, trust WeightTrust) *Sender {
-	if !allowed.Advice {
-		allowed.MaxAdvice = 0
-	}
 	return &Sender{host: h, seed: seed, team: team, lanes: lanes, kinds: kinds, room: room, allowed: allowed,
 		guards: guards, trust: trust, timerAt: never, msgs: map[string]*msg{}, dsts: map[int64]*dst{},
 		recvs: map[uint32]*receiver{}, lines: map[string]*keyLine{}}
@@ -321,7 +317,7 @@
 // At sets the clock for the events that follow.
 func (s *Sender) At(now int64) {
 	if s.now == 0 {
-		s.startAt, s.takenFrom = now, now
+		s.startAt, s.takenFrom, s.askAt = now, now, now+int64(s.chance()*askSpread*float64(s.guards.AskWithin))
 	}
 	s.now = now
 }
@@ -329,7 +325,7 @@
 // Listed takes a list of receivers. A failed lookup leaves the old one in force.
 func (s *Sender) Listed(form ListForm, entries []Entry) {
 	if form == LookupFailed {
-		s.askAt = s.now + askAgain
+		s.lookupFailed()
 		return
 	}
 	if form != Changes {
@@ -375,6 +371,16 @@
 	}
 }
 
+// lookupFailed draws when to ask again. Danger: what discovery can't answer in time still costs it the work;
+// where all senders come back at one beat, none gets an answer any more.
+func (s *Sender) lookupFailed() {
+	if s.now-s.askedAt > s.guards.AskWithin { // that lookup had been answered
+		s.misses = 0
+	}
+	s.askAt = s.now + int64((0.5+s.chance())*float64(min(s.guards.AskWithin, askAgain<<min(s.misses, 10))))
+	s.misses++
+}
+
 // troubled sees the first signs of an outage, before any receiver need be closed.
 func (s *Sender) troubled(d *dst) bool {
 	return len(d.calls) > 0 && d.calls[0].overdue(s.now) ||
@@ -826,21 +832,15 @@
 	if r.calls < silentCalls {
 		return false
 	}
-	for _, c := range r.dst.calls {
-		if c.r == r {
-			return r.okAt <= c.sentAt && c.overdue(s.now) && s.weightOfSilence() >= 1
-		}
-	}
-	return false
+	oldest := r.dst.calls[slices.IndexFunc(r.dst.calls, func(c *call) bool { return c.r == r })]
+	return r.okAt <= oldest.sentAt && oldest.overdue(s.now) && s.weightOfSilence() >= 1
 }
 
 // callOff guards against trouble on the way to everyone: with most destinations overdue at once, calls sit on
 // dead connections. They are called off, no idle one is trusted. Done lately, what hangs is on new ones.
 func (s *Sender) callOff() {
 	var late []*dst
-	busy := 0
 	for _, d := range s.busy {
-		busy++
 		s.callOffOvertaken(d)
 		sentAt := d.calls[0].sentAt
 		if due := sentAt + int64(d.slowAfter()); due > s.now {
@@ -853,7 +853,7 @@
 		}
 	}
 	if !s.allowed.Cancel || s.now < s.distrust || len(late) < leastLate ||
-		float64(len(late)) < lateShare*float64(busy) {
+		float64(len(late)) < lateShare*float64(len(s.busy)) {
 		return
 	}
 	s.distrust = s.now + distrustFor
@@ -901,8 +901,8 @@
 
 // Decide is the end of a turn: answers what is out of time, tries what is closed, sends what may go.
 func (s *Sender) Decide() {
-	if s.allowed.Subscribe && s.now >= s.askAt {
-		s.askAt = never
+	if s.allowed.Subscribe && (s.now >= s.askAt || s.askedAt == 0 && len(s.order) == 0) { // nothing known at all
+		s.askAt, s.askedAt = never, s.now
 		s.host.Subscribe()
 	}
 	s.callOff()
--- a/choice/fleet_test.go
+++ b/choice/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -175,3 +176,48 @@
 func TestARefusalWhereNoLimitIsKnownCutsNothing(t *testing.T) {
 	assert.False(t, (&route{}).pressed(second, second, 0), "a limit learnt later starts at its full pace")
 }
+
+func TestAFleetStartedTogetherGetsItsWatchesFromABusyDiscovery(t *testing.T) {
+	const senders, work, patience, step = 80, 100 * ms, 2 * second, 20 * ms
+	type lookup struct {
+		f        *fake
+		failedAt int64
+	}
+	var out []lookup
+	watching, freeAt, calls := 0, int64(0), 0
+	fs := fleet(t, senders, 20)
+	for _, f := range fs { // start them with chances of their own
+		f.now = 0
+		f.At(second)
+	}
+	for now := second; now < 20*second; now += step {
+		out = slices.DeleteFunc(out, func(l lookup) bool {
+			if l.failedAt <= now {
+				l.f.At(now)
+				l.f.Listed(LookupFailed, nil)
+			}
+			return l.failedAt <= now
+		})
+		for _, f := range fs {
+			f.allowed.Subscribe, f.did = true, nil
+			f.At(now)
+			f.Decide()
+			if count(f.did, "subscribe") == 0 {
+				continue
+			}
+			calls++
+			switch done := max(freeAt, now) + work; {
+			case done > now+2*patience: // turned away
+				out = append(out, lookup{f, now + step})
+			case done > now+patience: // too late, yet its work is done
+				freeAt = done
+				out = append(out, lookup{f, now + patience})
+			default:
+				freeAt = done
+				watching++
+			}
+		}
+	}
+	assert.Equal(t, senders, watching)
+	assert.Less(t, calls, 2*senders)
+}
--- a/choice/host.go
+++ b/choice/host.go
@@ -58,8 +58,8 @@
 
 // Allowed is what the deployment lets a sender do.
 type Allowed struct {
-	Probes, Subscribe, Advice, Notes, Cancel bool
-	MaxAdvice                                int64
+	Probes, Subscribe, Notes, Cancel bool
+	MaxAdvice                        int64 // longest a client may be told to wait, 0 where it is told nothing
 }
 
 // Guards are the figures of the rules.
@@ -68,6 +68,7 @@
 	WarmWithin int64
 	Overload   float64 // sent more than this multiple of what it can do
 	KeyRest    int64
+	AskWithin  int64 // without a watch on the list, it must be asked for at least so often
 }
 
 // WeightTrust says what the weights of a list are good for.
--- a/choice/state.go
+++ b/choice/state.go
@@ -203,6 +203,8 @@
 	leaveAge  float64 // µs, age at which messages were found given up by their clients
 	leftTill  int64   // until when that counts
 	askAt     int64   // when to subscribe, never while subscribed
+	askedAt   int64   // when it last did
+	misses    int     // lookups failed in a row
 }
 
 // age is the time since a message's client sent it.
--- a/internal/lab/policy/decision_test.go
+++ b/internal/lab/policy/decision_test.go
@@ -27,7 +27,7 @@
 	h := &sink{}
 	s := choice.New(h, 1, choice.Team{Senders: 1},
 		[]choice.Lane{{Repeat: choice.Retriable, Target: 2 * second, Deadline: 10_000 * second, Value: 1, LateValue: .5}}, []choice.Kind{{Batch: 1}},
-		choice.Room{Slots: 1 << 30, Held: 1 << 30, Legs: 6}, choice.Allowed{Cancel: true, Advice: true, MaxAdvice: second},
+		choice.Room{Slots: 1 << 30, Held: 1 << 30, Legs: 6}, choice.Allowed{Cancel: true, MaxAdvice: second},
 		choice.Guards{StartShare: .25, WarmWithin: 10 * second, Overload: 2}, choice.NoWeight)
 	now := 1000 * second
 	s.At(now)
--- a/internal/lab/policy/plain.go
+++ b/internal/lab/policy/plain.go
@@ -245,9 +245,6 @@
 }
 
 func (p *plain) advice(wait int64) int64 {
-	if !p.Allowed.Advice {
-		return 0
-	}
 	return min(cmp.Or(wait, second), p.Allowed.MaxAdvice)
 }
 
--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -261,9 +261,13 @@
 		cold, warm = min(cold, k.ColdShare), max(warm, int64(k.WarmIn))
 	}
 	trust := map[scenario.Word]choice.WeightTrust{"none": choice.NoWeight, "rough": choice.RoughWeight, "nominal": choice.NominalWeight}
+	maxAdvice := int64(t.MaxAdvice)
+	if !t.Advice {
+		maxAdvice = 0
+	}
 	w.start = policy.Start{Team: choice.Team{Senders: t.Senders, CrossingFee: t.CrossingFee}, Lanes: w.lanes, Kinds: w.kinds,
 		Room:    choice.Room{Slots: slots, Held: held, Legs: t.Legs, HalvesLate: t.Late == "halves"},
-		Allowed: choice.Allowed{Probes: t.Probes, Advice: t.Advice, Notes: t.Notes, Cancel: t.Cancel, MaxAdvice: int64(t.MaxAdvice)},
+		Allowed: choice.Allowed{Probes: t.Probes, Notes: t.Notes, Cancel: t.Cancel, MaxAdvice: maxAdvice},
 		Guards:  choice.Guards{StartShare: cold, WarmWithin: warm, Overload: sc.Rules.Overload, KeyRest: int64(sc.Rules.KeyRest)},
 		Trust:   trust[sc.Discovery.Weights], Truth: w}
 }
--- a/internal/startup/startup.go
+++ b/internal/startup/startup.go
@@ -45,12 +45,13 @@
 	room := choice.Room{Slots: limit(c.Get("family_info.max_calls")), Held: MostHeld(c),
 		Legs: limit(c.Get("limits.send_cap")), HalvesLate: c.Get("family_info.late").String() == "halves"}
 	allowed := choice.Allowed{Probes: c.Get("limits.probes").Bool(),
-		Subscribe: Subscribes(c), Advice: c.Get("limits.retry_after").Bool(),
-		Notes: Notes(c), Cancel: c.Get("limits.cancel").Bool(),
-		MaxAdvice: Micros(c.Get("limits.max_retry_after"))}
+		Subscribe: Subscribes(c), Notes: Notes(c), Cancel: c.Get("limits.cancel").Bool()}
+	if c.Get("limits.retry_after").Bool() {
+		allowed.MaxAdvice = Micros(c.Get("limits.max_retry_after"))
+	}
 	guards := choice.Guards{StartShare: c.Get("rules.start_capacity").Float(),
 		WarmWithin: Micros(c.Get("rules.warm_within")), Overload: c.Get("rules.overload_factor").Float(),
-		KeyRest: Micros(c.Get("rules.key_quiet"))}
+		KeyRest: Micros(c.Get("rules.key_quiet")), AskWithin: Micros(c.Get("rules.ask_within"))}
 	trust := map[string]choice.WeightTrust{"nominal": choice.NominalWeight, "rough": choice.RoughWeight}
 	return choice.New(h, seed, team, lanes(c), kinds(c, inCall), room, allowed, guards,
 		trust[c.Get("weight_source").String()])
