A cut share comes back within a target time; an outage is no shortage of connections

Seen, zone+vast (80 senders, debug logs, by second and destination): destination 0 (limit 66) is slow from 2 to 14 s and quick again after (median answer 1,476 ms at 13 s, 39 ms at 15 s), yet 467 messages held there drain at 19, 35, 24, 40 ... 56 a second until 31 s; 9 and 7 likewise, no refusal meanwhile. 9,765 connections for 16,600 deliveries, 738 failed connects, all at the five destinations down from 5 to 10 s.

Cause 1: shares gave back 0.05 a second after cuts to 0.1 (route.shares, pressRise), 20 s for the full one. Now what a cut takes of a full share comes back in the lanes' target time, after which what waits is late (0.08 a second here); a failed call also takes back what a larger share had earned (observe). Cause 2: each failed connect marks connections as scarce for a minute in the whole team (tell, scarceTill); a change of health or a note of the return now ends that (become, Noted). Tests: TestAnOutageIsNoScarcityOfConnections; the earlier press tests hold unchanged.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -56,7 +56,6 @@
 	paceLeast      = 3.0         // calls that may go at once at least, however small the even share
 	pressStart     = 0.5         // calls of each sender in a target time, where its even share is less
 	pressCut       = 0.8         // of the shares; left to each sender by a refusal anywhere in the team
-	pressRise      = 0.05        // of the shares after the first refusal, given back each second
 	pressLeast     = 0.1         // shares; never less, or a limit that rose again is not found
 	pressGap       = second      // µs between two cuts; the last one must have shown first
 	leastShareLeft = 0.2         // of a limit; told less, a route waits for the next token
@@ -187,7 +186,7 @@
 	if p.ill { // danger: the backlog of all senders meets a return while few of them have closed it
 		most = 1
 	}
-	return min(most, p.press+pressRise*p.full*float64(now-p.pressedAt)/float64(second))
+	return min(most, p.press+p.rise*float64(now-p.pressedAt))
 }
 
 // isPressed tells whether it bears less than it would had nobody been refused.
@@ -212,6 +211,7 @@
 		shares = paceShares * p.full
 	}
 	p.press, p.pressedAt = max(pressLeast, min(p.full, shares*pressCut)), now
+	p.rise = (1 - pressCut) * p.full / float64(target) // given back sooner than what waits for it is late
 	return true
 }
 
@@ -254,9 +254,7 @@
 // the mean of the gaps between messages, not of the rates, is the team's.
 func (s *Sender) heardRate(text string) {
 	if rate, err := strconv.ParseFloat(text, 64); err == nil && rate >= rateLeast {
-		if s.meanGap == 0 {
-			s.meanGap = 1 / rate
-		}
+		s.meanGap = cmp.Or(s.meanGap, 1/rate)
 		s.meanGap += (1/rate - s.meanGap) * meanStep
 	}
 }
@@ -577,6 +575,9 @@
 	r, d := c.r, c.r.dst
 	r.route.piling = o == TimedOut || o == Full
 	r.route.ill = o != Delivered && (r.route.ill || o != Full && o != Skipped && o != Cancelled)
+	if r.route.ill && r.route.pressedAt > 0 { // nor may what was earned at a larger share go there at once
+		r.route.tokens = min(r.route.tokens, 0)
+	}
 	switch o {
 	case Delivered:
 		d.errs.deposit(s.now, percentCanRetry)
@@ -648,7 +649,7 @@
 func (s *Sender) become(r *receiver, h health) {
 	s.host.Log(fmt.Sprintf("%d ms: receiver %d of destination %d is %s (%.1f strikes, %d refusals)",
 		s.now/1000, r.id, r.dst.id, h, r.strikes, r.route.row))
-	r.health, r.since, r.strikes, r.proved, r.missed = h, s.now, 0, false, false
+	r.health, r.since, r.strikes, r.proved, r.missed, r.scarceTill = h, s.now, 0, false, false, 0
 	r.tokens, r.filledAt = s.chance(), s.now // chance: else all senders' first calls coincide
 	s.wake(r.dst)
 }
@@ -700,7 +701,7 @@
 	case !back:
 		r.scarceTill = s.now + scarceFor
 	default:
-		r.toldBack = s.now + backEvery
+		r.toldBack, r.scarceTill = s.now+backEvery, 0 // connects that failed were its outage
 		if r.health == closed {
 			s.become(r, warming)
 		}
@@ -847,8 +848,7 @@
 			s.wakeBy(d, due)
 			continue
 		}
-		spoke := slices.ContainsFunc(d.recvs, func(r *receiver) bool { return r.okAt > sentAt })
-		if d.sampled && !spoke {
+		if d.sampled && !slices.ContainsFunc(d.recvs, func(r *receiver) bool { return r.okAt > sentAt }) {
 			late = append(late, d)
 		}
 	}
--- a/choice/fleet_test.go
+++ b/choice/fleet_test.go
@@ -221,3 +221,20 @@
 	assert.Equal(t, senders, watching)
 	assert.Less(t, calls, 2*senders)
 }
+
+func TestAnOutageIsNoScarcityOfConnections(t *testing.T) {
+	for name, back := range map[string]func(f *fake){
+		"found by itself": func(f *fake) { f.close(f.recvs[1]); f.Probed(1, Delivered, Report{}) },
+		"heard of":        func(f *fake) { f.Noted("+1") },
+	} {
+		f := fleet(t, 80, 200)[0]
+		f.take("a")
+		f.after(0)
+		f.ends("a", ConnectFailed, 0)
+		back(f)
+		f.after(20 * second)
+		f.ends("a", Delivered, 0)
+		f.after(0)
+		assert.Zero(t, count(f.did, "close"), name)
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -89,6 +89,7 @@
 	full      float64 // even shares that it is sent when first refused; pace gives back up to a little more
 	press     float64 // even shares that it bore right after the latest refusal in the team
 	pressedAt int64   // when that counted, 0 for never
+	rise      float64 // shares given back each µs since
 	ill       bool    // a call failed there since the last success
 	part      float64 // of its sender in the team's messages, in means; 0 for not known
 	rowFrom   int64   // when that row began
