--- a/choice/fleet_test.go
+++ b/choice/fleet_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -179,42 +178,28 @@
 
 func TestAFleetStartedTogetherGetsItsWatchesFromABusyDiscovery(t *testing.T) {
 	const senders, work, patience, step = 80, 100 * ms, 2 * second, 20 * ms
-	type lookup struct {
-		f        *fake
-		failedAt int64
-	}
-	var out []lookup
-	watching, freeAt, calls := 0, int64(0), 0
-	fs := fleet(t, senders, 20)
-	for _, f := range fs { // start them with chances of their own
-		f.now = 0
-		f.At(second)
-	}
+	fs, watching, calls, freeAt, failed := fleet(t, senders, 20), 0, 0, int64(0), map[*fake]int64{}
 	for now := second; now < 20*second; now += step {
-		out = slices.DeleteFunc(out, func(l lookup) bool {
-			if l.failedAt <= now {
-				l.f.At(now)
-				l.f.Listed(LookupFailed, nil)
-			}
-			return l.failedAt <= now
-		})
 		for _, f := range fs {
-			f.allowed.Subscribe, f.did = true, nil
+			if now == second { // starts with a chance of its own
+				f.now, f.allowed.Subscribe = 0, true
+			}
 			f.At(now)
-			f.Decide()
-			if count(f.did, "subscribe") == 0 {
+			if at := failed[f]; at > 0 && at <= now {
+				f.Listed(LookupFailed, nil)
+				delete(failed, f)
+			}
+			if count(f.after(0), "subscribe") == 0 {
 				continue
 			}
 			calls++
 			switch done := max(freeAt, now) + work; {
 			case done > now+2*patience: // turned away
-				out = append(out, lookup{f, now + step})
+				failed[f] = now + step
 			case done > now+patience: // too late, yet its work is done
-				freeAt = done
-				out = append(out, lookup{f, now + patience})
+				freeAt, failed[f] = done, now+patience
 			default:
-				freeAt = done
-				watching++
+				freeAt, watching = done, watching+1
 			}
 		}
 	}
@@ -234,7 +219,6 @@
 		back(f)
 		f.after(20 * second)
 		f.ends("a", Delivered, 0)
-		f.after(0)
-		assert.Zero(t, count(f.did, "close"), name)
+		assert.Zero(t, count(f.after(0), "close"), name)
 	}
 }
