--- a/choice/choice.go
+++ b/choice/choice.go
@@ -219,11 +219,10 @@
 func (p *route) rate(now int64) float64 { return p.share * p.shares(now) * cmp.Or(p.part, 1) }
 
 func (p *route) refill(now int64) {
-	least := paceLeast
+	least, rate := paceLeast, p.rate(now)
 	if p.isPressed(now) {
 		least = 1
 	}
-	rate := p.rate(now)
 	p.tokens = min(p.tokens+rate*float64(now-p.filledAt)/float64(second), max(least, rate*paceBurst))
 	p.filledAt = now
 }
@@ -375,7 +374,8 @@
 	if s.now-s.askedAt > s.guards.AskWithin { // that lookup had been answered
 		s.misses = 0
 	}
-	s.askAt = s.now + int64((0.5+s.chance())*float64(min(s.guards.AskWithin, askAgain<<min(s.misses, 10))))
+	window := min(max(askAgain, s.guards.AskWithin), askAgain<<min(s.misses, 10)) // untold, no beat of zero
+	s.askAt = s.now + int64((0.5+s.chance())*float64(window))
 	s.misses++
 }
 
--- a/choice/fake_test.go
+++ b/choice/fake_test.go
@@ -50,7 +50,7 @@
 	f := &fake{back: map[string]int64{}, to: map[string]uint32{}, legs: map[string]int{}}
 	f.Sender = New(f, 42, Team{Senders: 2}, []Lane{lane}, []Kind{kind}, Room{Slots: slots, Held: 40, Legs: 12},
 		Allowed{Probes: true, MaxAdvice: second},
-		Guards{StartShare: .2, WarmWithin: 10 * second, Overload: 2, KeyRest: second, AskWithin: 10 * second}, NominalWeight)
+		Guards{StartShare: .2, WarmWithin: 10 * second, Overload: 2, KeyRest: second}, NominalWeight)
 	f.At(second)
 	var es []Entry
 	for i := range receivers {
--- a/choice/fleet_test.go
+++ b/choice/fleet_test.go
@@ -182,18 +182,16 @@
 	for now := second; now < 20*second; now += step {
 		for _, f := range fs {
 			if now == second { // starts with a chance of its own
-				f.now, f.allowed.Subscribe = 0, true
+				f.now, f.allowed.Subscribe, f.guards.AskWithin = 0, true, 10*second
 			}
 			f.At(now)
-			if at := failed[f]; at > 0 && at <= now {
+			if failed[f] == now {
 				f.Listed(LookupFailed, nil)
-				delete(failed, f)
 			}
-			if count(f.after(0), "subscribe") == 0 {
-				continue
-			}
-			calls++
+			asked := count(f.after(0), "subscribe")
+			calls += asked
 			switch done := max(freeAt, now) + work; {
+			case asked == 0:
 			case done > now+2*patience: // turned away
 				failed[f] = now + step
 			case done > now+patience: // too late, yet its work is done
@@ -205,6 +203,9 @@
 	}
 	assert.Equal(t, senders, watching)
 	assert.Less(t, calls, 2*senders)
+	fs[0].guards.AskWithin = 0
+	fs[0].Listed(LookupFailed, nil)
+	assert.GreaterOrEqual(t, fs[0].askAt-fs[0].now, second, "no beat of zero where the settings tell none")
 }
 
 func TestAnOutageIsNoScarcityOfConnections(t *testing.T) {
