--- a/choice/choice.go
+++ b/choice/choice.go
@@ -96,6 +96,7 @@
 	leastThere     = 0.05        // odds that a client is there still after that age
 	keepGone       = 60 * second // µs unlisted until a receiver is forgotten: it may come back as ill as it was
 	silentCalls    = 2           // calls out without an answer that may mean a hanging receiver
+	hearsayMost    = 60 * second // µs; longest wait taken from a fellow, who may be mistaken
 )
 
 // mayPushBack: coming again must be harmless.
@@ -161,9 +162,9 @@
 	s.n++
 }
 
-func (b *budget) withdraw(now int64, percent float64) bool {
+func (b *budget) withdraw(now int64, percent, floor float64) bool {
 	live := b.expire(now, percent)
-	may := float64(live)*percent+minRetriesPerSec*float64(ttl/second)-b.spent >= 1
+	may := float64(live)*percent+floor*float64(ttl/second)-b.spent >= 1
 	if may {
 		b.spent++
 	}
@@ -215,12 +216,17 @@
 	return true
 }
 
-// rate is how many calls a second this sender may send now.
-func (p *route) rate(now int64) float64 { return p.share * p.shares(now) * cmp.Or(p.part, 1) }
+// rate is how many calls a second this sender may send now. Leases sum to the limit, so one is all of it.
+func (p *route) rate(now int64) float64 {
+	if p.lease.told {
+		return p.lease.perSec * min(1, p.shares(now))
+	}
+	return p.share * p.shares(now) * cmp.Or(p.part, 1)
+}
 
 func (p *route) refill(now int64) {
 	least, rate := paceLeast, p.rate(now)
-	if p.isPressed(now) {
+	if p.isPressed(now) || p.lease.told {
 		least = 1
 	}
 	p.tokens = min(p.tokens+rate*float64(now-p.filledAt)/float64(second), max(least, rate*paceBurst))
@@ -262,7 +268,10 @@
 func (p *route) readyAt(now int64) int64 {
 	p.refill(now)
 	at := now
-	if p.share > 0 && p.tokens < 1 {
+	if p.lease.none() {
+		return never
+	}
+	if (p.share > 0 || p.lease.told) && p.tokens < 1 {
 		at = now + int64((1-p.tokens)/p.rate(now)*float64(second)) + 1
 	}
 	return max(at, p.waitUntil, p.pause)
@@ -307,7 +316,7 @@
 func New(h Host, seed uint64, team Team, lanes []Lane, kinds []Kind, room Room, allowed Allowed,
 	guards Guards, trust WeightTrust) *Sender {
 	return &Sender{host: h, seed: seed, team: team, lanes: lanes, kinds: kinds, room: room, allowed: allowed,
-		guards: guards, trust: trust, timerAt: never, msgs: map[string]*msg{}, dsts: map[int64]*dst{},
+		guards: guards, trust: trust, timerAt: never, floor: minRetriesPerSec, msgs: map[string]*msg{}, dsts: map[int64]*dst{},
 		recvs: map[uint32]*receiver{}, lines: map[string]*keyLine{}}
 }
 
@@ -445,8 +454,11 @@
 	if m.over() {
 		return
 	}
-	n := len(m.legs)
-	if (n == 0 || !m.legs[n-1].mayHaveRun()) && m.mayPushBack() {
+	s.finish(m, len(m.legs) == 0 || !m.legs[len(m.legs)-1].mayHaveRun(), advice)
+}
+
+func (s *Sender) finish(m *msg, back bool, advice int64) {
+	if back && m.mayPushBack() {
 		s.turn(m, pushedBack)
 		s.host.PushBack(m.id, s.ComeBackIn(advice))
 		return
@@ -468,6 +480,18 @@
 	}
 }
 
+// Recall takes a message from this sender: its tenant was purged, or its channel moved.
+func (s *Sender) Recall(id string) {
+	m := s.msgs[id]
+	if m == nil || m.over() {
+		return
+	}
+	m.recalled = true
+	if m.openLegs() == 0 {
+		s.finish(m, true, 0)
+	}
+}
+
 // left learns how soon clients leave. Danger: where they do, and only a call tells, serving the oldest first
 // spends the pace on messages that nobody waits for; while it lasts, the young go first.
 func (s *Sender) left(m *msg) {
@@ -495,6 +519,7 @@
 	c := l.call
 	if o == Full && wait > 0 { // binds from this very turn, though others of the call may tell less
 		c.r.route.waitUntil = max(c.r.route.waitUntil, s.now+wait)
+		s.saw(c.r, Sight{Kind: SeenWait, Wait: wait})
 	}
 	c.open--
 	c.r.usedAt = s.now
@@ -549,7 +574,7 @@
 // repeat is the design's mechanism: budget, told wait plus full jitter, deadline.
 func (s *Sender) repeat(m *msg, o Outcome, wait int64) {
 	d := m.dst
-	if len(m.legs) >= s.room.Legs || m.risky() != nil && m.lane.Repeat == NonRetriable {
+	if m.recalled || len(m.legs) >= s.room.Legs || m.risky() != nil && m.lane.Repeat == NonRetriable {
 		s.end(m, wait)
 		return
 	}
@@ -563,7 +588,7 @@
 	}
 	window := min(backoffCap, backoffBase<<min(len(m.legs)-1, 10))
 	m.notBefore = s.now + wait + int64(s.chance()*float64(window))
-	if !bucket.withdraw(s.now, percent) || m.notBefore > m.lastChance() {
+	if !bucket.withdraw(s.now, percent, s.floor) || m.notBefore > m.lastChance() {
 		s.end(m, wait)
 		return
 	}
@@ -595,6 +620,7 @@
 	case TimedOut:
 		s.struck(r, c.sentAt, silentStrike)
 	case ConnectFailed:
+		s.saw(r, Sight{Kind: SeenScarce})
 		s.tell(r, "", &r.scarceTill, scarceFor)
 		s.struck(r, c.sentAt, silentStrike)
 	case Errored, Reset:
@@ -623,6 +649,9 @@
 
 func (s *Sender) reported(r *receiver, rep Report) {
 	if rep.Told && rep.LimitPerSec > 0 {
+		if rep.LimitPerSec != r.route.told {
+			s.saw(r, Sight{Kind: SeenLimit, PerSec: rep.LimitPerSec})
+		}
 		r.route.told = rep.LimitPerSec
 		r.route.know(rep.LimitPerSec / float64(s.team.Senders))
 		if rep.ShareLeft < leastShareLeft { // others have used the room that a full bucket would promise
@@ -641,6 +670,7 @@
 		s.become(r, warming)
 	}
 	if r.health == warming && !r.proved {
+		s.saw(r, Sight{Kind: SeenBack, Warm: min(1, float64(s.now-r.since)/float64(max(1, s.guards.WarmWithin)))})
 		s.tell(r, backMark, &r.toldBack, backEvery)
 	}
 	r.dst.down, r.proved = false, true
@@ -701,10 +731,7 @@
 	case !back:
 		r.scarceTill = s.now + scarceFor
 	default:
-		r.toldBack, r.scarceTill = s.now+backEvery, 0 // connects that failed were its outage
-		if r.health == closed {
-			s.become(r, warming)
-		}
+		s.Told(Sight{Kind: SeenBack, Receiver: r.id})
 	}
 }
 
@@ -725,6 +752,43 @@
 }
 
 func (s *Sender) close(r *receiver) {
+	s.shut(r)
+	s.saw(r, Sight{Kind: SeenDown})
+}
+
+// Told takes a fellow's sight. No rule leans on it; a false one heals, for it is not told on.
+func (s *Sender) Told(v Sight) {
+	r := s.recvs[v.Receiver]
+	if r == nil {
+		return
+	}
+	seenAt := s.now - v.Age
+	switch v.Kind {
+	case SeenWait:
+		r.route.waitUntil = max(r.route.waitUntil, s.now+min(v.Wait, hearsayMost))
+	case SeenDown:
+		if r.health != closed && r.okAt < seenAt && r.since < seenAt {
+			s.shut(r)
+		}
+	case SeenBack:
+		if r.since > seenAt {
+			return
+		}
+		r.toldBack, r.scarceTill = s.now+backEvery, 0 // connects that failed were its outage
+		if r.health == closed {
+			s.become(r, warming)
+		}
+	case SeenLimit:
+		if r.route.share == 0 && v.PerSec > 0 {
+			r.route.told = v.PerSec
+			r.route.know(v.PerSec / float64(s.team.Senders))
+		}
+	case SeenScarce:
+		r.scarceTill = max(r.scarceTill, seenAt+scarceFor)
+	}
+}
+
+func (s *Sender) shut(r *receiver) {
 	s.become(r, closed)
 	s.spaceTrials(r, true)
 	r.dst.down = !slices.ContainsFunc(r.dst.recvs, func(o *receiver) bool { return o.health == open })
@@ -797,7 +861,7 @@
 
 // readyAt is when a receiver may get its next call; never for one that waits for an event.
 func (s *Sender) readyAt(r *receiver) int64 {
-	r.route.part = s.part()
+	r.route.part, r.route.lease = s.part(), r.dst.leaseOf()
 	at := r.route.readyAt(s.now)
 	if s.silent(r) || r.route.row > 0 && len(r.dst.calls) > 0 {
 		return never // hanging, or refusing: there one call at a time, until a success
@@ -929,7 +993,7 @@
 // tryClosed probes closed receivers, rarely.
 func (s *Sender) tryClosed(d *dst) {
 	for _, r := range d.recvs {
-		if r.health != closed || !s.allowed.Probes || r.probing {
+		if r.health != closed || !s.allowed.Probes || r.probing || d.lease.none() {
 			continue
 		}
 		if at := max(r.route.trialAt, r.route.waitUntil); at > s.now {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -124,15 +124,15 @@
 func TestBudgetEarnsATenthAndForgetsAfterTtl(t *testing.T) {
 	var b budget
 	for range 30 {
-		assert.True(t, b.withdraw(second, percentCanRetry))
+		assert.True(t, b.withdraw(second, percentCanRetry, minRetriesPerSec))
 	}
-	assert.False(t, b.withdraw(second, percentCanRetry))
+	assert.False(t, b.withdraw(second, percentCanRetry, minRetriesPerSec))
 	for range 20 {
 		b.deposit(2*second, percentCanRetry)
 	}
-	assert.True(t, b.withdraw(3*second, percentCanRetry))
-	assert.True(t, b.withdraw(3*second, percentCanRetry))
-	assert.False(t, b.withdraw(3*second, percentCanRetry))
+	assert.True(t, b.withdraw(3*second, percentCanRetry, minRetriesPerSec))
+	assert.True(t, b.withdraw(3*second, percentCanRetry, minRetriesPerSec))
+	assert.False(t, b.withdraw(3*second, percentCanRetry, minRetriesPerSec))
 	b.expire(13*second, percentCanRetry)
 	assert.InDelta(t, 30, b.spent, 1e-9, "20 expired credits cut spent by 2")
 }
--- a/choice/fake_test.go
+++ b/choice/fake_test.go
@@ -14,6 +14,7 @@
 	to   map[string]uint32 // where a message's latest leg went
 	legs map[string]int
 	ring int64
+	seen []Sight
 }
 
 func (f *fake) say(format string, a ...any) { f.did = append(f.did, fmt.Sprintf(format, a...)) }
@@ -31,6 +32,7 @@
 func (f *fake) Note(string)                 { f.say("note") }
 func (f *fake) Subscribe()                  { f.say("subscribe") }
 func (f *fake) Log(string)                  {}
+func (f *fake) Saw(v Sight)                 { f.seen = append(f.seen, v) }
 
 const (
 	ms     = int64(1000)
--- a/choice/host.go
+++ b/choice/host.go
@@ -14,6 +14,7 @@
 	Note(text string)
 	Subscribe()
 	Log(text string)
+	Saw(Sight) // something that fellows may want to know
 }
 
 // Repeat says what a lane allows for a message that may have run.
@@ -126,3 +127,26 @@
 	ShareLeft   float64
 	LimitPerSec float64
 }
+
+// SightKind says what was seen.
+type SightKind uint8
+
+// What a sender sees of a receiver, or of its route.
+const (
+	SeenDown   SightKind = iota // closed
+	SeenBack                    // delivers again, cold
+	SeenWait                    // told a wait
+	SeenLimit                   // told its limit
+	SeenScarce                  // short of connections
+)
+
+// Sight is what one sender saw and tells its fellows. What a kind does not name is zero. It may be wrong.
+type Sight struct {
+	Kind     SightKind
+	Receiver uint32
+	Dst      int64
+	Wait     int64   // µs left of a told wait
+	PerSec   float64 // calls a second, the told limit
+	Warm     float64 // of the warm time, from 0 to 1
+	Age      int64   // µs since it was seen
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -49,6 +49,7 @@
 	giveUp    int64 // when it gets its final answer if nothing else happens
 	at        int   // place in the expiry heap, -1 for none
 	legs      []leg // at most Room.Legs
+	recalled  bool  // no further leg
 }
 
 func (m *msg) over() bool { return m.state >= delivered }
@@ -79,6 +80,45 @@
 	rest int64
 }
 
+// lease is what the fleet lets this sender send a destination.
+type lease struct {
+	told   bool
+	perSec float64 // calls a second; 0 lets nothing go
+}
+
+func (l lease) none() bool { return l.told && l.perSec <= 0 }
+
+// leaseOf is the lease of one of its routes: those apart get as much each.
+func (d *dst) leaseOf() lease {
+	l := d.lease
+	if d.kind.Apart {
+		l.perSec /= float64(max(1, len(d.recvs)))
+	}
+	return l
+}
+
+// Shared takes this sender's lease on a destination's limit, in calls a second; a negative one withdraws it.
+func (s *Sender) Shared(to int64, perSec float64) {
+	if d := s.dsts[to]; d != nil {
+		d.lease = lease{told: perSec >= 0, perSec: perSec}
+		s.wake(d)
+	}
+}
+
+// Floor sets the repeats a second always allowed at a destination; a negative one brings back the design's.
+func (s *Sender) Floor(perSec float64) {
+	s.floor = perSec
+	if perSec < 0 {
+		s.floor = minRetriesPerSec
+	}
+}
+
+// saw has the fellows told what this sender saw itself.
+func (s *Sender) saw(r *receiver, v Sight) {
+	v.Receiver, v.Dst = r.id, r.dst.id
+	s.host.Saw(v)
+}
+
 // route is what shares one limit and one told wait: a destination, or a receiver where routes are apart.
 type route struct {
 	waitUntil int64
@@ -91,6 +131,7 @@
 	pressedAt int64   // when that counted, 0 for never
 	rise      float64 // shares given back each µs since
 	ill       bool    // a call failed there since the last success
+	lease     lease
 	part      float64 // of its sender in the team's messages, in means; 0 for not known
 	rowFrom   int64   // when that row began
 	row       int     // refusals since the last success
@@ -154,6 +195,7 @@
 	calls    []*call // out, oldest first
 	errs     budget
 	told     budget
+	lease    lease
 	mean     float64 // µs, answer time
 	dev      float64
 	sampled  bool
@@ -206,6 +248,7 @@
 	askAt     int64   // when to subscribe, never while subscribed
 	askedAt   int64   // when it last did
 	misses    int     // lookups failed in a row
+	floor     float64 // repeats a second always allowed at a destination
 }
 
 // age is the time since a message's client sent it.
--- a/internal/lab/policy/decision_test.go
+++ b/internal/lab/policy/decision_test.go
@@ -21,6 +21,7 @@
 func (s *sink) Note(string)                      {}
 func (s *sink) Subscribe()                       {}
 func (s *sink) Log(string)                       {}
+func (s *sink) Saw(choice.Sight)                 {}
 
 // desk gives a module with so many destinations, and so many messages held at one that cannot be sent to.
 func desk(dsts, held int) (*sink, *choice.Sender, int64) {
--- a/internal/lab/world/sender.go
+++ b/internal/lab/world/sender.go
@@ -346,6 +346,9 @@
 	delete(s.pools, to)
 }
 
+// Saw tells nobody: here fellows hear notes alone.
+func (s *sender) Saw(choice.Sight) {}
+
 // Note tells every fellow something; some do not hear it.
 func (s *sender) Note(text string) {
 	w := s.w
--- a/internal/routing/host.go
+++ b/internal/routing/host.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"ravenlink/choice"
 )
 
 // host carries the module's actions to those who wait for them. All run within a turn and never block.
@@ -89,6 +91,13 @@
 // Log writes a line for people.
 func (h host) Log(text string) { h.log(text) }
 
+// Saw asks for a sight to be told to the fleet. Sights come in numbers and give way to the other chores.
+func (h host) Saw(v choice.Sight) {
+	if to, known := h.receiver(v.Receiver); known && len(h.chores) < mostChores/2 {
+		h.chore(Chore{Kind: Saw, Receiver: to, Sight: v})
+	}
+}
+
 func (r *Router) chore(c Chore) {
 	select {
 	case r.chores <- c:
--- a/internal/routing/report.go
+++ b/internal/routing/report.go
@@ -119,7 +119,7 @@
 		r.log(fmt.Sprintf("receiver %d of destination %d is %s at %s, weight %g", n, l.Dst, l.ID, l.Addr, l.Weight))
 	}
 	to := r.receivers[n]
-	to.ID, to.number = l.ID, n
+	to.ID, to.number, to.dst = l.ID, n, l.Dst
 	if l.Addr != "" {
 		to.Addr, to.Zone = l.Addr, slices.Index(r.zones, l.Zone)
 	}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -59,6 +59,7 @@
 	ID, Addr string
 	Zone     int
 	number   uint32
+	dst      int64
 }
 
 // Listing is one receiver as discovery lists it.
@@ -77,6 +78,7 @@
 	Probe ChoreKind = iota
 	Note
 	Watch
+	Saw // only for a fleet; others may leave it
 )
 
 // Chore is something to be done beside the messages.
@@ -84,6 +86,7 @@
 	Kind     ChoreKind
 	Receiver Receiver
 	Text     string
+	Sight    Sight // of Saw; its receiver's number means nothing elsewhere, Receiver.ID does
 }
 
 // Router owns the module. Turns run one at a time; each takes in all that has queued up since the last.
@@ -110,6 +113,10 @@
 	receivers map[uint32]Receiver // the same by number
 	chores    chan Chore
 	timer     *time.Timer
+
+	// Gate, where set before the first message, is asked last before a leg's first byte: may a call go to this destination now?
+	// It is asked with no lock of the router held.
+	Gate func(dst int64) bool
 }
 
 // ticket is a message's place at the router.
@@ -269,6 +276,10 @@
 
 // Stands is asked right before a leg's first byte: no wait has been told meanwhile, no drain, no end.
 func (r *Router) Stands(p Pick) bool {
+	return r.stands(p) && (r.Gate == nil || r.Gate(p.Receiver.dst))
+}
+
+func (r *Router) stands(p Pick) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.sender.At(r.clock())
--- a/internal/simwire/instance.go
+++ b/internal/simwire/instance.go
@@ -134,3 +134,6 @@
 	t.text("what", text)
 	t.end()
 }
+
+// Saw tells nobody: here fellows hear notes alone.
+func (t *instance) Saw(choice.Sight) {}
