--- a/internal/daemon/kept_test.go
+++ b/internal/daemon/kept_test.go
@@ -41,6 +41,7 @@
 const sendSoon = "[[kept.rule]]\nact = \"send\"\nrate = 1000.0\nsick = true\nmost = 1\ndeadline = \"8s\"\n"
 
 func TestWhatFailedIsKeptSentAgainOnceAndItsStoryTold(t *testing.T) {
+	t.Parallel()
 	var well atomic.Bool
 	w := newWorld(t, func(id string, _ int, out http.ResponseWriter) {
 		if !well.Load() && id != "probe" {
@@ -65,6 +66,7 @@
 }
 
 func TestWhatMayHaveRunWaitsForAPerson(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, func(id string, _ int, out http.ResponseWriter) { out.WriteHeader(500) })
 	w.keeps(sendSoon)
 	stop := w.start()
@@ -84,6 +86,7 @@
 // A process killed at drawn moments while kept messages go out again: each has an effect at most once, and all can be
 // looked at after each restart.
 func TestKilledAtDrawnMomentsEachKeptMessageIsSentAgainAtMostOnce(t *testing.T) {
+	t.Parallel()
 	var well atomic.Bool
 	w := newWorld(t, func(id string, _ int, out http.ResponseWriter) {
 		if !well.Load() && id != "probe" {
@@ -115,7 +118,7 @@
 	}
 	w.dial()
 	require.Eventually(t, func() bool { // until none waits any more
-		time.Sleep(2 * time.Second)
+		time.Sleep(300 * time.Millisecond) // for the look at its start, which sends a few; another process sends the next
 		require.NoError(t, cmd.Process.Kill())
 		_ = cmd.Wait()
 		waiting := 0
--- a/internal/daemon/levels_test.go
+++ b/internal/daemon/levels_test.go
@@ -13,6 +13,7 @@
 )
 
 func TestEachPartLogsByItsOwnLevelAndAFaultyFileChangesNothing(t *testing.T) {
+	t.Parallel()
 	core, seen := observer.New(zapcore.DebugLevel)
 	ls := newLevels(zapcore.InfoLevel)
 	log := zap.New(partCore{core, ls, "program"}).With(zap.String("sender", "n0"))
--- a/internal/daemon/program_test.go
+++ b/internal/daemon/program_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -38,12 +39,17 @@
 		}
 		return
 	}
+	flag.Parse()
+	if err := flag.Set("test.parallel", "32"); err != nil { // worlds share nothing and mostly wait, whatever the cores
+		panic(err)
+	}
 	goleak.VerifyTestMain(m)
 }
 
 const keyed, once = "c=notice,d=8000,k=5c0f,dest=7", "c=once,d=8000,dest=7"
 
 func TestMessageIsHandedOnUnchanged(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, ok)
 	w.start()
 	c := w.dial()
@@ -58,6 +64,7 @@
 }
 
 func TestBadHandInsAreErrorsAndOweNothing(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, ok)
 	w.start()
 	c := w.dial()
@@ -74,6 +81,7 @@
 }
 
 func TestToldWaitIsHeeded(t *testing.T) {
+	t.Parallel()
 	var until atomic.Int64
 	early := atomic.Bool{}
 	w := newWorld(t, func(id string, _ int, w http.ResponseWriter) {
@@ -96,6 +104,7 @@
 }
 
 func TestUndeliveredMessageEndsWithANoticeUntilItIsKnown(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, func(id string, _ int, out http.ResponseWriter) { out.WriteHeader(500) })
 	w.deaf = 3
 	stop := w.start()
@@ -116,6 +125,7 @@
 }
 
 func TestDrainedReceiverGetsNothingNew(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, ok)
 	w.start()
 	c := w.dial()
@@ -137,6 +147,7 @@
 }
 
 func TestHoldingRoomAndDiskRefuseWithoutACrash(t *testing.T) {
+	t.Parallel()
 	block := make(chan struct{})
 	w := newWorld(t, func(string, int, http.ResponseWriter) { <-block })
 	defer close(block)
@@ -176,6 +187,7 @@
 }
 
 func TestNewStartFileMovesDiscoveryAndNotices(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, func(id string, _ int, out http.ResponseWriter) { out.WriteHeader(500) })
 	w.mute = true
 	w.writeConfig()
@@ -217,6 +229,7 @@
 }
 
 func TestStartThatCannotBeIsOnePlainLine(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, ok)
 	for text, what := range map[string]string{"{": "no JSON", "{}": "names no lane", `{"settings":{"classes":[{}]}}`: "list of receivers"} {
 		require.NoError(t, os.WriteFile(w.env("RELAY_CONFIG"), []byte(text), 0o600))
@@ -238,6 +251,7 @@
 }
 
 func TestOutOfDescriptorsItServesTheNewest(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, ok)
 	w.writeConfig()
 	cmd := sender(w)
@@ -274,6 +288,7 @@
 
 // TestKilledAtAnyMomentItStillOwesWhatItTookOn hands in while the process is killed again and again.
 func TestKilledAtAnyMomentItStillOwesWhatItTookOn(t *testing.T) {
+	t.Parallel()
 	ran := map[string]int{}
 	var w *world
 	w = newWorld(t, func(id string, call int, out http.ResponseWriter) {
@@ -326,6 +341,7 @@
 }
 
 func TestOneWayMessageOutWhenKilledIsNeverRepeated(t *testing.T) {
+	t.Parallel()
 	block := make(chan struct{})
 	w := newWorld(t, func(_ string, call int, _ http.ResponseWriter) {
 		if call == 1 {
@@ -346,6 +362,7 @@
 }
 
 func TestExpiredWhileDownGetsItsNoticeAtOnce(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, ok)
 	cmd := spawn(w)
 	assert.Equal(t, "+OK", w.dial().say(handIn("a", "c=notice,d=150,dest=9", "")))
@@ -357,6 +374,7 @@
 }
 
 func TestDrainServesWhileClientsComeThenKeepsTheRest(t *testing.T) {
+	t.Parallel()
 	hold := make(chan struct{})
 	w := newWorld(t, func(id string, _ int, _ http.ResponseWriter) {
 		if id == "slow" {
--- a/internal/daemon/standin_test.go
+++ b/internal/daemon/standin_test.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -68,7 +69,7 @@
 	w.receiver = httptest.NewServer(http.HandlerFunc(w.receive))
 	w.move()
 	w.told = w.platform.Listener.Addr().String()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", ownHost())
 	require.NoError(t, err)
 	w.listen = l.Addr().String()
 	require.NoError(t, l.Close())
@@ -79,6 +80,15 @@
 	return w
 }
 
+var worlds atomic.Int64
+
+// ownHost is a loopback address that no other world uses: a sender's port is free while it is down, and side by side somebody
+// else would be given it.
+func ownHost() string {
+	p, n := os.Getpid(), worlds.Add(1)
+	return fmt.Sprintf("127.%d.%d.%d:0", 1+p%250, 1+p/250%250, 1+n%250)
+}
+
 // move opens discovery and platform at a new address. The old one stays as it is.
 func (w *world) move() {
 	w.mu.Lock()
