Two tests of the clients' bound wait for what they judge

Idle connections that are being let go still count as idle, and a connection still in the kernel's queue is not counted yet; so the test dialled before its last newcomer was idle, and the only idle one left was the client it guards. It also relied on the whole crowd being dialled within 2 s.

--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -29,7 +29,8 @@
 	handle   func(c *Client)
 	most     int
 	served   int // most served ones that are idle
-	grace    time.Duration
+
+	grace, first, idle time.Duration // graceTime, firstTime, idleTime
 
 	mu      sync.Mutex
 	clients map[*Client]struct{} // emptied as connections close, bounded by most
@@ -83,7 +84,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for clients: %w", err)
 	}
-	return &Server{listener: l, handle: handle, most: most, served: max(1, most/servedPart), grace: graceTime, clients: map[*Client]struct{}{}}, nil
+	return &Server{listener: l, handle: handle, most: most, served: max(1, most/servedPart),
+		grace: graceTime, first: firstTime, idle: idleTime, clients: map[*Client]struct{}{}}, nil
 }
 
 // Addr is where it listens.
@@ -252,10 +254,10 @@
 	case c.leave:
 		_ = c.SetReadDeadline(time.Now().Add(lastLook))
 	case !c.served: // bad commands do not buy time
-		_ = c.SetReadDeadline(c.since.Add(firstTime))
+		_ = c.SetReadDeadline(c.since.Add(s.first))
 	default:
 		c.since = time.Now()
-		_ = c.SetReadDeadline(c.since.Add(idleTime))
+		_ = c.SetReadDeadline(c.since.Add(s.idle))
 	}
 	if c.R.Buffered() == 0 {
 		c.rest()
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -262,6 +262,13 @@
 	}
 }
 
+// times sets how long clients are let be.
+func (s *Server) times(grace, first, idle time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.grace, s.first, s.idle = grace, first, idle
+}
+
 func talk(t *testing.T, c net.Conn, text string) string {
 	t.Helper()
 	_, err := io.WriteString(c, text+"\n")
@@ -287,8 +294,10 @@
 func TestAtTheBoundTheLongestIdleClientGoes(t *testing.T) {
 	s, dial := serveEcho(t, 2)
 	s.served = 2
-	first, second := dial(), dial()
+	second := dial()
 	assert.Equal(t, "a", talk(t, second, "a"))
+	require.Eventually(t, func() bool { return s.Crowd().Idle == 1 }, long, time.Millisecond) // before the first one is
+	first := dial()
 	assert.Equal(t, "b", talk(t, first, "b"))
 	require.Eventually(t, func() bool { return s.Crowd().Idle == 2 }, long, time.Millisecond)
 	third := dial()
@@ -300,13 +309,19 @@
 
 func TestSilentCrowdDrivesNobodyOutAndIsLetGo(t *testing.T) {
 	s, dial := serveEcho(t, 3)
-	s.grace = 0
+	s.times(0, long, long)
 	usual, bad := dial(), dial()
 	assert.Equal(t, "a", talk(t, usual, "a"))
 	assert.Equal(t, "bad", talk(t, bad, "bad"))
 	var crowd []net.Conn
 	for range 20 {
-		require.Eventually(t, func() bool { return s.Crowd().Idle == min(2+len(crowd), 3) }, long, time.Millisecond)
+		require.Eventually(t, func() bool { // all are in, and those let go are gone: else only the usual one is left to go
+			c := s.Crowd()
+			return c.Taken == 2+len(crowd) && c.Open == min(c.Taken, 3) && c.Idle == c.Open
+		}, long, time.Millisecond)
+		if len(crowd) == 19 {
+			s.times(0, shortly, long) // for the last one only
+		}
 		crowd = append(crowd, dial())
 	}
 	_, err := bad.Read(make([]byte, 1))
@@ -320,7 +335,8 @@
 
 func TestFullHouseLeavesNewcomersTimeToSpeak(t *testing.T) {
 	s, dial := serveEcho(t, 3)
-	s.grace, s.served = long, 3
+	s.times(long, long, long)
+	s.served = 3
 	for i := range 3 {
 		assert.Equal(t, "a", talk(t, dial(), "a"))
 		require.Eventually(t, func() bool { return s.Crowd().Idle == i+1 }, long, time.Millisecond)
