A list of the watch may go over several lines

Need: lists may come indented. The watch was read line by line (Watch.Next, bufio.Scanner), so the first line of an indented object was 'no JSON', the watch broke, and the next one brought the same object: no change of the list was heard any more.

The watch now reads JSON values with encoding/json, fed a line at a time, so that an empty line between objects is still a beat. An empty line inside an object is none: a torn object must not look alive. A torn one is found out at the first byte that makes no sense. TestListsOfAWatchMayGoOverLines fails on the old code at its first object.

--- a/internal/protocol/discovery.go
+++ b/internal/protocol/discovery.go
@@ -2,13 +2,19 @@
 
 import (
 	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 
 	"github.com/tidwall/gjson"
 )
 
-const mostList = 4 << 20 // bytes in one object of the list
+const (
+	mostList  = 4 << 20 // bytes in one object of the list
+	watchLine = 4 << 10 // bytes read at once; a longer line comes in parts
+)
 
 // Member is one receiver as discovery lists it.
 type Member struct {
@@ -47,8 +53,45 @@
 	return l, nil
 }
 
-// Watch reads the objects of a watch, one after the other.
-type Watch struct{ lines *bufio.Scanner }
+// Watch reads the objects of a watch, one after the other. Each begins on a line of its own and may go over several.
+type Watch struct {
+	lines *lines
+	json  *json.Decoder
+}
+
+// lines gives a JSON decoder a line at a time, so that it takes nothing of what follows an object.
+type lines struct {
+	r    *bufio.Reader
+	next []byte // of the line read last, what is not handed on yet
+	size int    // bytes of the object so far
+}
+
+// line reads the next one where none is left over.
+func (l *lines) line() (err error) {
+	if len(l.next) > 0 {
+		return nil
+	}
+	if l.next, err = l.r.ReadSlice('\n'); errors.Is(err, bufio.ErrBufferFull) {
+		err = nil // the rest of it comes with the next one
+	}
+	if l.size += len(l.next); l.size > mostList {
+		return malformed("a list of more than %d bytes", mostList)
+	}
+	if len(l.next) > 0 {
+		return nil
+	}
+	return err
+}
+
+// Read is for the decoder.
+func (l *lines) Read(p []byte) (int, error) {
+	if err := l.line(); err != nil {
+		return 0, err
+	}
+	n := copy(p, l.next)
+	l.next = l.next[n:]
+	return n, nil
+}
 
 // NewWatch reads the head of the answer that opens a watch.
 func NewWatch(r *bufio.Reader) (*Watch, error) {
@@ -59,23 +102,32 @@
 	if a.Status != 200 || !a.chunked {
 		return nil, malformed("a watch answered with status %d", a.Status)
 	}
-	w := &Watch{lines: bufio.NewScanner(&chunks{r: r})}
-	w.lines.Buffer(make([]byte, 0, 4<<10), mostList)
-	return w, nil
+	l := &lines{r: bufio.NewReaderSize(&chunks{r: r}, watchLine)}
+	return &Watch{lines: l, json: json.NewDecoder(l)}, nil
 }
 
-// Next waits for the next object. An empty line, which shows that the watch lives, gives an empty one.
+// Next waits for the next object. An empty line between objects, which shows that the watch lives, gives an empty one; inside an
+// object it shows nothing: a torn one would else never be found out.
 func (w *Watch) Next() (l List, beat bool, err error) {
-	if !w.lines.Scan() {
-		if err := w.lines.Err(); err != nil {
+	w.lines.size = 0
+	if rest, _ := io.ReadAll(w.json.Buffered()); blank(rest) { // no object has begun on the line of the last one
+		if blank(w.lines.next) {
+			w.lines.next = nil // the end of that line
+		}
+		if err := w.lines.line(); err != nil {
 			return l, false, fmt.Errorf("watch: %w", err)
 		}
-		return l, false, io.EOF
+		if blank(w.lines.next) {
+			w.lines.next = nil
+			return l, true, nil
+		}
 	}
-	line := w.lines.Bytes()
-	if len(line) == 0 {
-		return l, true, nil
+	var object json.RawMessage
+	if err := w.json.Decode(&object); err != nil {
+		return l, false, fmt.Errorf("watch: %w", err)
 	}
-	l, err = ParseList(line)
+	l, err = ParseList(object)
 	return l, false, err
 }
+
+func blank(text []byte) bool { return len(bytes.TrimSpace(text)) == 0 }
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"strings"
 	"testing"
@@ -144,6 +145,41 @@
 	}
 }
 
+func TestListsOfAWatchMayGoOverLines(t *testing.T) {
+	var text string
+	var want []int64
+	for i := range 40 {
+		text += fmt.Sprintf("{\n  \"revision\": %d,\n\n  \"complete\": false,\r\n  \"members\": [%s]\n}\n", i, strings.Repeat(" ", i*300))
+		want = append(want, int64(i))
+		if i%3 == 0 {
+			text += "\n" // a beat
+			want = append(want, -1)
+		}
+	}
+	text += `{"revision":40,"members":[]} {"revision":41,` + "\n" + `"members":[]}` + "\n\n{\n{"
+	want = append(want, 40, 41, -1)
+	answer := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for i := 0; i < len(text); {
+		n := min(1+i*7%97, len(text)-i)
+		answer += fmt.Sprintf("%x\r\n%s\r\n", n, text[i:i+n])
+		i += n
+	}
+	w, err := NewWatch(reader(answer))
+	require.NoError(t, err)
+	var got []int64
+	for range want {
+		l, beat, err := w.Next()
+		require.NoError(t, err)
+		if beat {
+			l.Revision = -1
+		}
+		got = append(got, l.Revision)
+	}
+	assert.Equal(t, want, got)
+	_, _, err = w.Next()
+	assert.ErrorContains(t, err, "invalid character", "a torn object is found out as soon as it makes no sense")
+}
+
 func TestReportThatCannotBeReadTellsNothing(t *testing.T) {
 	left, limit, told := ParseLoad([]byte("x0=0.4, x1=25,zz=9"))
 	assert.Equal(t, []any{0.4, 25.0, true}, []any{left, limit, told})
