--- a/internal/daemon/program.go
+++ b/internal/daemon/program.go
@@ -48,6 +48,7 @@
 	doorsOpen   = 600 * time.Millisecond  // after SIGTERM: new connections come for a while
 	picksEnd    = 2400 * time.Millisecond // after SIGTERM: no leg starts later
 	drainEnd    = 3300 * time.Millisecond // after SIGTERM: we are gone before we are killed
+	firstList   = 300 * time.Millisecond  // the agent answers at once, or discovery is down; clients wait a little longer for their answers
 	glance      = 20 * time.Millisecond   // between looks whether all is done
 	tallyEvery  = 10 * time.Second        // between lines of counts
 )
@@ -78,6 +79,7 @@
 	discovery *platform.Discovery
 
 	probeFor time.Duration // how long a probe may take
+	listWait time.Duration // for the first list, before anything is sent
 	probes   atomic.Int64
 	work     sync.WaitGroup
 }
@@ -98,7 +100,7 @@
 	debug.SetMemoryLimit(int64(memoryShare * float64(startup.Memory(c))))
 	listen, discoveryAt := startup.Addresses(env, c)
 	p := &Program{log: log.With(zap.String("sender", startup.Name(c))), env: env, reload: reload, agent: platform.NewAgent(discoveryAt),
-		clock: relay.NewClock()}
+		clock: relay.NewClock(), listWait: firstList}
 	if err := p.openSpool(startup.StateDir(env), int64(diskShare*float64(startup.Disk(c)))); err != nil {
 		return nil, err
 	}
@@ -147,6 +149,7 @@
 	p.engine.Begin(picking, working)
 	p.enter(recovering)
 	p.start(working)
+	p.discovery.Heard(p.listWait)
 	for _, m := range p.spool.Owed() {
 		p.engine.Resume(m)
 	}
--- a/internal/daemon/program_test.go
+++ b/internal/daemon/program_test.go
@@ -132,7 +132,7 @@
 	assert.Equal(t, "+OK", c.say(handIn("a", keyed, "")))
 	w.soon(func() bool { return w.calls["a"] == 1 })
 	w.list <- w.member("DRAINING")
-	w.list <- "{\"broken\""
+	w.list <- "{\"broken\"}"
 	n := 0
 	require.Eventually(t, func() bool { // once the change has been taken in, a message waits
 		n++
@@ -373,6 +373,26 @@
 	w.soon(func() bool { return w.notices["a"] == "returned" })
 }
 
+// What the agent holds counts as told from the first moment of a process, so nothing owed goes out before it was heard.
+func TestNothingOwedGoesOutBeforeTheAgentWasHeard(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, func(_ string, _ int, out http.ResponseWriter) { out.WriteHeader(503) })
+	cmd := spawn(w)
+	assert.Equal(t, "+OK", w.dial().say(handIn("a", "c=notice,d=3000,dest=7", "")))
+	w.soon(func() bool { return w.calls["a"] > 0 })
+	kill(t, cmd)
+	before := w.calls["a"]
+	hold := make(chan struct{})
+	w.held = func() string {
+		<-hold
+		return w.member("DRAINING")
+	}
+	time.AfterFunc(100*time.Millisecond, func() { close(hold) }) // long enough for a leg that does not wait; one that does, waits anyway
+	w.start()
+	w.soon(func() bool { return w.notices["a"] != "" })
+	assert.Equal(t, before, w.calls["a"], "its only receiver drains")
+}
+
 func TestDrainServesWhileClientsComeThenKeepsTheRest(t *testing.T) {
 	t.Parallel()
 	hold := make(chan struct{})
--- a/internal/daemon/standin_test.go
+++ b/internal/daemon/standin_test.go
@@ -40,7 +40,8 @@
 	list      chan string // lines for the watch at the newest platform
 	settings  string
 	diskMB    float64
-	operators string // the operator's file, empty for none
+	operators string        // the operator's file, empty for none
+	held      func() string // the first object of each watch
 	sender    *Program
 
 	mu      sync.Mutex
@@ -160,6 +161,7 @@
 	}
 	w.mu.Unlock()
 	out.WriteHeader(200)
+	fmt.Fprintln(out, w.first(in))
 	for {
 		out.(http.Flusher).Flush()
 		select {
@@ -171,6 +173,14 @@
 	}
 }
 
+// first is a watch's first object: nothing has changed, where no test has it otherwise.
+func (w *world) first(in *http.Request) string {
+	if w.held != nil {
+		return w.held()
+	}
+	return fmt.Sprintf(`{"revision":%s,"complete":false,"members":[]}`, in.URL.Query().Get("from"))
+}
+
 // member is the receiver as discovery lists it.
 func (w *world) member(phase string) string {
 	return fmt.Sprintf(`{"revision":2,"complete":false,"members":[{"id":"s-1","host_port":"%s","locality":"z","flavor":"m",`+
@@ -196,7 +206,7 @@
 	w.writeConfig()
 	p, err := New(w.env, zap.NewNop(), nil)
 	require.NoError(w.t, err)
-	w.sender = p
+	w.sender, p.listWait = p, long
 	ctx, cancel := context.WithCancel(context.Background())
 	if w.operators != "" {
 		f, err := operator.Read(w.operators)
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -21,6 +21,9 @@
 	W       *bufio.Writer
 }
 
+// Over gives a connection its rings.
+func Over(c net.Conn) *Conn { return newConn(c) }
+
 func newConn(c net.Conn) *Conn {
 	n := &Conn{Conn: c}
 	n.R = bufio.NewReaderSize(n, bufferSize)
