Process tests: a rig of built senders, a fault proxy a directed link, judges, transcripts

How senders behave together has to be seen on processes of the built program, with each of their links cut, muted, half-open, slow, lossy, doubled or disordered in one direction, and with kills, stops, drains and folders that are kept, restored or wiped. internal/fleettest starts them with receivers, discovery and platform of each sender's own, plays schedules that are data, judges one end, repeats, waits, drains, limits and order on what passed, and compares normalised transcripts.

--- /dev/null
+++ b/internal/fleettest/fleettest_test.go
@@ -0,0 +1,321 @@
+package fleettest
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"ravenlink/internal/links"
+)
+
+func TestMain(m *testing.M) { Main(m) }
+
+func TestKilledAndStartedAgainEveryMessageEndsOnce(t *testing.T) {
+	t.Parallel()
+	r := New(t, Setup{Senders: 3, Destinations: []int64{7, 8}})
+	r.Start()
+	c := r.Client(0)
+	hand := func(from, to int) {
+		for i := from; i < to; i++ {
+			m := Message{ID: fmt.Sprint("m", i), Lane: []string{"notice", "once", "again", "lined"}[i%4], Dst: int64(7 + i/4%2), Within: 4 * time.Second}
+			if m.Lane == "lined" {
+				m.OrderKey = "1a"
+			}
+			c.HandIn(m)
+		}
+	}
+	r.Conduct(7, Conduct{Silent: true})
+	r.Conduct(8, Conduct{Limit: 4, Wait: 300 * time.Millisecond})
+	hand(0, 24)
+	r.Until("legs are out", func(rec Record) bool { return len(rec.Calls) > 2 })
+	r.Sender("a").Kill()
+	hand(24, 48) // at another sender
+	r.Conduct(7, Conduct{})
+	r.Sender("a").Start()
+	r.UntilEnded()
+	r.Judge()
+	rec, by := r.Record(), map[string]bool{}
+	for _, h := range rec.HandIns {
+		by[h.Sender] = by[h.Sender] || h.Taken()
+	}
+	require.True(t, by["a"] && by["b"], "the client went on at the next sender")
+}
+
+func TestDrawnSchedules(t *testing.T) {
+	t.Parallel()
+	seeds := []uint64{1, 2}
+	if n, err := strconv.Atoi(os.Getenv("FLEETTEST_DRAWN")); err == nil { // as many further ones, outside CI
+		for i := range n {
+			seeds = append(seeds, uint64(1000+i))
+		}
+	}
+	for _, seed := range seeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			s := Draw(seed, 3, []int64{7, 8}, 60, 8, 20*time.Millisecond)
+			require.Equal(t, s, Draw(seed, 3, []int64{7, 8}, 60, 8, 20*time.Millisecond))
+			path := filepath.Join(t.TempDir(), "schedule.json")
+			require.NoError(t, s.Keep(path))
+			s, err := ReadSchedule(path)
+			require.NoError(t, err)
+			r := New(t, s.Setup())
+			r.Start()
+			r.Play(s)
+			r.UntilEnded()
+			r.Judge()
+		})
+	}
+}
+
+func TestFolderIsKeptRestoredAndWiped(t *testing.T) {
+	t.Parallel()
+	r := New(t, Setup{Senders: 3})
+	r.Conduct(7, Conduct{Silent: true})
+	a := r.Sender("a")
+	a.Start()
+	require.Equal(t, "+OK", r.Client(0).HandIn(Message{ID: "m", Lane: "notice", Dst: 7, Within: time.Minute}))
+	r.Until("the leg is out", func(rec Record) bool { return len(rec.Calls) == 1 })
+	a.Kill()
+	a.Keep("owing")
+	a.Wipe()
+	r.Conduct(7, Conduct{})
+	a.Start()
+	a.Term()
+	require.Equal(t, []string{"m"}, r.Record().Owed(), "without its folder it knows of nothing")
+	a.Restore("owing")
+	a.Start()
+	r.UntilEnded()
+	a.Stop()
+	a.Cont()
+	a.Term()
+	r.Judge()
+}
+
+// faulty is a scripted sender: it calls receivers and the platform as a program with a fault would.
+type faulty struct {
+	*testing.T
+	*Rig
+	taken int
+}
+
+func (f *faulty) take(m Message) {
+	f.taken++
+	f.rec.write(func(rec *Record) {
+		rec.HandIns = append(rec.HandIns, HandIn{Message: m, At: f.rec.now(), Sender: "a", Answer: "+OK"})
+	})
+}
+
+func (f *faulty) call(sender string, dst int64, id string) {
+	in, err := http.NewRequest(http.MethodPost, f.Rig.Sender(sender).reach[dst].URL+"/events", strings.NewReader("x"))
+	require.NoError(f.T, err)
+	in.Header.Set("X-Txn", id)
+	in.Header.Set("Idempotency-Key", "k")
+	f.do(in)
+}
+
+func (f *faulty) tell(id, state string) {
+	in, err := http.NewRequest(http.MethodPost, f.Rig.Sender("a").platform.server.URL+"/v2/finals",
+		strings.NewReader(fmt.Sprintf(`{"id":"%s","state":"%s"}`, id, state)))
+	require.NoError(f.T, err)
+	f.do(in)
+}
+
+func (f *faulty) do(in *http.Request) {
+	one := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	res, err := one.Do(in)
+	require.NoError(f.T, err)
+	require.NoError(f.T, res.Body.Close())
+}
+
+func TestEachJudgeFindsAPlantedFault(t *testing.T) {
+	t.Parallel()
+	msg := func(id, lane string) Message {
+		return Message{ID: id, Lane: lane, Dst: 7, Within: time.Minute, OrderKey: "1a"}
+	}
+	for name, c := range map[string]struct {
+		judge Judge
+		want  string
+		plant func(f *faulty)
+	}{
+		"never ends":     {OneEnd, "m: no end", func(f *faulty) { f.take(msg("m", "once")) }},
+		"two states":     {OneEnd, "m: 2 states", func(f *faulty) { f.take(msg("m", "once")); f.tell("m", "failed"); f.tell("m", "returned") }},
+		"both ends":      {OneEnd, "m: delivered and told", func(f *faulty) { f.take(msg("m", "once")); f.call("a", 7, "m"); f.tell("m", "failed") }},
+		"told late":      {OneEnd, "m: told", func(f *faulty) { m := msg("m", "once"); m.Within = -time.Minute; f.take(m); f.tell("m", "failed") }},
+		"delivered late": {OneEnd, "m: delivered", func(f *faulty) { m := msg("m", "once"); m.Within = -time.Minute; f.take(m); f.call("a", 7, "m") }},
+		"repeated":       {Repeats(Lanes), "m: may have run 2", func(f *faulty) { f.take(msg("m", "once")); f.call("a", 7, "m"); f.call("b", 7, "m") }},
+		"out of window":  {Repeats(map[string]Lane{"notice": {Keyed: true}}), "m: repeated", func(f *faulty) { f.take(msg("m", "notice")); f.call("a", 7, "m"); f.call("a", 7, "m") }},
+		"wait": {Waits(0), "n: a called 7", func(f *faulty) {
+			f.Conduct(7, Conduct{Limit: 1, Wait: time.Minute})
+			f.call("a", 7, "l")
+			f.call("a", 7, "m")
+			f.call("a", 7, "n")
+		}},
+		"wait of another": {WaitsOfAll(0), "n: b called 7", func(f *faulty) {
+			f.Conduct(7, Conduct{Limit: 1, Wait: time.Minute})
+			f.call("a", 7, "l")
+			f.call("a", 7, "m")
+			f.call("b", 7, "n")
+		}},
+		"drains": {Drains(0), "m: called 7", func(f *faulty) { f.Serving(7, false); f.call("a", 7, "m") }},
+		"limit":  {WithinLimit(7, 2, time.Minute, 0), "1 calls over", func(f *faulty) { f.call("a", 7, "l"); f.call("b", 7, "m"); f.call("c", 7, "n") }},
+		"order": {Order(ByKey), `n of "a 1a" ran before m`, func(f *faulty) {
+			f.take(msg("m", "lined"))
+			f.take(msg("n", "lined"))
+			f.call("a", 7, "n")
+			f.call("a", 7, "m")
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := &faulty{T: t, Rig: New(t, Setup{Senders: 3})}
+			c.plant(f)
+			found := c.judge(f.Record())
+			require.Len(t, found, 1)
+			require.Contains(t, found[0], c.want)
+		})
+	}
+	good := &faulty{T: t, Rig: New(t, Setup{Senders: 3})}
+	good.take(msg("m", "lined"))
+	good.take(msg("n", "notice"))
+	good.call("a", 7, "m")
+	good.call("a", 7, "n")
+	good.call("a", 7, "n")
+	good.Judge(WaitsOfAll(0), WithinLimit(7, 3, time.Minute, 0))
+}
+
+// TestEachFaultOfALinkDoesWhatItSays has two ends of internal/links talk through the proxies.
+func TestEachFaultOfALinkDoesWhatItSays(t *testing.T) {
+	t.Parallel()
+	fates := func(r *Rig, fate string) func(Record) bool {
+		return func(rec Record) bool {
+			for _, p := range rec.Posts {
+				if p.From == "a" && p.To == "b" && p.Fate == fate && p.Bytes > 60 { // no greeting
+					return true
+				}
+			}
+			return false
+		}
+	}
+	for name, c := range map[string]struct {
+		faults Faults
+		fate   string
+		hears  bool
+	}{
+		"sound": {Faults{}, "passed", true}, "cut": {Faults{Cut: true}, "cut", false}, "mute": {Faults{Mute: true}, "unanswered", false},
+		"half-open": {Faults{HalfOpen: true}, "held", false}, "lost": {Faults{Loss: 1}, "lost", false}, "doubled": {Faults{Doubles: 1}, "doubled", true},
+		"disorder": {Faults{Disorder: 1}, "replayed", true}, "delay": {Faults{Delay: 10 * time.Millisecond}, "passed", true},
+		"throttle": {Faults{BytesEach: 10, Each: time.Millisecond}, "passed", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := New(t, Setup{Senders: 3})
+			heard := make(chan string, 10_000)
+			a, b := r.Sender("a"), r.Sender("b")
+			ends := map[*Sender]*links.Links{}
+			ctx, cancel := context.WithCancel(context.Background())
+			done := make(chan error, 2)
+			for _, s := range []*Sender{a, b} {
+				var peers []links.Peer
+				for _, p := range s.Peers() {
+					peers = append(peers, links.Peer{Name: p[0], Addr: p[1]})
+				}
+				l, err := links.New(zap.NewNop(), links.Hello{Fleet: "f", Name: s.Name}, peers, s.Links, func(h links.Hello, f links.Frame) { heard <- h.Name + string(f.Body) })
+				require.NoError(t, err)
+				ends[s] = l
+				go func() { done <- l.Run(ctx) }()
+			}
+			t.Cleanup(func() { cancel(); require.NoError(t, <-done); require.NoError(t, <-done) })
+			r.Link("a", "b").Set(c.faults)
+			seen := fates(r, c.fate)
+			pass := func(rec Record) bool {
+				ends[a].Send("b", links.Frame{Kind: links.Shares, Slot: "s", Body: []byte(strings.Repeat("1", 40))})
+				if !c.hears {
+					return len(rec.Posts) > 0 && rec.Posts[0].Fate == c.fate
+				}
+				return seen(rec)
+			}
+			r.Until(c.fate, pass)
+			if !c.hears {
+				require.Empty(t, heard)
+				ends[b].Send("a", links.Frame{Kind: links.Shares, Body: []byte("back")})
+				require.Equal(t, "bback", <-heard, "the other direction is sound")
+				r.Heal()
+			}
+			r.Until("it is heard", func(Record) bool {
+				ends[a].Send("b", links.Frame{Kind: links.Shares, Slot: "s", Body: []byte("x")})
+				return len(heard) > 0
+			})
+			require.Contains(t, <-heard, "a")
+		})
+	}
+}
+
+func TestTranscriptOfADelivery(t *testing.T) {
+	t.Parallel()
+	r := New(t, Setup{Senders: 3})
+	r.Start()
+	s := r.Transcript()
+	s.Phase("three senders start")
+	r.Client(1).HandIn(Message{ID: "m1", Lane: "notice", Key: "5c0f", Dst: 7, Body: "hello"})
+	r.UntilEnded()
+	s.Phase("a message is handed in at b and delivered")
+	r.Sender("b").Term()
+	s.Phase("b drains")
+	s.Disk(r.Sender("b"))
+	s.Compare("delivery")
+}
+
+func TestTranscriptOfAKillWhileAMessageIsOwed(t *testing.T) {
+	t.Parallel()
+	r := New(t, Setup{Senders: 3})
+	r.Start()
+	s := r.Transcript()
+	s.Phase("three senders start")
+	r.Conduct(7, Conduct{Silent: true})
+	c := r.Client(0)
+	c.HandIn(Message{ID: "m1", Lane: "notice", Key: "5c0f", Dst: 7, Body: "may run twice"})
+	r.Until("a leg is out", func(rec Record) bool { return len(rec.Calls) == 1 })
+	c.HandIn(Message{ID: "m2", Lane: "once", Dst: 7, Body: "must not"})
+	r.Until("both legs are out", func(rec Record) bool { return len(rec.Calls) == 2 })
+	r.Sender("a").Kill()
+	s.Phase("two messages are handed in at a, which is killed with both legs out")
+	s.Disk(r.Sender("a"))
+	r.Conduct(7, Conduct{})
+	r.Sender("a").Start()
+	r.UntilEnded()
+	s.Phase("a starts again: the keyed one is repeated, the other fails")
+	r.Sender("a").Term()
+	s.Disk(r.Sender("a"))
+	s.Compare("kill")
+}
+
+// watched is a test that is meant to fail.
+type watched struct {
+	testing.TB
+	failed bool
+}
+
+func (w *watched) Error(...any)          { w.failed = true }
+func (w *watched) Errorf(string, ...any) { w.failed = true }
+func (w *watched) FailNow()              { w.failed = true }
+
+func TestATranscriptThatChangedIsFound(t *testing.T) {
+	t.Parallel()
+	s := New(t, Setup{Senders: 3}).Transcript()
+	s.Phase("nothing happens")
+	w := &watched{TB: t}
+	s.r.t = w
+	s.Compare("delivery")
+	s.r.t = t
+	require.True(t, w.failed)
+	text, err := os.ReadFile("testdata/delivery.golden")
+	require.NoError(t, err)
+	require.NotRegexp(t, `127\.0\.0\.1|X-Remaining-Ms: \d`, string(text))
+}
--- /dev/null
+++ b/internal/fleettest/judge.go
@@ -0,0 +1,260 @@
+package fleettest
+
+import (
+	"fmt"
+	"slices"
+	"sort"
+	"time"
+)
+
+// Lane is what the judges know of a lane.
+type Lane struct {
+	Keyed, Retriable, InOrder bool
+	Window                    time.Duration // of a keyed one
+}
+
+// Judge reads a record and names each fault in it.
+type Judge func(Record) []string
+
+// noticeSlack is how long after its deadline the notice of a message may come, while its sender is up and the platform answers.
+const noticeSlack = 2 * time.Second
+
+// OneEnd finds messages taken on that end never, twice, or late. A sender that was down or stopped has the time of its
+// absence on top. A message may be delivered and then fail only where its sender was killed with the leg out: it could not know.
+func OneEnd(rec Record) (faults []string) {
+	for _, h := range rec.HandIns {
+		if !h.Taken() {
+			continue
+		}
+		ends := map[string]bool{}
+		var last time.Duration
+		for _, n := range rec.Notices {
+			if n.ID == h.ID {
+				ends[n.State], last = true, max(last, n.At)
+			}
+		}
+		var delivered []Call
+		for _, c := range rec.CallsOf(h.ID) {
+			if c.Status == 200 {
+				delivered = append(delivered, c)
+			}
+		}
+		due := h.At + h.Within
+		switch {
+		case len(ends) == 0 && len(delivered) == 0:
+			faults = append(faults, h.ID+": no end")
+		case len(ends) > 1:
+			faults = append(faults, fmt.Sprintf("%s: %d states told", h.ID, len(ends)))
+		case len(ends) > 0 && len(delivered) > 0 && !(ends["failed"] && rec.cutShort(delivered)):
+			faults = append(faults, h.ID+": delivered and told as undelivered")
+		}
+		if len(ends) > 0 && last > due+noticeSlack+rec.absent(h.Sender, h.At, last) {
+			faults = append(faults, fmt.Sprintf("%s: told %v after its deadline", h.ID, last-due))
+		}
+		if len(delivered) > 0 && delivered[0].At > due {
+			faults = append(faults, fmt.Sprintf("%s: delivered %v after its deadline", h.ID, delivered[0].At-due))
+		}
+	}
+	return faults
+}
+
+// cutShort tells whether each of the calls was out when its sender was killed.
+func (r Record) cutShort(calls []Call) bool {
+	for _, c := range calls {
+		if !slices.ContainsFunc(r.Acts, func(a Act) bool {
+			return a.Sender == c.Sender && a.What == "kill" && a.At >= c.At && (c.Answered == 0 || a.At <= c.Answered+unread)
+		}) {
+			return false
+		}
+	}
+	return true
+}
+
+// unread is how long an answer may stand unread, or unrecorded, at a sender that then is killed.
+const unread = 200 * time.Millisecond
+
+// absent sums for how long a sender was down or stopped.
+func (r Record) absent(sender string, from, to time.Duration) (sum time.Duration) {
+	away := time.Duration(-1)
+	for _, a := range r.Acts {
+		if a.Sender != sender || a.At < from || a.At > to {
+			continue
+		}
+		switch a.What {
+		case "kill", "term", "stop":
+			if away < 0 {
+				away = a.At
+			}
+		case "start", "cont":
+			if away >= 0 {
+				sum += a.At - away
+				away = -1
+			}
+		}
+	}
+	return sum
+}
+
+// Repeats finds messages that may have run more often than their lanes allow.
+func Repeats(lanes map[string]Lane) Judge {
+	return func(rec Record) (faults []string) {
+		for _, h := range rec.HandIns {
+			lane := lanes[h.Lane]
+			var ran []Call
+			for _, c := range rec.CallsOf(h.ID) {
+				if c.Ran() {
+					ran = append(ran, c)
+				}
+			}
+			switch {
+			case len(ran) < 2 || lane.Retriable:
+			case !lane.Keyed:
+				faults = append(faults, fmt.Sprintf("%s: may have run %d times", h.ID, len(ran)))
+			case ran[len(ran)-1].At-ran[0].At > lane.Window:
+				faults = append(faults, fmt.Sprintf("%s: repeated %v after its first run", h.ID, ran[len(ran)-1].At-ran[0].At))
+			case slices.ContainsFunc(ran, func(c Call) bool { return c.Key != ran[0].Key || c.Key == "" }):
+				faults = append(faults, h.ID+": repeated under another key")
+			}
+		}
+		return faults
+	}
+}
+
+// Waits finds calls to a destination within a wait that it has told that sender. Calls that were on their way, by slack, count not.
+func Waits(slack time.Duration) Judge {
+	return func(rec Record) (faults []string) {
+		for _, told := range rec.Calls {
+			if told.Wait == 0 {
+				continue
+			}
+			for _, c := range rec.Calls {
+				if c.Sender == told.Sender && c.Dst == told.Dst && c.At > told.Answered+slack && c.At < told.Answered+told.Wait-time.Millisecond {
+					faults = append(faults, fmt.Sprintf("%s: %s called %d %v into a wait of %v", c.ID, c.Sender, c.Dst, c.At-told.Answered, told.Wait))
+				}
+			}
+		}
+		return faults
+	}
+}
+
+// WaitsOfAll is Waits for the whole fleet: a wait told to one is heeded by all once within has passed.
+func WaitsOfAll(within time.Duration) Judge {
+	return func(rec Record) (faults []string) {
+		for _, told := range rec.Calls {
+			for _, c := range rec.Calls {
+				if told.Wait > 0 && c.Dst == told.Dst && c.At > told.Answered+within && c.At < told.Answered+told.Wait-time.Millisecond {
+					faults = append(faults, fmt.Sprintf("%s: %s called %d %v into a wait told to %s", c.ID, c.Sender, c.Dst, c.At-told.Answered, told.Sender))
+				}
+			}
+		}
+		return faults
+	}
+}
+
+// Drains finds calls to a destination that is listed as draining since more than slack.
+func Drains(slack time.Duration) Judge {
+	return func(rec Record) (faults []string) {
+		for _, c := range rec.Calls {
+			serving, since := true, time.Duration(0)
+			for _, l := range rec.Lists {
+				if l.Sender == c.Sender && l.Dst == c.Dst && l.At <= c.At {
+					serving, since = l.Serving, l.At
+				}
+			}
+			if !serving && c.At > since+slack {
+				faults = append(faults, fmt.Sprintf("%s: called %d, which drains since %v", c.ID, c.Dst, c.At-since))
+			}
+		}
+		return faults
+	}
+}
+
+// Over is by how many calls the fleet's sum to a destination went over a limit, in the worst window.
+func (r Record) Over(dst int64, limit int, window time.Duration) (worst int) {
+	var at []time.Duration
+	for _, c := range r.Calls {
+		if c.Dst == dst {
+			at = append(at, c.At)
+		}
+	}
+	slices.Sort(at)
+	for from, to := 0, 0; to < len(at); to++ {
+		for at[from] <= at[to]-window {
+			from++
+		}
+		worst = max(worst, to-from+1-limit)
+	}
+	return worst
+}
+
+// WithinLimit finds a sum of calls that is more than over above a limit.
+func WithinLimit(dst int64, limit int, window time.Duration, over int) Judge {
+	return func(rec Record) []string {
+		if n := rec.Over(dst, limit, window); n > over {
+			return []string{fmt.Sprintf("destination %d: %d calls over its limit of %d in %v, where %d are allowed", dst, n, limit, window, over)}
+		}
+		return nil
+	}
+}
+
+// Order finds messages of one line that ran out of order. A line names those whose order counts, and a message's place in it;
+// the empty line is none. A message that surely never ran has no place.
+func Order(line func(HandIn) (string, int64)) Judge {
+	return func(rec Record) (faults []string) {
+		type run struct {
+			id          string
+			place       int64
+			first, last time.Duration
+		}
+		lines := map[string][]run{}
+		seen := map[string]bool{}
+		for _, h := range rec.HandIns {
+			name, place := line(h)
+			if name == "" || seen[h.ID] {
+				continue
+			}
+			seen[h.ID] = true
+			one := run{id: h.ID, place: place, first: -1}
+			for _, c := range rec.CallsOf(h.ID) {
+				if c.Ran() {
+					if one.first < 0 {
+						one.first = c.At
+					}
+					one.last = max(one.last, c.At)
+				}
+			}
+			if one.first >= 0 {
+				lines[name] = append(lines[name], one)
+			}
+		}
+		for name, runs := range lines {
+			sort.SliceStable(runs, func(i, j int) bool { return runs[i].place < runs[j].place })
+			for i := 1; i < len(runs); i++ {
+				if runs[i].first < runs[i-1].last {
+					faults = append(faults, fmt.Sprintf("%s of %q ran before %s had ended", runs[i].id, name, runs[i-1].id))
+				}
+			}
+		}
+		slices.Sort(faults)
+		return faults
+	}
+}
+
+// ByKey is the order of messages with an order key, handed in at one sender over one connection after another.
+func ByKey(h HandIn) (string, int64) {
+	if h.OrderKey == "" || !h.Taken() {
+		return "", 0
+	}
+	return h.Sender + " " + h.OrderKey, int64(h.At)
+}
+
+// Judge has the judges read what has passed: the named ones and, always, one end, repeats, waits, drains and order by key.
+func (r *Rig) Judge(more ...Judge) {
+	r.t.Helper()
+	rec := r.Record()
+	for _, j := range append([]Judge{OneEnd, Repeats(Lanes), Waits(unread), Drains(time.Second), Order(ByKey)}, more...) {
+		for _, fault := range j(rec) {
+			r.t.Error(fault)
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleettest/process.go
@@ -0,0 +1,164 @@
+package fleettest
+
+import (
+	"bytes"
+	"fmt"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Sender is one process of the program, or none while it is down.
+type Sender struct {
+	Name     string
+	Listen   string // for clients
+	Links    string // for other senders
+	r        *Rig
+	dir      string
+	platform *platform
+	reach    map[int64]*httptest.Server // where it reaches each destination
+	cmd      *exec.Cmd
+	ended    chan struct{}
+	log      logText
+}
+
+type logText struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (l *logText) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+// Log is what it has written to standard error so far, over all its processes.
+func (s *Sender) Log() string {
+	s.log.mu.Lock()
+	defer s.log.mu.Unlock()
+	return s.log.text.String()
+}
+
+// Folder is the state folder.
+func (s *Sender) Folder() string { return filepath.Join(s.dir, "state") }
+
+func (s *Sender) act(what string) {
+	at := s.r.rec.now()
+	s.r.rec.write(func(rec *Record) { rec.Acts = append(rec.Acts, Act{at, s.Name, what}) })
+}
+
+// Start runs the program and waits until it answers clients.
+func (s *Sender) Start() {
+	s.r.t.Helper()
+	s.Spawn()
+	s.r.Until(s.Name+" answers", func(Record) bool { return s.ping() })
+}
+
+// Spawn runs the program and waits for nothing.
+func (s *Sender) Spawn() {
+	s.r.t.Helper()
+	require.Nil(s.r.t, s.cmd, "%s runs already", s.Name)
+	start := fmt.Sprintf(`{"name":"%s","discovery":"%s","seed":"%016x","limits":{"cores":1,"memory_mb":192,"sockets":1024,"disk_mb":3},`+
+		`"known":%s,"settings":%s}`, s.Name, s.platform.server.Listener.Addr(), s.r.setup.Seed<<8|uint64(s.Name[0]), s.known(), s.r.setup.Settings)
+	s.write("config.json", start)
+	require.NoError(s.r.t, os.MkdirAll(s.Folder(), 0o700))
+	args := []string{}
+	if s.r.setup.Operator != nil {
+		s.write("operator.toml", s.r.setup.Operator(s))
+		args = append(args, "--operator", filepath.Join(s.dir, "operator.toml"))
+	}
+	s.cmd = exec.Command(Binary(s.r.t), args...)
+	s.cmd.Env = append(os.Environ(), "RAVENLINK_LOG=info", "RELAY_CONFIG="+filepath.Join(s.dir, "config.json"), "RELAY_STATE="+s.Folder(),
+		"RELAY_LISTEN="+s.Listen, "RELAY_DISCOVERY="+s.platform.server.Listener.Addr().String(), "RELAY_NAME="+s.Name)
+	s.cmd.Stderr = &s.log
+	s.act("start")
+	require.NoError(s.r.t, s.cmd.Start())
+	s.ended = make(chan struct{})
+	go func(cmd *exec.Cmd, ended chan struct{}) {
+		_ = cmd.Wait()
+		close(ended)
+	}(s.cmd, s.ended)
+}
+
+func (s *Sender) write(name, text string) {
+	require.NoError(s.r.t, os.WriteFile(filepath.Join(s.dir, name), []byte(text), 0o600))
+}
+
+func (s *Sender) signal(what string, sig os.Signal) {
+	s.r.t.Helper()
+	require.NotNil(s.r.t, s.cmd, "%s is down", s.Name)
+	s.act(what)
+	require.NoError(s.r.t, s.cmd.Process.Signal(sig))
+}
+
+// Running tells whether there is a process, stopped or not.
+func (s *Sender) Running() bool { return s.cmd != nil }
+
+// Kill ends the process at once, by SIGKILL.
+func (s *Sender) Kill() {
+	s.r.t.Helper()
+	s.signal("kill", syscall.SIGKILL)
+	<-s.ended
+	s.cmd = nil
+}
+
+// Term has the process drain, and waits for its end, which must be a good one.
+func (s *Sender) Term() {
+	s.r.t.Helper()
+	s.signal("term", syscall.SIGTERM)
+	<-s.ended
+	require.Zero(s.r.t, s.cmd.ProcessState.ExitCode(), s.Log())
+	s.cmd = nil
+}
+
+// Stop halts the process where it is; Cont has it go on.
+func (s *Sender) Stop() { s.signal("stop", syscall.SIGSTOP) }
+
+// Cont has a stopped process go on.
+func (s *Sender) Cont() { s.signal("cont", syscall.SIGCONT) }
+
+// Keep copies the folder as it is, under a name.
+func (s *Sender) Keep(name string) {
+	require.NoError(s.r.t, os.RemoveAll(filepath.Join(s.dir, "kept-"+name)))
+	require.NoError(s.r.t, os.CopyFS(filepath.Join(s.dir, "kept-"+name), os.DirFS(s.Folder())))
+}
+
+// Restore puts a kept copy in the folder's place. The process must be down.
+func (s *Sender) Restore(name string) {
+	s.Wipe()
+	require.NoError(s.r.t, os.CopyFS(s.Folder(), os.DirFS(filepath.Join(s.dir, "kept-"+name))))
+	s.act("restore " + name)
+}
+
+// Wipe removes the folder. The process must be down.
+func (s *Sender) Wipe() {
+	require.Nil(s.r.t, s.cmd, "%s runs", s.Name)
+	require.NoError(s.r.t, os.RemoveAll(s.Folder()))
+	s.act("wipe")
+}
+
+// Peers are the other senders, as an operator's file lists them: name and the address of the directed link.
+func (s *Sender) Peers() (peers [][2]string) {
+	for _, o := range s.r.senders {
+		if o != s {
+			peers = append(peers, [2]string{o.Name, s.r.Link(s.Name, o.Name).Addr()})
+		}
+	}
+	return peers
+}
+
+// PeersTOML are the same as entries of an array of tables of that name.
+func (s *Sender) PeersTOML(table string) string {
+	var b strings.Builder
+	for _, p := range s.Peers() {
+		fmt.Fprintf(&b, "[[%s]]\nname = %q\naddress = %q\n", table, p[0], p[1])
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/fleettest/record.go
@@ -0,0 +1,129 @@
+package fleettest
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+// Record is what passed on the wire, each part in the order in which it passed. Times are since the rig began.
+type Record struct {
+	HandIns []HandIn
+	Calls   []Call
+	Notices []Notice
+	Lists   []Listing
+	Acts    []Act
+	Posts   []Post
+}
+
+// HandIn is one message as a client handed it in, and its answer.
+type HandIn struct {
+	Message
+	At, Answered time.Duration
+	Sender       string
+	Answer       string // empty when the connection ended before it
+}
+
+// Taken tells whether the sender took the message on.
+func (h HandIn) Taken() bool { return h.Answer == "+OK" }
+
+// Call is one leg as a receiver saw it.
+type Call struct {
+	At, Answered time.Duration // Answered is 0 while it is open or when it was cut
+	Sender       string
+	ID, Key      string
+	Dst          int64
+	Status       int // 0: no answer
+	Wait         time.Duration
+	Text         string // as it came, for transcripts
+}
+
+// Ran tells whether the call may have taken effect.
+func (c Call) Ran() bool { return c.Status != 429 && c.Status != 503 && c.Status != 504 }
+
+// Notice is one line of a post of notices that the platform took.
+type Notice struct {
+	At        time.Duration
+	Sender    string
+	ID, State string
+}
+
+// Listing is a change of the list as one sender was told it.
+type Listing struct {
+	At      time.Duration
+	Sender  string
+	Dst     int64
+	Serving bool
+}
+
+// Act is what was done to a sender: start, kill, term, stop, cont.
+type Act struct {
+	At     time.Duration
+	Sender string
+	What   string
+}
+
+// Post is what became of one post on a directed link.
+type Post struct {
+	At       time.Duration
+	From, To string
+	Fate     string // passed, doubled, replayed, lost, cut, unanswered, held
+	Bytes    int
+}
+
+// recorder collects a record.
+type recorder struct {
+	start time.Time
+	mu    sync.Mutex // a leaf
+	rec   Record
+	news  chan struct{} // closed and renewed with each entry
+}
+
+func newRecorder() *recorder { return &recorder{start: time.Now(), news: make(chan struct{})} }
+
+func (r *recorder) now() time.Duration { return time.Since(r.start) }
+
+// write changes the record and wakes those that wait for a condition.
+func (r *recorder) write(f func(*Record)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	f(&r.rec)
+	close(r.news)
+	r.news = make(chan struct{})
+}
+
+// read copies the record.
+func (r *recorder) read() (Record, <-chan struct{}) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c := r.rec
+	c.HandIns, c.Calls, c.Notices = slices.Clone(c.HandIns), slices.Clone(c.Calls), slices.Clone(c.Notices)
+	c.Lists, c.Acts, c.Posts = slices.Clone(c.Lists), slices.Clone(c.Acts), slices.Clone(c.Posts)
+	return c, r.news
+}
+
+// CallsOf are the calls of one message.
+func (r Record) CallsOf(id string) (cs []Call) {
+	for _, c := range r.Calls {
+		if c.ID == id {
+			cs = append(cs, c)
+		}
+	}
+	return cs
+}
+
+// Ended tells whether a message was delivered or the platform was told of its end.
+func (r Record) Ended(id string) bool {
+	return slices.ContainsFunc(r.Calls, func(c Call) bool { return c.ID == id && c.Status == 200 }) ||
+		slices.ContainsFunc(r.Notices, func(n Notice) bool { return n.ID == id })
+}
+
+// Owed are the messages taken on that have not ended.
+func (r Record) Owed() (ids []string) {
+	for _, h := range r.HandIns {
+		if h.Taken() && !r.Ended(h.ID) {
+			ids = append(ids, h.ID)
+		}
+	}
+	return ids
+}
