--- a/internal/fleettest/fleettest_test.go
+++ b/internal/fleettest/fleettest_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/pelletier/go-toml/v2"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
@@ -60,6 +61,7 @@
 	}
 	for _, seed := range seeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			s := Draw(seed, 3, []int64{7, 8}, 60, 8, 20*time.Millisecond)
 			require.Equal(t, s, Draw(seed, 3, []int64{7, 8}, 60, 8, 20*time.Millisecond))
 			path := filepath.Join(t.TempDir(), "schedule.json")
@@ -81,9 +83,10 @@
 	r.Conduct(7, Conduct{Silent: true})
 	a := r.Sender("a")
 	a.Start()
-	require.Equal(t, "+OK", r.Client(0).HandIn(Message{ID: "m", Lane: "notice", Dst: 7, Within: time.Minute}))
+	require.Equal(t, "+OK", r.Client(0).HandIn(Message{ID: "m", Lane: "notice", Dst: 7, Within: time.Minute, Body: "a body"}))
 	r.Until("the leg is out", func(rec Record) bool { return len(rec.Calls) == 1 })
 	a.Kill()
+	require.NotEmpty(t, a.Holds("a body"))
 	a.Keep("owing")
 	a.Wipe()
 	r.Conduct(7, Conduct{})
@@ -319,3 +322,13 @@
 	require.NoError(t, err)
 	require.NotRegexp(t, `127\.0\.0\.1|X-Remaining-Ms: \d`, string(text))
 }
+
+func TestTheLinksTableOfASenderIsSound(t *testing.T) {
+	t.Parallel()
+	r := New(t, Setup{Senders: 9})
+	var file struct{ Fleet links.Table }
+	require.NoError(t, toml.Unmarshal([]byte(r.Sender("c").LinksTOML("fleet")), &file))
+	file.Fleet.Check(func(setting, what string) { t.Error(setting, what) })
+	require.Len(t, file.Fleet.List(), 8)
+	require.Equal(t, r.Link("c", "a").Addr(), file.Fleet.List()[0].Addr)
+}
--- a/internal/fleettest/process.go
+++ b/internal/fleettest/process.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
+	"io/fs"
 	"net/http/httptest"
 	"os"
 	"os/exec"
@@ -137,6 +139,25 @@
 	s.act("restore " + name)
 }
 
+// Holds finds the files of the folder in which these bytes stand anywhere, dead space included.
+func (s *Sender) Holds(bytesOf string) (files []string) {
+	err := filepath.WalkDir(s.Folder(), func(path string, e fs.DirEntry, err error) error {
+		if err != nil || e.IsDir() {
+			return err
+		}
+		text, err := os.ReadFile(path)
+		if errors.Is(err, fs.ErrNotExist) { // a running sender removes some
+			return nil
+		}
+		if bytes.Contains(text, []byte(bytesOf)) {
+			files = append(files, e.Name())
+		}
+		return err
+	})
+	require.NoError(s.r.t, err)
+	return files
+}
+
 // Wipe removes the folder. The process must be down.
 func (s *Sender) Wipe() {
 	require.Nil(s.r.t, s.cmd, "%s runs", s.Name)
@@ -154,11 +175,16 @@
 	return peers
 }
 
-// PeersTOML are the same as entries of an array of tables of that name.
-func (s *Sender) PeersTOML(table string) string {
+// LinksTOML is the links' part of an operator's file as a table of that name, such as fleet, ended by its array of peers: more settings
+// of the same table have to be given before it ends, by more.
+func (s *Sender) LinksTOML(table string, more ...string) string {
 	var b strings.Builder
+	fmt.Fprintf(&b, "[%s]\nname = %q\nself = %q\nlisten = %q\n", table, "east", s.Name, s.Links)
+	for _, line := range more {
+		fmt.Fprintln(&b, line)
+	}
 	for _, p := range s.Peers() {
-		fmt.Fprintf(&b, "[[%s]]\nname = %q\naddress = %q\n", table, p[0], p[1])
+		fmt.Fprintf(&b, "[[%s.peer]]\nname = %q\naddress = %q\n", table, p[0], p[1])
 	}
 	return b.String()
 }
--- a/internal/fleettest/proxy.go
+++ b/internal/fleettest/proxy.go
@@ -10,6 +10,8 @@
 	"net/http/httptest"
 	"sync"
 	"time"
+
+	"ravenlink/internal/links"
 )
 
 // Faults are what is wrong with one directed link. The other direction has its own, so each cut is a one-way cut.
@@ -175,8 +177,8 @@
 }
 
 func (l *Link) told(fate string, body []byte) {
-	at := l.r.rec.now()
-	l.r.rec.write(func(rec *Record) { rec.Posts = append(rec.Posts, Post{at, l.From, l.To, fate, len(body)}) })
+	_, frames, _ := links.Peek(body) // what can't be read has none
+	l.r.rec.post(Post{l.r.rec.now(), l.From, l.To, fate, len(body), frames})
 }
 
 // wait is true when the time is over; 0 means to wait until the caller leaves or the faults change.
--- a/internal/fleettest/record.go
+++ b/internal/fleettest/record.go
@@ -4,6 +4,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"ravenlink/internal/links"
 )
 
 // Record is what passed on the wire, each part in the order in which it passed. Times are since the rig began.
@@ -69,6 +71,7 @@
 	From, To string
 	Fate     string // passed, doubled, replayed, lost, cut, unanswered, held
 	Bytes    int
+	Frames   []links.Frame // as they were sent
 }
 
 // recorder collects a record.
@@ -92,13 +95,20 @@
 	r.news = make(chan struct{})
 }
 
+// post writes one post down. It wakes nobody: there are many, and conditions are looked at now and then anyway.
+func (r *recorder) post(p Post) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.rec.Posts = append(r.rec.Posts, p)
+}
+
 // read copies the record.
 func (r *recorder) read() (Record, <-chan struct{}) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	c := r.rec
-	c.HandIns, c.Calls, c.Notices = slices.Clone(c.HandIns), slices.Clone(c.Calls), slices.Clone(c.Notices)
-	c.Lists, c.Acts, c.Posts = slices.Clone(c.Lists), slices.Clone(c.Acts), slices.Clone(c.Posts)
+	c.HandIns, c.Calls = slices.Clone(c.HandIns), slices.Clone(c.Calls) // whose entries still change
+	c.Notices, c.Lists, c.Acts, c.Posts = slices.Clip(c.Notices), slices.Clip(c.Lists), slices.Clip(c.Acts), slices.Clip(c.Posts)
 	return c, r.news
 }
 
--- a/internal/fleettest/transcript.go
+++ b/internal/fleettest/transcript.go
@@ -11,6 +11,7 @@
 	"github.com/sebdah/goldie/v2"
 	"github.com/stretchr/testify/require"
 
+	"ravenlink/internal/links"
 	"ravenlink/internal/spool"
 )
 
@@ -73,6 +74,21 @@
 	}
 }
 
+// Links writes which facts of these kinds have passed on which links since the transcript began: each slot once, since how often it
+// was told depends on time.
+func (t *Transcript) Links(kinds ...links.Kind) {
+	told := map[string]bool{}
+	for _, p := range t.r.Record().Posts {
+		for _, f := range p.Frames {
+			if p.Fate == "passed" && slices.Contains(kinds, f.Kind) {
+				told[fmt.Sprintf("%s to %s: %v %s", p.From, p.To, f.Kind, f.Slot)] = true
+			}
+		}
+	}
+	lines := slices.Sorted(maps.Keys(told))
+	t.section("links", 0, len(lines), func(i int) string { return lines[i] })
+}
+
 // Disk writes what a sender's folder owes, read from a copy of it.
 func (t *Transcript) Disk(one *Sender) {
 	dir, err := os.MkdirTemp("", "disk")
--- a/internal/links/frame.go
+++ b/internal/links/frame.go
@@ -18,6 +18,13 @@
 	Channels
 )
 
+func (k Kind) String() string {
+	if k < Members || k > Channels {
+		return "unknown"
+	}
+	return [...]string{"members", "shares", "verdicts", "purge", "channels"}[k-Members]
+}
+
 // Frame is one thing told. A newer frame of the same kind and slot takes the place of an older one that waits.
 type Frame struct {
 	Kind Kind
@@ -96,6 +103,15 @@
 	return p, nil
 }
 
+// Peek reads a post's body as tests see it on the wire. A frame's Age is its time in the queue.
+func Peek(body []byte) (from Hello, frames []Frame, err error) {
+	p, err := decodePost(body)
+	for _, f := range p.Frames {
+		frames = append(frames, Frame{f.Kind, f.Slot, f.Body, f.Waited})
+	}
+	return p.hello(), frames, err
+}
+
 func (p post) hello() Hello {
 	return Hello{Fleet: p.Fleet, Name: p.Name, Version: p.Version, Incarnation: p.Incarnation, Folder: p.Folder}
 }
