--- a/internal/members/fleet.go
+++ b/internal/members/fleet.go
@@ -15,22 +15,19 @@
 	Doubt    int64 // silence, asked for in vain, after which it is doubted
 	Confirm  int64 // how long a doubt stands at least before the member is gone
 	Silence  int64 // silence on every path after which no second voice is needed
-	Returns  int   // beats in a row that bring back a member; doubled for each return in the last minutes
+	Returns  int   // beats long it is heard without a gap before it is back; doubled for each return in the last minutes
 	Watchers int   // members that hear every beat of one
 	Turns    int   // further members a beat, in turn through the list; their beats carry words
 	Words    int   // words a letter to those
 	Agree    int   // voices that have to agree before a doubt becomes gone, the own included; fewer where fewer are left
 }
 
-// Usual is the timing of a fleet of n. The beat grows with the fleet so that the bytes of a member stay near 1.5 KB/s.
+// Usual is the timing of a fleet of n. In a vast one, where most pairs hear one another seldom, questions get more time.
 func Usual(n int) Timing {
 	t := Timing{Beat: 250_000, Returns: 3, Watchers: 5, Turns: 1, Words: 8, Agree: 3}
-	if n > 100 {
-		t.Beat, t.Words = 500_000, 24
-	}
 	t.Ask, t.Doubt, t.Confirm, t.Silence = 2*t.Beat, 5*t.Beat, 3*t.Beat, 30*t.Beat
 	if n > 100 {
-		t.Silence = 60 * t.Beat // words on one member come by about twice a second only
+		t.Words, t.Doubt, t.Confirm, t.Silence = 4, 8*t.Beat, 4*t.Beat, int64(3*n)*t.Beat
 	}
 	return t
 }
@@ -60,7 +57,8 @@
 	watched  bool   // it counts on us to hear every beat
 	asked    int64  // since when it is in question here; 0 for not
 	doubters []string
-	base     uint64 // beat that began its way back; 0 for none
+	base     int64 // when its way back began; 0 for none
+	pinged   int64 // when it was asked in its turn; 0 for answered
 	flaps    int
 	flapped  int64
 	hot      int // letters that shall still carry its word
--- a/internal/members/heard.go
+++ b/internal/members/heard.go
@@ -61,7 +61,7 @@
 	p.beat, p.doubters = beat, nil
 	p.heard = max(p.heard, min(at, now))
 	if now-p.heard < f.t.Ask {
-		p.asked = 0
+		p.asked, p.pinged = 0, 0
 	}
 	if p.State == Alive || now-p.heard >= f.t.Doubt {
 		return true
@@ -69,8 +69,8 @@
 	p.hot = max(p.hot, 1)
 	switch {
 	case p.base == 0:
-		p.base = beat
-	case beat >= p.base+uint64(f.t.Returns)<<p.flaps:
+		p.base = now
+	case now-p.base >= int64(f.t.Returns)*f.t.Beat<<p.flaps:
 		if p.State == Gone {
 			p.flaps, p.flapped = min(p.flaps+1, flapsMost), now
 		}
@@ -154,8 +154,8 @@
 }
 
 func (f *Fleet) reply(p *peer, words []Word) post.Letter[Msg] {
+	f.self.beat++ // so that it counts as newer than what the asker has by way of others
 	m := f.own()
-	m.Beat = max(m.Beat, 1)
 	m.Words = words
 	if slices.Contains(f.watchers(), p) {
 		m.Flags = flagWatch
--- a/internal/members/tick.go
+++ b/internal/members/tick.go
@@ -55,7 +55,7 @@
 	}
 	switch p.State {
 	case Alive:
-		if p.asked == 0 && (p.watched && silence >= f.t.Ask || silence >= f.t.Silence/2) {
+		if p.asked == 0 && (p.watched && silence >= f.t.Ask || p.pinged > 0 && now-p.pinged >= f.t.Ask) {
 			p.asked = now
 		}
 		if p.asked > 0 && now-p.asked >= f.t.Doubt-f.t.Ask && silence >= f.t.Doubt {
@@ -123,8 +123,12 @@
 			continue
 		}
 		m := o.msg(f, p)
+		m.Flags |= flagAnswer
+		if p.pinged == 0 {
+			p.pinged = now
+		}
 		if p.Incarnation == 0 || p.State == Gone {
-			m.Flags |= flagAnswer | flagWhole
+			m.Flags |= flagWhole
 		}
 		for k := 0; k < n && len(m.Words) < f.t.Words; k++ {
 			f.fill = (f.fill + 1) % n
