Members: the silent one's own watchers are asked, and only after it had its time

At 300 members a question made others ask at once, for ever: 5.9 KB/s and 1.6% of pairs in doubt at 30% loss. Now those who hear every beat are asked.

--- a/internal/members/fleet.go
+++ b/internal/members/fleet.go
@@ -34,7 +34,7 @@
 
 const (
 	probes    = 32         // members asked about at once; the rest wait their turn
-	askers    = 3          // others asked on each of them a beat
+	asks      = 2          // others asked on each of them a beat
 	doubtersN = 8          // voices remembered on one member; more change nothing
 	pastN     = 4          // former folders remembered of one member
 	flapsMost = 4          // doublings of Returns at most
@@ -81,7 +81,7 @@
 	next    int64 // of our next beat
 	last    int64 // latest Tick
 	turn    int   // place in the list of whom the next beat goes to
-	asking  int   // place of whom the next question goes to
+	asking  int   // counts questions, so that watchers are asked by turns
 	fill    int   // place of the next word that fills a letter
 	begun   bool
 	leaving bool
--- a/internal/members/tick.go
+++ b/internal/members/tick.go
@@ -1,6 +1,8 @@
 package members
 
 import (
+	"slices"
+
 	"ravenlink/internal/post"
 )
 
@@ -22,7 +24,7 @@
 		o.msg(f, w).Flags |= flagWatch
 	}
 	f.inTurn(now, &o)
-	f.questions(&o)
+	f.questions(now, &o)
 	f.hot(now, &o)
 	return o.letters
 }
@@ -139,29 +141,39 @@
 	}
 }
 
-// questions: those in question are asked themselves, and others are asked about them.
-func (f *Fleet) questions(o *outbox) {
-	var ids []uint32
+// questions: those in question are asked themselves. Others are asked about them only once that had its time: a question that makes
+// others ask at once goes on for ever.
+func (f *Fleet) questions(now int64, o *outbox) {
+	n := 0
 	for _, p := range f.peers {
-		if len(ids) == probes {
-			break
+		if n == probes {
+			return
 		}
 		if p.State == Left || p.asked == 0 && p.base == 0 {
 			continue
 		}
-		ids = append(ids, p.id)
-		m := o.msg(f, p)
-		m.Flags |= flagAnswer
+		n++
+		o.msg(f, p).Flags |= flagAnswer
+		if p.base > 0 || now-p.asked >= f.t.Beat*3/4 {
+			f.askers(p, o)
+		}
 	}
-	if len(ids) == 0 {
-		return
+}
+
+// askers: some of those who should hear every beat of p, by turns, are asked about it.
+func (f *Fleet) askers(p *peer, o *outbox) {
+	at := slices.Index(f.ring, p)
+	var ws []*peer
+	for i := 1; i < len(f.ring) && len(ws) < f.t.Watchers; i++ {
+		if w := f.ring[(at+i)%len(f.ring)]; w.State == Alive {
+			ws = append(ws, w)
+		}
 	}
-	n := len(f.peers)
-	for i, sent := 0, 0; i < n && sent < askers; i++ {
-		f.asking = (f.asking + 1) % n
-		if p := f.peers[f.asking]; p.State == Alive {
-			o.msg(f, p).Asked = ids
-			sent++
+	for range min(asks, len(ws)) {
+		f.asking++
+		m := o.msg(f, ws[f.asking%len(ws)])
+		if len(m.Asked) < probes {
+			m.Asked = append(m.Asked, p.id)
 		}
 	}
 }
