--- a/internal/members/heard.go
+++ b/internal/members/heard.go
@@ -113,6 +113,9 @@
 	if q.asked == 0 && q.State != Gone {
 		q.asked = now // see for ourselves
 	}
+	if w.Said == saidGone && now-q.heard >= f.t.Doubt { // that was agreed on elsewhere: here the time to confirm begins at once
+		f.step(now, q, silent, start{})
+	}
 }
 
 // ofSelf: the fleet knows of a later start on this very folder than ours, so ours is an older copy of it: go past that start.
--- a/internal/verdicts/fact.go
+++ b/internal/verdicts/fact.go
@@ -134,11 +134,11 @@
 
 // newer is the order of versions in a slot. Two of one version that differ are told apart by what they say, so that all choose the same.
 func newer(a, b Fact) int {
-	return cmp.Or(cmp.Compare(a.Incarnation, b.Incarnation), cmp.Compare(a.Version, b.Version), flag(a.Withdrawn)-flag(b.Withdrawn),
+	return cmp.Or(cmp.Compare(a.Incarnation, b.Incarnation), cmp.Compare(a.Version, b.Version), bit(a.Withdrawn)-bit(b.Withdrawn),
 		cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.For, b.For), cmp.Compare(a.Level, b.Level))
 }
 
-func flag(b bool) int {
+func bit(b bool) int {
 	if b {
 		return 1
 	}
--- a/internal/verdicts/view.go
+++ b/internal/verdicts/view.go
@@ -30,7 +30,7 @@
 		facts = append(facts, h.at(now))
 	}
 	slices.SortStableFunc(facts, func(a, b Fact) int {
-		return cmp.Or(cmp.Compare(a.Kind, b.Kind), flag(b.Origin == t.self)-flag(a.Origin == t.self), cmp.Compare(a.Age, b.Age),
+		return cmp.Or(cmp.Compare(a.Kind, b.Kind), bit(b.Origin == t.self)-bit(a.Origin == t.self), cmp.Compare(a.Age, b.Age),
 			strings.Compare(a.Origin, b.Origin))
 	})
 	return facts
