--- /dev/null
+++ b/internal/shares/hold.go
@@ -0,0 +1,224 @@
+package shares
+
+import (
+	"math"
+
+	"ravenlink/internal/members"
+)
+
+// stage of a holder.
+type stage uint8
+
+// The stages: resting (nothing needed, nothing held), asking (needs a share, has none), leased, doubting (needs one, and no owner has
+// answered for long).
+const (
+	resting stage = iota
+	asking
+	leased
+	doubting
+)
+
+// holding is what this sender may call at a destination.
+type holding struct {
+	phase              stage
+	owner              string // whom to ask; empty while not known
+	try                int    // which elector to ask while the owner is not known
+	term, seat, serial uint64
+	rate               float64 // calls a second, while leased
+	until              int64   // end of the lease
+	given, done        uint64  // single calls on this seat: given by the owner; spent or given back
+	level              float64 // of the bucket that the rate fills, in calls
+	levelAt            int64
+	askedAt            int64 // last ask; 0 for never
+	unanswered         int64 // first ask since the last answer; 0 for none
+	asks               int   // since then
+	told               report
+	phaseAt            float64 // where this sender's bucket begins in doubt, so that all do not call at once
+	drawn              bool    // it has begun there since the last lease
+}
+
+// report is what the owner was last told.
+type report struct {
+	need    float64
+	waiting int
+	done    uint64
+	serial  uint64
+}
+
+func (h *holding) start(now int64, draw uint64) {
+	h.levelAt, h.phaseAt = now, float64(draw>>11)/(1<<53)
+}
+
+// move changes the stage of a holder; nothing else does.
+func (t *Table) move(now int64, p *place) {
+	h := &p.hold
+	needs := p.waiting > 0 || p.need >= quantum
+	answered := h.until > now
+	next := h.phase
+	switch {
+	case answered:
+		next = leased
+	case !needs:
+		next = resting
+	case h.phase == doubting:
+	case h.unanswered > 0 && now-h.unanswered >= t.t.doubtAfter() && h.asks >= 4:
+		next = doubting
+	default:
+		next = asking
+	}
+	if next == h.phase {
+		return
+	}
+	if h.phase == leased {
+		h.earn(h.until, h.rate, true)
+		h.level = 0
+		if needs {
+			t.counts.Lapsed++
+		}
+	}
+	h.phase, h.levelAt = next, now
+	switch next {
+	case doubting:
+		if !h.drawn {
+			h.level, h.drawn = h.phaseAt, true
+		}
+	case leased:
+		h.level, h.drawn = 0, false
+	}
+}
+
+// rate at which the bucket of a destination fills.
+func (t *Table) rate(p *place) float64 {
+	switch p.hold.phase {
+	case leased:
+		return p.hold.rate
+	case doubting:
+		return p.limit.perSec * doubtShare / float64(max(1, len(t.listed)))
+	default:
+		return 0
+	}
+}
+
+// earn fills the bucket up to now. In doubt it fills only while something waits, so that idle senders save up nothing.
+func (h *holding) earn(now int64, rate float64, wanted bool) {
+	if now <= h.levelAt {
+		return
+	}
+	if h.phase == leased || wanted {
+		h.level = math.Min(depthOf(rate), h.level+rate*float64(now-h.levelAt)/1e6)
+	}
+	h.levelAt = now
+}
+
+// ask tells the owner what this sender needs, when it is due: at every renewal while there is a need, sooner when the need has changed.
+func (t *Table) ask(now int64, p *place) {
+	h := &p.hold
+	if h.given > h.done && p.waiting == 0 {
+		h.done = h.given // not needed: given back
+	}
+	if !t.askDue(now, p) {
+		return
+	}
+	to := t.askWhom(now, p)
+	if h.unanswered == 0 || now-h.askedAt > 2*t.t.doubtAfter() { // a row of asks long ago says nothing of the links now
+		h.unanswered, h.asks = now, 0
+	}
+	h.asks++
+	h.askedAt = now
+	h.told = report{p.need, p.waiting, h.done, h.serial}
+	m := Msg{Kind: Ask, Life: t.life, Stamp: now, Term: h.term, Seat: h.seat, Serial: h.serial, Need: milli(p.need),
+		Waiting: uint64(p.waiting), Count: h.done}
+	t.withLimit(now, p, &m)
+	if to == t.self {
+		t.asked(now, p, to, m)
+		return
+	}
+	t.send(to, "ask ", p, m)
+}
+
+func (t *Table) askDue(now int64, p *place) bool {
+	h := &p.hold
+	if p.limit.perSec == 0 || now-h.askedAt < askGap && h.askedAt > 0 {
+		return false
+	}
+	needs := p.waiting > 0 || p.need >= quantum
+	if h.phase == leased {
+		if !needs && (h.rate > 0 || h.done != h.told.done) {
+			return true // give back
+		}
+		short := p.waiting > int(h.given-h.done) && h.rate < quantum
+		if short && p.waiting > h.told.waiting || h.done != h.told.done && now-h.askedAt >= 2*askGap {
+			return true
+		}
+		if needs && (p.need > 1.5*h.told.need+1 || h.told.waiting == 0 && h.rate == 0) {
+			return true
+		}
+	}
+	return needs && (h.askedAt == 0 || h.phase == asking && h.unanswered == 0 || now-h.askedAt >= t.t.Renew)
+}
+
+// askWhom goes from elector to elector while no owner answers, past those that the view takes for gone.
+func (t *Table) askWhom(now int64, p *place) string {
+	h := &p.hold
+	if p.seat.phase == granting {
+		h.owner = t.self
+	} else if h.owner == t.self {
+		h.owner = ""
+	}
+	if h.owner != "" && h.asks >= 2 {
+		h.owner = ""
+	}
+	if h.owner != "" {
+		return h.owner
+	}
+	if p.vote.until > now && p.vote.to != t.self && h.asks < 2 {
+		return p.vote.to
+	}
+	for range p.electors {
+		e := p.electors[h.try%len(p.electors)]
+		h.try++
+		if m, ok := t.view.Member(e); !ok || m.State == members.Alive || m.State == members.Doubted {
+			return e
+		}
+	}
+	return p.electors[h.try%len(p.electors)]
+}
+
+func (t *Table) withLimit(now int64, p *place, m *Msg) {
+	if p.limit.perSec > 0 {
+		m.Limit, m.How, m.Age = milli(p.limit.perSec), p.limit.how, max(0, now-p.limit.at)
+	}
+}
+
+// granted takes in a lease. It runs from this sender's own ask, by this sender's own clock; an answer to an earlier life, to an ask not
+// yet made or to one already too old counts for nothing, and an older grant never takes the place of a newer one.
+func (t *Table) granted(now int64, p *place, from string, m Msg) {
+	h := &p.hold
+	until := m.Stamp + t.t.short(t.t.Lease)
+	if m.Life != t.life || m.Stamp > now || m.Stamp < t.born || until <= now {
+		return
+	}
+	if m.Term < h.term && h.until > now || m.Term == h.term && m.Seat < h.seat ||
+		m.Term == h.term && m.Seat == h.seat && m.Serial <= h.serial {
+		return
+	}
+	h.earn(now, t.rate(p), p.waiting > 0)
+	if m.Term != h.term || m.Seat != h.seat {
+		h.given, h.done, h.until = 0, 0, 0
+	}
+	h.owner, h.term, h.seat, h.serial = from, m.Term, m.Seat, m.Serial
+	h.rate, h.given, h.until = unit(m.Rate), max(h.given, m.Count), max(h.until, until)
+	h.unanswered, h.asks = 0, 0
+	t.move(now, p)
+	h.level = math.Min(h.level, depthOf(h.rate))
+}
+
+func (t *Table) redirected(now int64, p *place, from string, m Msg) {
+	h := &p.hold
+	if m.Life != t.life || m.Owner == "" || m.Owner == t.self || h.phase == leased || m.Owner == from {
+		return
+	}
+	if h.owner != m.Owner {
+		h.owner, h.asks, h.askedAt = m.Owner, 0, min(h.askedAt, now-t.t.Renew)
+	}
+}
