--- a/internal/shares/msg.go
+++ b/internal/shares/msg.go
@@ -25,7 +25,8 @@
 )
 
 // Msg is what one sender tells another of one destination: under 150 bytes in CBOR with names of 32 bytes. Rates are in thousandths of a
-// call a second. Stamp is of the asker's clock and comes back as it was: nobody else reads it. Life is the asker's incarnation.
+// call a second. Stamp is of the asker's clock and comes back as it was: nobody else reads it. Life
+// marks one life of the asker.
 type Msg struct {
 	Kind    Kind   `cbor:"1,keyasint"`
 	Dst     string `cbor:"2,keyasint"`
--- a/internal/shares/own.go
+++ b/internal/shares/own.go
@@ -89,7 +89,7 @@
 		if has {
 			o.phase, o.since, o.from = waiting, now, now+t.t.long(t.t.Lease)
 		} else if now-o.since >= t.t.Vote {
-			o.phase, o.rest = idle, now+int64(p.rank+1)*t.t.stagger()
+			o.phase, o.rest = idle, max(now, p.vote.until)+int64(p.rank)*t.t.stagger()
 		}
 	case waiting, granting:
 		switch {
@@ -100,7 +100,7 @@
 			t.counts.Owned++
 		}
 	}
-	if o.phase != idle && now-o.stoodAt >= t.t.Renew {
+	if o.phase == standing && now-o.stoodAt >= t.t.Renew/2 || o.phase > standing && now-o.stoodAt >= t.t.Renew {
 		t.canvass(now, p)
 	}
 }
@@ -108,7 +108,7 @@
 // mayStand tells whether an elector may stand: someone asks, nobody else has its promise, and those before it had their time.
 func (t *Table) mayStand(now int64, p *place) bool {
 	o, v := &p.seat, &p.vote
-	if o.wanted == 0 || now-o.wanted > 2*t.t.Lease || now < o.rest || now < t.born+t.t.long(t.t.Vote) {
+	if o.wanted == 0 || now-o.wanted > 2*t.t.Lease || now < o.rest || now < t.born+t.t.long(t.t.Vote)+int64(p.rank)*t.t.stagger() {
 		return false
 	}
 	if v.until > now {
@@ -133,7 +133,8 @@
 			t.send(e, "stand ", p, m)
 		}
 	}
-	if v := &p.vote; v.until <= now || v.to == t.self {
+	// One who stands promises itself once only, so that two who stand at once do not keep each other out for ever.
+	if v := &p.vote; (v.until <= now || v.to == t.self) && (o.phase != standing || len(o.votes) == 0) {
 		*v = promise{t.self, max(v.term, o.term), now + t.t.long(t.t.Vote), v.freed}
 		o.votes[t.self] = now + t.t.short(t.t.Vote)
 	}
@@ -307,7 +308,7 @@
 		s := o.seats[name]
 		least := quantum
 		if s.committed(now) > 0 {
-			least /= 2
+			least *= keepRate
 		}
 		if r := s.wants() * scale; r >= least {
 			targets[name] = r
--- a/internal/shares/table.go
+++ b/internal/shares/table.go
@@ -10,6 +10,7 @@
 package shares
 
 import (
+	"encoding/binary"
 	"math"
 	"slices"
 	"sort"
@@ -79,13 +80,14 @@
 // Counts tells what was counted.
 func (t *Table) Counts() Counts { return t.counts }
 
-// View takes in how this sender sees the fleet. Its own incarnation marks its asks, so that answers to an earlier life count for nothing.
+// View takes in how this sender sees the fleet. Its own incarnation, its folder and when it began mark its asks, so that answers to an
+// earlier life count for nothing, also where the folder was lost.
 func (t *Table) View(now int64, v members.View) {
 	t.begin(now)
 	t.view, t.missing = v, 0
 	for _, m := range v.Members {
 		if m.Name == t.self {
-			t.life = m.Incarnation
+			t.life = lifeOf(m, t.born)
 		}
 		if m.State == members.Doubted || m.State == members.Gone {
 			t.missing += 1 / float64(max(1, len(t.listed)))
@@ -94,6 +96,15 @@
 	t.missing = min(t.missing, 1)
 }
 
+// lifeOf draws a mark from what differs between any two lives of a sender.
+func lifeOf(m members.Member, born int64) uint64 {
+	var b [24]byte
+	binary.LittleEndian.PutUint64(b[:], m.Incarnation)
+	binary.LittleEndian.PutUint64(b[8:], m.Folder)
+	binary.LittleEndian.PutUint64(b[16:], uint64(born))
+	return xxhash.Sum64(b[:]) >> 32
+}
+
 // Limit takes in a limit as this sender has just learned it, in calls a second. One of zero or below is none.
 func (t *Table) Limit(now int64, dst string, perSec float64, how How) {
 	t.begin(now)
--- a/internal/shares/timing.go
+++ b/internal/shares/timing.go
@@ -1,12 +1,15 @@
 package shares
 
+import "math"
+
 // Constants of the module, each with its reason.
 const (
 	electorsMost = 5          // who may vote on the owner of a destination: two may be down, and the owner's renewals stay cheap at 1,000 senders
-	quantum      = 4.0        // calls a second: a standing rate below it would let many senders save up one call each; they get single calls instead
+	quantum      = 8.0        // calls a second: a standing rate below it would let many senders save up one call each; they get single calls instead
 	ahead        = 0.25       // s of the limit that may be out as single calls not yet told spent; covers a round trip and a turn
 	aheadLeast   = 2.0        // calls of that at least, so that small limits are not served one round trip at a time
-	depthTime    = 0.1        // s of its rate that a lease may save up, beyond one call
+	keepRate     = 0.75       // of the quantum: a standing rate stays until its need is below that
+	depthTime    = 0.05       // s of its rate that a lease may save up, beyond one call
 	drainTime    = 1.0        // s within which what waits should go: turns a backlog into a rate
 	headroom     = 1.25       // a lease's rate over its need, while the limit has room
 	turnMost     = 4          // single calls given in one turn at most, then the next sender's turn comes
@@ -44,8 +47,8 @@
 // that the owner gave of its reserve before have ended.
 func (t Timing) doubtAfter() int64 { return t.long(t.Detect + t.Lease) }
 
-// stagger is the time that each elector leaves the one before it to stand for owner.
-func (t Timing) stagger() int64 { return t.Renew / 2 }
+// stagger is the time that each elector leaves the one before it to stand for owner: two askings of the electors and their answers.
+func (t Timing) stagger() int64 { return t.Renew }
 
 // ahead of a limit: single calls that may be out.
 func aheadOf(limit float64) float64 { return max(aheadLeast, ahead*limit) }
@@ -54,7 +57,7 @@
 func depthOf(rate float64) float64 { return 1 + rate*depthTime }
 
 // Burst is what may come on top of the limit in any window, in calls, while every sender that needs a share hears an owner: single calls
-// out, one call of each standing lease (of which there are at most limit/quantum) and what leases save up.
+// out, one call of each standing lease (of which there are at most limit/(quantum x keepRate)) and what leases save up.
 func Burst(limit float64) float64 {
-	return aheadOf(limit) + limit/quantum*2 + limit*depthTime
+	return aheadOf(limit) + math.Floor(limit/(quantum*keepRate)) + limit*depthTime
 }
