--- a/internal/shares/bound.go
+++ b/internal/shares/bound.go
@@ -47,18 +47,20 @@
 
 // Bound gives the bound of a case. docs/limits.md has the reasons.
 func (t Timing) Bound(c Case) Bound {
-	take := t.long(t.Vote) + electorsMost*t.stagger() + 2*t.Renew + t.long(t.Lease) + 2*t.Renew // until another owner has granted
+	// until another owner grants: the promises to the last one, a turn for each elector, what the last one granted, and asks
+	take := t.long(t.Vote) + electorsMost*t.stagger() + t.long(t.Lease) + 4*t.Renew
+	doubt := t.long(t.Lease) + t.doubtAfter()
 	switch c.Event {
 	case LinkSlow:
 		return t.slow(c.RoundTrip)
 	case CutOneWay: // the view may not see it, so the owner keeps nothing back
-		return Bound{doubtShare * c.Apart, Always, c.Apart, t.doubtAfter() + 4*t.Renew}
-	case CutBothWays, EvenHalves: // the view sees it before the first one is in doubt; leases given before have ended by then
-		return Bound{0, 0, c.Apart, max(take, t.doubtAfter()+4*t.Renew)}
-	case OwnerKilled, OwnerPaused:
+		return Bound{doubtShare * c.Apart, Always, c.Apart, doubt}
+	case CutBothWays, EvenHalves: // until the view sees it, and the leases given before have ended
+		return Bound{doubtShare * c.Apart, t.long(t.Detect + t.Lease), 1, take}
+	case OwnerKilled, OwnerPaused: // doubt shares bridge it once the leases have ended
 		return Bound{0, 0, 1, take}
 	case MemberDies: // its lease, then what is kept for a sender that may only be cut off
-		return Bound{0, 0, max(c.Apart, doubtShare*c.Apart), Always}
+		return Bound{0, 0, c.Apart, Always}
 	case MemberJoins:
 		return Bound{}
 	case LimitLowered:
@@ -72,7 +74,7 @@
 		}
 		return Bound{0, 0, 1 - c.Old/c.New, 2 * t.Renew}
 	case NoOwner:
-		return Bound{0, 0, 1, Always}
+		return Bound{0, 0, 1 - doubtShare, Always}
 	}
 	return Bound{}
 }
--- a/internal/shares/hold.go
+++ b/internal/shares/hold.go
@@ -42,7 +42,7 @@
 	need    float64
 	waiting int
 	done    uint64
-	serial  uint64
+	limit   known
 }
 
 func (h *holding) start(now int64, draw uint64) {
@@ -125,10 +125,13 @@
 	}
 	h.asks++
 	h.askedAt = now
-	h.told = report{p.need, p.waiting, h.done, h.serial}
+	h.told = report{p.need, p.waiting, h.done, h.told.limit}
 	m := Msg{Kind: Ask, Life: t.life, Stamp: now, Term: h.term, Seat: h.seat, Serial: h.serial, Need: milli(p.need),
 		Waiting: uint64(p.waiting), Count: h.done}
-	t.withLimit(now, p, &m)
+	if h.told.limit != p.limit || h.asks > 1 || h.phase != leased { // told when new, and until an owner answers
+		t.withLimit(now, p, &m)
+	}
+	h.told.limit = p.limit
 	if to == t.self {
 		t.asked(now, p, to, m)
 		return
@@ -204,7 +207,7 @@
 	}
 	h.earn(now, t.rate(p), p.waiting > 0)
 	if m.Term != h.term || m.Seat != h.seat {
-		h.given, h.done, h.until = 0, 0, 0
+		h.given, h.done, h.told.done, h.until = 0, 0, 0, 0
 	}
 	h.owner, h.term, h.seat, h.serial = from, m.Term, m.Seat, m.Serial
 	h.rate, h.given, h.until = unit(m.Rate), max(h.given, m.Count), max(h.until, until)
--- a/internal/shares/own.go
+++ b/internal/shares/own.go
@@ -58,7 +58,7 @@
 	lostUntil   int64
 	until       int64 // when nothing of it can be spent any more
 	served      int64
-	sent        int64
+	limit       known // last told
 }
 
 // committed is the greatest rate that the holder may go by.
@@ -228,8 +228,15 @@
 	t.serve(now, p, from)
 }
 
-// budget is what the owner may give out: the limit, less what senders in doubt may take by themselves.
-func (t *Table) budget(p *place) float64 { return p.limit.perSec * (1 - doubtShare*t.missing) }
+// budget is what the owner may give out: the limit, less what senders in doubt may take by themselves: those that the view misses, and any
+// until a new owner has been asked by all that need it.
+func (t *Table) budget(now int64, p *place) float64 {
+	missing := t.missing
+	if now-p.seat.since < t.t.long(2*t.t.Renew) {
+		missing = 1
+	}
+	return p.limit.perSec * (1 - doubtShare*missing)
+}
 
 // serve divides the limit anew and tells the one who asked, and those whose share changed much.
 func (t *Table) serve(now int64, p *place, asker string) {
@@ -251,7 +258,7 @@
 			t.setRate(now, p, s, target)
 		}
 		s.serial++
-		s.until, s.sent = now+t.t.long(t.t.Lease), now
+		s.until = now + t.t.long(t.t.Lease)
 		m := Msg{Kind: Grant, Life: s.life, Stamp: s.stamp, Term: o.term, Seat: s.id, Serial: s.serial, Rate: milli(s.rate), Count: s.given}
 		if s.rate > 0 {
 			s.rateUntil = s.until
@@ -260,7 +267,10 @@
 			t.granted(now, p, name, m)
 			continue
 		}
-		t.withLimit(now, p, &m)
+		if s.limit != p.limit || s.serial%8 == 1 { // told when new, and now and then: letters get lost
+			s.limit = p.limit
+			t.withLimit(now, p, &m)
+		}
 		t.send(name, "grant ", p, m)
 	}
 }
@@ -286,7 +296,7 @@
 		}
 		out += float64(s.given - s.done + s.lost)
 	}
-	o.pool += (t.budget(p) - held) * float64(now-o.poolAt) / 1e6
+	o.pool += (t.budget(now, p) - held) * float64(now-o.poolAt) / 1e6
 	o.pool = math.Max(math.Min(o.pool, aheadOf(p.limit.perSec)-out), -p.limit.perSec)
 	o.poolAt = now
 	return names
@@ -303,7 +313,7 @@
 	if sum == 0 {
 		return targets
 	}
-	scale := math.Min(headroom, t.budget(p)/sum)
+	scale := math.Min(headroom, t.budget(now, p)/sum)
 	for _, name := range names {
 		s := o.seats[name]
 		least := quantum
@@ -321,7 +331,7 @@
 
 // setRate gives a lease its target, as far as what others may still go by leaves room.
 func (t *Table) setRate(now int64, p *place, s *seat, target float64) {
-	free := t.budget(p)
+	free := t.budget(now, p)
 	for _, other := range p.seat.seats {
 		if other != s {
 			free -= other.committed(now)
--- a/internal/shares/timing.go
+++ b/internal/shares/timing.go
@@ -13,7 +13,7 @@
 	drainTime    = 1.0        // s within which what waits should go: turns a backlog into a rate
 	headroom     = 1.25       // a lease's rate over its need, while the limit has room
 	turnMost     = 4          // single calls given in one turn at most, then the next sender's turn comes
-	doubtShare   = 0.5        // of an even share: for senders that no owner answers
+	doubtShare   = 0.5        // of an even share: for senders that no owner answers; new owners and views of a cut keep it back
 	askGap       = 50_000     // µs between two asks for one destination at least
 	forgetAfter  = 60_000_000 // µs without need, lease or ask until a destination is forgotten
 	placesMost   = 4096       // destinations in the table
@@ -43,9 +43,8 @@
 // long is a time as the one counts it that has to outwait the other.
 func (t Timing) long(d int64) int64 { return d + d*2*t.Drift/1_000_000 }
 
-// doubtAfter is how long asks stay unanswered until a sender counts as cut off: the owner's view doubts it by then, and the leases
-// that the owner gave of its reserve before have ended.
-func (t Timing) doubtAfter() int64 { return t.long(t.Detect + t.Lease) }
+// doubtAfter is how long asks stay unanswered until a sender goes on with its doubt share: two asks and their answers.
+func (t Timing) doubtAfter() int64 { return 2 * t.Renew }
 
 // stagger is the time that each elector leaves the one before it to stand for owner: two askings of the electors and their answers.
 func (t Timing) stagger() int64 { return t.Renew }
