Channels: contracts, one owner by majority lease and fence, positions

Order keys held while one sender ran. The pure module keeps a channel's order across senders: electors, records, gap rules.

--- /dev/null
+++ b/internal/channels/line.go
@@ -0,0 +1,405 @@
+package channels
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// In is a message as it is handed in.
+type In struct {
+	Channel string
+	Pos     int64
+	ID, Key string // Key orders messages under per-key; empty for none
+	Dst     int64
+	Until   int64 // µs; its deadline
+	Settle  int64 // µs for which a leg that may still run keeps the next message back
+	Repeat  bool  // its lane lets it run twice: retriable, or keyed with a memory above Timing.Unknown
+}
+
+// Way is what becomes of a hand-in.
+type Way uint8
+
+// The ways.
+const (
+	Taken   Way = iota // +OK once rows are durable; Release says when its turn has come
+	Doubled            // +OK, as the first was; nothing is owed for it
+	Busy               // come back after Wait
+	Barred             // an error, with its cause
+)
+
+// Verdict answers a hand-in.
+type Verdict struct {
+	Way   Way
+	Pos   int64 // last taken on, without a gap; -1 for not known here
+	Wait  int64 // µs
+	Cause string
+}
+
+// taken stands for a position that an owner before had taken on under an id not known here.
+const taken = uint64(1)
+
+func sumOf(id string) uint64 {
+	if s := xxhash.Sum64String(id); s > taken {
+		return s
+	}
+	return taken + 1
+}
+
+// HandIn decides on a message. It never waits: a channel that is not ours is asked for, and the client told when to come back.
+func (t *Table) HandIn(now int64, in In) (Verdict, Effects) {
+	if t.broken {
+		return Verdict{Way: Busy, Pos: -1, Wait: noContract}, Effects{}
+	}
+	if !Name(in.Channel) || in.Pos < 1 || in.Pos > mostPos {
+		return Verdict{Way: Barred, Pos: -1, Cause: "no such channel or position"}, Effects{}
+	}
+	c := t.chans[in.Channel]
+	if c == nil {
+		if len(t.chans) >= t.room.Channels {
+			return Verdict{Way: Busy, Pos: -1, Wait: noContract}, Effects{}
+		}
+		c = &channel{name: in.Channel, electors: t.electorsOf(in.Channel)}
+		t.chans[in.Channel] = c
+	}
+	c.used, c.gone = now, false
+	t.step(now, c)
+	if c.phase == Idle && now >= c.comeBack {
+		t.chans[in.Channel] = c // step may have let it go
+		t.ask(now, c)
+	}
+	t.pump(now)
+	v := t.decide(now, c, in)
+	t.step(now, c)
+	return v, t.done(now)
+}
+
+func (t *Table) electorsOf(name string) []string {
+	if k := t.known(name); k != nil && len(k.Electors) > 0 {
+		return k.Electors
+	}
+	return Electors(t.listed, name)
+}
+
+// decide answers a hand-in of a channel that is owned, and the others by their phase.
+func (t *Table) decide(now int64, c *channel, in In) Verdict {
+	if c.phase != Owning || now >= c.leaseEnd(t) {
+		t.want(now, c)
+		return c.elsewhere(now, t)
+	}
+	t.change(now, c)
+	k := c.contract
+	if n := c.next; n != nil && in.Pos >= n.From {
+		k = n
+	}
+	at := c.mine.Last
+	bar := func(format string, a ...any) Verdict {
+		return Verdict{Way: Barred, Pos: at, Cause: fmt.Sprintf(format, a...)}
+	}
+	if in.Dst != k.Dst {
+		return bar("channel %s goes to destination %d", c.name, k.Dst)
+	}
+	if in.Pos <= at {
+		return c.again(in)
+	}
+	if i, there := c.find(in.Pos); there {
+		if c.entries[i].ID == in.ID {
+			return Verdict{Way: Doubled, Pos: at}
+		}
+		return bar("position %d is taken by another message", in.Pos)
+	}
+	switch {
+	case k.Withdrawn:
+		return bar("channel %s is withdrawn", c.name)
+	case c.mine.Closed >= k.Version:
+		return bar("channel %s is closed since a gap after position %d", c.name, at)
+	case in.Pos <= c.mine.Doubt && !in.Repeat:
+		return t.doubtful(c, k, in)
+	}
+	if ahead := c.ahead(); in.Pos > at+1 && !ahead && (k.Wait == 0 || in.Pos > at+int64(k.Window)) && k.Gap != Wait {
+		return t.jump(now, c, k, in)
+	}
+	if !t.fits(c, k, in) || in.Pos > at+int64(k.Window) {
+		return Verdict{Way: Busy, Pos: at, Wait: max(t.t.Answer, c.gapEnd-now)}
+	}
+	return t.take(now, c, k, in)
+}
+
+// jump heeds the gap rule at once: nothing is waited for, or the position lies beyond the window.
+func (t *Table) jump(now int64, c *channel, k *Contract, in In) Verdict {
+	if k.Gap == Close {
+		t.close(now, c)
+		return Verdict{Way: Barred, Pos: c.mine.Last, Cause: fmt.Sprintf("channel %s is closed since a gap after position %d", c.name, c.mine.Last)}
+	}
+	if !t.fits(c, k, in) {
+		if in.Pos > c.ceilOK && c.acked() >= c.ceilAt {
+			t.raise(now, c, in.Pos)
+		}
+		return Verdict{Way: Busy, Pos: c.mine.Last, Wait: t.t.Answer}
+	}
+	c.advance(in.Pos-1, 0)
+	return t.take(now, c, k, in)
+}
+
+// fits tells whether there is room for a message, and its position on a majority's disks.
+func (t *Table) fits(c *channel, k *Contract, in In) bool {
+	return len(c.entries)+len(c.rests) < k.Window && t.held < t.room.Held && in.Pos <= c.ceilOK
+}
+
+// ahead tells whether a message stands behind a gap.
+func (c *channel) ahead() bool {
+	return len(c.entries) > 0 && c.entries[len(c.entries)-1].Pos > c.mine.Last
+}
+
+// elsewhere answers where the channel is not, or not yet, ours.
+func (c *channel) elsewhere(now int64, t *Table) Verdict {
+	v := Verdict{Way: Busy, Pos: -1, Wait: t.t.Answer}
+	if c.mine.Fence > 0 && c.phase != Fenced && c.phase != Lapsed {
+		v.Pos = c.mine.Last
+	}
+	switch {
+	case c.nobody:
+		return Verdict{Way: Barred, Pos: -1, Cause: "no contract for channel " + c.name}
+	case c.phase == Quiet:
+		v.Wait = max(c.quietEnd-now, t.t.Answer)
+	case c.phase == Idle, c.phase == Lapsed, c.phase == Fenced:
+		v.Wait = max(c.comeBack-now, aMoment)
+	}
+	return v
+}
+
+// again answers a position that is behind.
+func (c *channel) again(in In) Verdict {
+	at := c.mine.Last
+	sum, remembered := c.sumAt(in.Pos)
+	switch {
+	case !remembered:
+		return Verdict{Way: Barred, Pos: at, Cause: fmt.Sprintf("position %d is behind what is remembered", in.Pos)}
+	case sum == 0:
+		return Verdict{Way: Barred, Pos: at, Cause: fmt.Sprintf("position %d was skipped", in.Pos)}
+	case sum != taken && sum != sumOf(in.ID):
+		return Verdict{Way: Barred, Pos: at, Cause: fmt.Sprintf("position %d is taken by another message", in.Pos)}
+	}
+	return Verdict{Way: Doubled, Pos: at}
+}
+
+// doubtful answers a position that an owner which vanished may have taken on and run, in a lane that forbids a repeat.
+func (t *Table) doubtful(c *channel, k *Contract, in In) Verdict {
+	cause := fmt.Sprintf("position %d may have run at a sender that is out of reach", in.Pos)
+	switch k.Gap {
+	case Skip:
+		if !c.ahead() {
+			c.advance(in.Pos, 0)
+			t.row(ownKey+c.name, c.mine)
+		}
+	case Wait:
+		return Verdict{Way: Busy, Pos: c.mine.Last, Wait: k.Wait}
+	case Close:
+		c.mine.Closed = k.Version
+		t.row(ownKey+c.name, c.mine)
+	}
+	return Verdict{Way: Barred, Pos: c.mine.Last, Cause: cause}
+}
+
+func (t *Table) take(now int64, c *channel, k *Contract, in In) Verdict {
+	e := &entry{Channel: c.name, Pos: in.Pos, ID: in.ID, Key: in.Key, Until: min(in.Until, now+k.MostHold), Settle: in.Settle,
+		Version: k.Version, Mode: k.Mode, Pass: k.PassFailed}
+	c.insert(e)
+	t.held++
+	t.row(entryRow(e), e)
+	t.absorb(c)
+	t.row(ownKey+c.name, c.mine)
+	return Verdict{Way: Taken, Pos: c.mine.Last}
+}
+
+func entryRow(e *entry) string { return fmt.Sprintf("%s%s/%x", entryKey, e.Channel, e.Pos) }
+
+// absorb takes Last on over messages that stood ahead of it.
+func (t *Table) absorb(c *channel) {
+	i, _ := c.find(c.mine.Last + 1)
+	for ; i < len(c.entries) && c.entries[i].Pos == c.mine.Last+1; i++ {
+		c.advance(c.entries[i].Pos, sumOf(c.entries[i].ID))
+	}
+}
+
+// change puts the next contract in force once all positions before its first are taken on; a closed channel goes on from there.
+func (t *Table) change(now int64, c *channel) {
+	if n := majority(c.nexts, len(c.electors)); n != nil && n.Version > c.contract.Version {
+		c.next = n
+	}
+	if c.next == nil {
+		return
+	}
+	if c.mine.Closed > 0 && c.mine.Closed >= c.contract.Version && c.next.From > c.mine.Last+1 && c.next.From <= c.ceilOK {
+		c.advance(c.next.From-1, 0)
+	}
+	if c.mine.Last+1 >= c.next.From || c.mine.Closed > 0 && c.mine.Closed >= c.contract.Version {
+		c.contract, c.next, c.renewAt = c.next, nil, now
+		t.row(ownKey+c.name, c.mine)
+	}
+}
+
+// gap watches the positions that are missing.
+func (t *Table) gap(now int64, c *channel) {
+	switch {
+	case !c.ahead():
+		c.gapEnd = 0
+	case c.gapEnd == 0:
+		c.gapEnd = now + c.contract.Wait
+	case now >= c.gapEnd:
+		c.gapEnd = 0
+		switch c.contract.Gap {
+		case Skip:
+			i, _ := c.find(c.mine.Last + 1)
+			c.advance(c.entries[i].Pos-1, 0)
+			t.absorb(c)
+			t.row(ownKey+c.name, c.mine)
+			t.gap(now, c) // there may be a further one
+		case Wait:
+			t.giveAhead(now, c)
+		case Close:
+			t.close(now, c)
+		}
+	}
+}
+
+func (t *Table) close(now int64, c *channel) {
+	c.mine.Closed = c.contract.Version
+	t.giveAhead(now, c)
+	t.row(ownKey+c.name, c.mine)
+}
+
+// line lets messages go whose turn has come.
+func (t *Table) line(now int64, c *channel) {
+	var keys map[string]bool
+	for i, e := range c.entries {
+		if e.Pos > c.mine.Last {
+			return
+		}
+		first := i == 0
+		if e.Version != c.entries[0].Version || e.Mode == Whole && (!first || c.resting(now, "", true)) {
+			return // all that follows waits too, for it would overtake this one
+		}
+		free := e.Mode != PerKey || e.Key == "" || !keys[e.Key] && !c.resting(now, e.Key, false)
+		if e.Mode == PerKey && e.Key != "" {
+			if keys == nil {
+				keys = map[string]bool{}
+			}
+			keys[e.Key] = true
+		}
+		if free && !e.released {
+			e.released = true
+			t.out.Release = append(t.out.Release, e.ID)
+		}
+	}
+}
+
+// Ended says how a message that was released is over. MayRun: a leg of it may still run.
+func (t *Table) Ended(now int64, channel string, pos int64, delivered, mayRun bool) Effects {
+	if c := t.chans[channel]; c != nil {
+		if i, there := c.find(pos); there {
+			t.finish(now, c, i, delivered, mayRun)
+		}
+		t.step(now, c)
+	}
+	return t.done(now)
+}
+
+// finish takes a message out. Where it may not be passed, those behind it are given up and its position is owed again.
+func (t *Table) finish(now int64, c *channel, i int, delivered, mayRun bool) {
+	e := c.entries[i]
+	c.entries = slices.Delete(c.entries, i, i+1)
+	t.held--
+	t.drop(entryRow(e))
+	c.rest(now, e, mayRun)
+	if delivered || e.Pass || e.Pos > c.mine.Last {
+		return
+	}
+	for len(c.entries) > i && c.entries[len(c.entries)-1].Pos > e.Pos {
+		t.giveUp(now, c, len(c.entries)-1)
+	}
+	c.back(e.Pos - 1)
+	t.row(ownKey+c.name, c.mine)
+}
+
+func (c *channel) rest(now int64, e *entry, mayRun bool) {
+	if mayRun && e.Settle > 0 {
+		c.rests = append(c.rests, rest{e.Key, now + e.Settle})
+	}
+}
+
+// giveUp ends a message here: at once if it is not with the decisions, else they are asked to and Ended follows.
+func (t *Table) giveUp(now int64, c *channel, i int) {
+	e := c.entries[i]
+	if e.given {
+		return
+	}
+	e.given = true
+	t.out.GiveUp = append(t.out.GiveUp, GivenUp{e.ID, e.Pos, 2 * t.t.Answer})
+	if !e.released {
+		c.rest(now, e, e.begun)
+		c.entries = slices.Delete(c.entries, i, i+1)
+		t.held--
+		t.drop(entryRow(e))
+	}
+}
+
+// expire gives up messages that waited too long for their turn, and forgets rests that are over.
+func (t *Table) expire(now int64, c *channel) {
+	c.rests = slices.DeleteFunc(c.rests, func(r rest) bool { return now >= r.until })
+	for i := 0; i < len(c.entries); i++ {
+		e := c.entries[i]
+		if e.released || now < e.Until {
+			continue
+		}
+		e.given = true
+		t.out.GiveUp = append(t.out.GiveUp, GivenUp{e.ID, e.Pos, 2 * t.t.Answer})
+		t.finish(now, c, i, false, e.begun)
+		i = -1
+	}
+}
+
+// giveAhead gives up what stands behind a gap.
+func (t *Table) giveAhead(now int64, c *channel) {
+	for i := len(c.entries) - 1; i >= 0 && c.entries[i].Pos > c.mine.Last; i-- {
+		t.giveUp(now, c, i)
+	}
+}
+
+// giveTail gives up what is not under way. Positions at the end are owed again; one that others have overtaken is over.
+func (t *Table) giveTail(now int64, c *channel) {
+	tail := c.tailOf()
+	for i := len(c.entries) - 1; i >= 0; i-- {
+		if !c.entries[i].released {
+			t.giveUp(now, c, i)
+		}
+	}
+	if tail < c.mine.Last {
+		c.back(tail)
+		t.row(ownKey+c.name, c.mine)
+	}
+}
+
+func (t *Table) giveAll(now int64, c *channel) {
+	for i := len(c.entries) - 1; i >= 0; i-- {
+		t.giveUp(now, c, i)
+	}
+}
+
+// MayBegin is asked right before a leg's first byte.
+func (t *Table) MayBegin(now int64, channel string, pos int64) bool {
+	c := t.chans[channel]
+	if t.broken || c == nil || !c.lets(now, t) {
+		return false
+	}
+	i, there := c.find(pos)
+	return there && c.entries[i].released && !c.entries[i].given
+}
+
+// Gone says that the channel's client has left its connection: another sender's wish for the channel is heeded at once.
+func (t *Table) Gone(channel string) {
+	if c := t.chans[channel]; c != nil {
+		c.gone = true
+	}
+}
--- /dev/null
+++ b/internal/channels/owner.go
@@ -0,0 +1,420 @@
+package channels
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// step does what is due for a channel, and sees that it is woken for the next thing.
+func (t *Table) step(now int64, c *channel) {
+	switch c.phase {
+	case Quiet, Owning, Yielding:
+		if now >= c.leaseEnd(t) {
+			t.turn(c, Lapsed)
+			c.comeBack, c.gapEnd = now, 0
+		}
+	}
+	t.expire(now, c)
+	switch c.phase {
+	case Asking:
+		if now >= c.askedAt+t.t.Answer {
+			t.askNext(now, c)
+		}
+	case Holding:
+		t.stepHolding(now, c)
+	case Lapsed:
+		if now >= c.comeBack && len(c.entries) == 0 && c.mine.Fence == 0 {
+			t.turn(c, Idle)
+		} else if now >= c.comeBack {
+			t.ask(now, c)
+		}
+	case Quiet:
+		t.renew(now, c)
+		if now >= c.quietEnd {
+			t.turn(c, Owning)
+		}
+	case Releasing:
+		t.renew(now, c)
+	case Fenced:
+		t.stepFenced(now, c)
+	}
+	switch c.phase {
+	case Owning:
+		t.stepOwning(now, c)
+	case Yielding:
+		t.stepYielding(now, c)
+	}
+	t.touch(now, c)
+}
+
+// touch lets go of a channel of which nothing is here, or sets its alarm.
+func (t *Table) touch(now int64, c *channel) {
+	if c.phase == Idle && now >= c.comeBack && len(c.entries) == 0 {
+		delete(t.chans, c.name)
+		return
+	}
+	if at := c.wakeUp(now, t); at > 0 && (c.wake == 0 || at < c.wake) {
+		c.wake = at
+		t.wakeAt(at, c.name, false)
+	}
+}
+
+// ask begins to ask electors, the first alone: so one of many candidates gets all of them.
+func (t *Table) ask(now int64, c *channel) {
+	n := len(c.electors)
+	c.fence = max(c.fence, c.heard) + 1
+	c.heard = c.fence
+	c.granted, c.blank, c.best, c.at = make([]bool, n), make([]bool, n), Record{}, 0
+	c.nexts, c.told = make([]*Contract, n), make([]*Contract, n)
+	c.heldAt, c.heldSeq, c.nobody = nil, nil, false
+	t.turn(c, Asking)
+	t.askOne(now, c)
+}
+
+func (t *Table) askOne(now int64, c *channel) {
+	c.askedAt = now
+	t.send(c.electors[c.at], Msg{Kind: Ask, Channel: c.name, Fence: c.fence, Life: t.life, At: now})
+}
+
+// askNext goes on to the next elector, or gives up for a while that differs from sender to sender.
+func (t *Table) askNext(now int64, c *channel) {
+	if c.at++; c.at < len(c.electors) {
+		t.askOne(now, c)
+		return
+	}
+	wait := t.t.Answer + int64(xxhash.Sum64String(t.self+"\x00"+c.name)%uint64(t.t.Answer))
+	if c.mine.Fence > 0 {
+		wait += t.t.Lease / 4
+	}
+	if c.nobody = !slices.Contains(c.blank, false); c.nobody {
+		wait = noContract
+	}
+	t.abandon(now, c, wait)
+}
+
+// abandon lets electors' promises go.
+func (t *Table) abandon(now int64, c *channel, wait int64) {
+	for i, e := range c.electors {
+		if i > c.at { // never asked
+			break
+		}
+		t.send(e, Msg{Kind: Drop, Channel: c.name, Fence: c.fence, Life: t.life})
+	}
+	c.comeBack, c.heldAt, c.heldSeq = now+wait, nil, nil
+	t.turn(c, c.without())
+}
+
+// without is the phase of a channel that is not owned.
+func (c *channel) without() Phase {
+	if c.mine.Fence > 0 || len(c.entries) > 0 {
+		return Lapsed
+	}
+	return Idle
+}
+
+func (t *Table) hearOwner(now int64, c *channel, from string, m Msg) {
+	i := slices.Index(c.electors, from)
+	switch m.Kind {
+	case Grant:
+		if c.phase == Asking && m.Fence == c.fence && m.Life == t.life && i >= 0 && m.Rec != nil && m.Contract != nil {
+			t.hearGrant(now, c, i, m)
+		}
+	case Held:
+		if m.Fence == c.fence && m.Life == t.life && i >= 0 && i < len(c.heldAt) {
+			t.hearHeld(now, c, i, m)
+		}
+	case Deny:
+		if from == c.other && m.Rec == nil && !m.Blank { // the owner's word
+			c.comeBack = min(c.comeBack, now+max(m.Left, aMoment))
+		} else if c.phase == Asking && i >= 0 && m.Life == t.life && m.At >= c.askedAt {
+			t.hearDeny(now, c, i, m)
+		}
+	case Want:
+		t.hearWant(now, c, from)
+	case Tail:
+		t.hearTail(now, c, from, m)
+	case TailHeard:
+		if c.phase == Fenced && from == c.tailTo {
+			c.tail = nil
+		}
+	}
+}
+
+func (t *Table) hearGrant(now int64, c *channel, i int, m Msg) {
+	if e := m.Contract.Electors; !slices.Equal(e, c.electors) && len(e) > 0 { // the list has changed since it was declared
+		t.abandon(now, c, 0)
+		c.electors = e
+		t.ask(now, c)
+		return
+	}
+	c.granted[i], c.nexts[i], c.told[i] = true, m.Next, m.Contract
+	if m.Rec.newer(c.best) {
+		c.best, c.contract = *m.Rec, m.Contract // an owner wrote both down
+	}
+	n := 0
+	for _, g := range c.granted {
+		if g {
+			n++
+		}
+	}
+	if n > len(c.electors)/2 && c.agreed() {
+		t.hold(now, c)
+	} else if i == c.at {
+		t.askNext(now, c)
+	}
+}
+
+// agreed finds the contract in force: the one that the newest record was written with, or before there was an owner the
+// one that a majority took on.
+func (c *channel) agreed() bool {
+	if c.best.Fence > 0 {
+		return true
+	}
+	c.contract = majority(c.told, len(c.electors))
+	return c.contract != nil
+}
+
+// majority finds the contract that more than half of so many hold.
+func majority(told []*Contract, of int) *Contract {
+	for i, k := range told {
+		votes := 0
+		for _, o := range told[i:] {
+			if k != nil && o != nil && o.Version == k.Version && o.same(*k) {
+				votes++
+			}
+		}
+		if votes > of/2 {
+			return k
+		}
+	}
+	return nil
+}
+
+func (t *Table) hearDeny(now int64, c *channel, i int, m Msg) {
+	c.heard = max(c.heard, m.Fence)
+	switch {
+	case m.Blank:
+		if c.blank[i] = true; i == c.at {
+			t.askNext(now, c)
+		}
+	case m.Rec == nil:
+	case c.mine.Fence > 0 && m.Rec.Fence > c.mine.Fence && m.Rec.Owner != t.self:
+		t.abandon(now, c, max(m.Left, aMoment))
+		t.fenced(now, c, *m.Rec)
+	case m.Owner != "" && m.Owner != t.self:
+		c.other = m.Owner
+		t.abandon(now, c, max(m.Left, aMoment))
+		t.want(now, c)
+	default: // the fence was too low
+		t.abandon(now, c, 0)
+		t.ask(now, c)
+	}
+}
+
+// want tells the owner that a client is here.
+func (t *Table) want(now int64, c *channel) {
+	if c.other != "" && now >= c.wantAt && c.used > 0 && now-c.used < t.t.Live {
+		c.wantAt = now + t.t.Answer
+		t.send(c.other, Msg{Kind: Want, Channel: c.name, At: now, Life: t.life})
+	}
+}
+
+// hold takes positions over from the newest record granted with, or goes on with its own if nobody owned the channel since.
+func (t *Table) hold(now int64, c *channel) {
+	kept := c.mine.Fence > 0 && c.best.Fence <= c.mine.Fence
+	if !kept && (c.mine.Fence > 0 || len(c.entries) > 0) {
+		rec := c.best
+		t.abandon(now, c, aMoment)
+		t.fenced(now, c, rec)
+		return
+	}
+	switch { // else the wait stands that a hold which came to nothing began
+	case kept && c.fresh || !kept && c.best.Fence > 0 && !c.best.Clean:
+		c.quietEnd = now + t.t.quiet()
+	case !kept:
+		c.quietEnd = 0
+	}
+	if !kept {
+		c.mine = c.best
+		if c.best.Fence == 0 {
+			c.mine.Last = c.contract.From - 1
+		}
+		if !c.best.Clean {
+			c.mine.Doubt = max(c.best.Ceil, c.best.Doubt)
+		}
+		c.before, c.base = c.best.Fence, c.best.Last
+	}
+	c.mine.Owner, c.mine.Fence, c.mine.Seq, c.mine.Clean, c.fresh = t.self, c.fence, 0, false, false
+	c.ceilOK, c.ceilAt, c.other = 0, 0, ""
+	c.heldAt, c.heldSeq = make([]int64, len(c.electors)), make([]uint64, len(c.electors))
+	c.askedAt, c.at = now, len(c.electors)
+	t.turn(c, Holding)
+	t.raise(now, c, 0)
+}
+
+// raise has electors write a higher ceiling down: no position is taken on above one that a majority has on disk.
+func (t *Table) raise(now int64, c *channel, pos int64) {
+	c.mine.Ceil = max(c.mine.Ceil, max(c.mine.Doubt, c.mine.Last, pos)+int64(c.contract.Window)+reserve)
+	c.ceilAt = c.mine.Seq + 1
+	t.tell(now, c)
+	t.row(ownKey+c.name, c.mine)
+}
+
+// tell sends the record to all electors.
+func (t *Table) tell(now int64, c *channel) {
+	c.mine.Seq++
+	rec := c.mine
+	for _, e := range c.electors {
+		t.send(e, Msg{Kind: Hold, Channel: c.name, Fence: c.fence, Life: t.life, At: now, Rec: &rec, Contract: c.contract})
+	}
+	c.renewAt = now + t.t.Lease/3
+	if c.acked() < c.ceilAt {
+		c.renewAt = now + t.t.Answer
+	}
+}
+
+func (t *Table) renew(now int64, c *channel) {
+	if now >= c.renewAt {
+		t.tell(now, c)
+	}
+}
+
+func (t *Table) stepHolding(now int64, c *channel) {
+	switch {
+	case now < c.leaseEnd(t):
+		if c.quietEnd > now {
+			t.turn(c, Quiet)
+		} else {
+			t.turn(c, Owning)
+		}
+	case now >= c.askedAt+t.t.Lease/2:
+		t.abandon(now, c, t.t.Answer)
+	default:
+		t.renew(now, c)
+	}
+}
+
+func (t *Table) hearHeld(now int64, c *channel, i int, m Msg) {
+	c.heldAt[i], c.heldSeq[i] = max(c.heldAt[i], m.At), max(c.heldSeq[i], m.Seq)
+	c.nexts[i] = m.Next
+	if c.acked() >= c.ceilAt {
+		c.ceilOK = c.mine.Ceil
+	}
+	if c.phase == Releasing && c.acked() >= c.ceilAt {
+		t.drop(ownKey + c.name)
+		c.mine, c.comeBack = Record{}, now
+		t.turn(c, Idle)
+	}
+}
+
+// stepOwning keeps the lease, or gives back a channel that nobody uses.
+func (t *Table) stepOwning(now int64, c *channel) {
+	t.change(now, c)
+	t.gap(now, c)
+	t.line(now, c)
+	if len(c.entries) == 0 && now >= c.used+t.t.Idle {
+		t.yield(now, c)
+		t.stepYielding(now, c)
+		return
+	}
+	if c.acked() >= c.ceilAt && c.mine.Ceil-max(c.mine.Doubt, c.mine.Last) < int64(c.contract.Window)+reserve/2 {
+		t.raise(now, c, 0)
+	}
+	t.renew(now, c)
+}
+
+func (t *Table) yield(now int64, c *channel) {
+	t.turn(c, Yielding)
+	c.drainEnd, c.gapEnd = now+t.t.Drain, 0
+	t.giveAhead(now, c)
+}
+
+// stepYielding lets what is here end; once nothing can run any more the record is clean and the channel free.
+func (t *Table) stepYielding(now int64, c *channel) {
+	if now < c.drainEnd {
+		t.line(now, c)
+	} else {
+		t.giveTail(now, c)
+	}
+	if len(c.entries) > 0 || c.resting(now, "", true) {
+		t.renew(now, c)
+		return
+	}
+	c.mine.Clean = true
+	t.turn(c, Releasing)
+	c.ceilAt = c.mine.Seq + 1
+	t.tell(now, c)
+	t.row(ownKey+c.name, c.mine)
+}
+
+func (t *Table) hearWant(now int64, c *channel, from string) {
+	left := int64(0)
+	live := !c.gone && c.used > 0 && now-c.used < t.t.Live
+	switch c.phase {
+	case Owning:
+		if live {
+			left = c.used + t.t.Live - now
+		} else {
+			t.yield(now, c)
+			left = t.t.Answer
+		}
+	case Quiet:
+		left = max(c.quietEnd-now, t.t.Answer)
+	case Yielding, Releasing:
+		left = t.t.Answer
+	default:
+		return
+	}
+	t.send(from, Msg{Kind: Deny, Channel: c.name, Fence: c.fence, Owner: t.self, Left: left})
+}
+
+// fenced ends all that is here of a channel that somebody else owned since, and has that one told how far this sender had got.
+func (t *Table) fenced(now int64, c *channel, by Record) {
+	t.turn(c, Fenced)
+	c.other = by.Owner
+	if c.mine.Fence > 0 && by.Owner != t.self {
+		rec := c.mine
+		rec.Last, rec.Sums = c.tailOf(), nil
+		c.tail, c.tailTo, c.tails, c.tailAt = &rec, by.Owner, 0, now
+	}
+	t.giveAll(now, c)
+	t.stepFenced(now, c)
+}
+
+func (t *Table) stepFenced(now int64, c *channel) {
+	if c.tail != nil && now >= c.tailAt {
+		if c.tails++; c.tails > mostTails {
+			c.tail = nil
+		} else {
+			c.tailAt = now + t.t.Answer
+			t.send(c.tailTo, Msg{Kind: Tail, Channel: c.name, Fence: c.tail.Fence, Rec: c.tail})
+		}
+	}
+	if c.tail == nil && len(c.entries) == 0 {
+		t.drop(ownKey + c.name)
+		c.mine, c.rests = Record{}, nil
+		t.turn(c, Idle)
+	}
+}
+
+// hearTail settles what the owner before had taken on, if nothing was handed in again meanwhile.
+func (t *Table) hearTail(now int64, c *channel, from string, m Msg) {
+	switch c.phase {
+	case Quiet, Owning, Yielding:
+	default:
+		return
+	}
+	t.send(from, Msg{Kind: TailHeard, Channel: c.name})
+	if m.Rec == nil || m.Fence != c.before || c.mine.Doubt <= c.mine.Last {
+		return
+	}
+	tail := min(m.Rec.Last, c.mine.Doubt)
+	again := c.mine.Last > c.base || len(c.entries) > 0 && c.entries[0].Pos <= tail
+	if !again && tail > c.mine.Last {
+		c.advance(tail, taken)
+		t.absorb(c)
+	}
+	c.mine.Doubt = max(c.mine.Last, tail)
+	t.row(ownKey+c.name, c.mine)
+}
--- /dev/null
+++ b/internal/channels/seat.go
@@ -0,0 +1,157 @@
+package channels
+
+// seat is what an elector keeps of a channel. All but the end of the promise is durable; after a restart a promise counts
+// in full again.
+type seat struct {
+	Contract *Contract `cbor:"1,keyasint,omitempty"`
+	Next     *Contract `cbor:"2,keyasint,omitempty"` // declared, not yet in force
+	Fence    uint64    `cbor:"3,keyasint"`
+	Owner    string    `cbor:"4,keyasint"` // whom Fence is promised to; empty: nobody any more
+	Life     uint64    `cbor:"5,keyasint"`
+	Rec      Record    `cbor:"6,keyasint"`
+	Blank    bool      `cbor:"7,keyasint,omitempty"` // knows the contract, not the record: it lost its folder. No votes until a record comes
+
+	until   int64
+	touched int64
+	waiting bool // in the heap
+}
+
+// hearAsk promises a fence, or says why not. A promise to another is kept to its end.
+func (t *Table) hearAsk(now int64, from string, m Msg) {
+	s := t.seats[m.Channel]
+	if s == nil || s.Blank {
+		t.send(from, Msg{Kind: Deny, Channel: m.Channel, At: m.At, Life: m.Life, Fence: m.Fence, Blank: true})
+		return
+	}
+	other := s.Owner != "" && s.Owner != from && now < s.until
+	if other || m.Fence < s.Fence || m.Fence == s.Fence && s.Owner != from {
+		t.deny(now, from, m, s)
+		return
+	}
+	s.Fence, s.Owner, s.Life, s.until = m.Fence, from, m.Life, now+t.t.promise()
+	t.keepSeat(now, m.Channel, s)
+	rec := s.Rec
+	t.send(from, Msg{Kind: Grant, Channel: m.Channel, Fence: m.Fence, At: m.At, Life: m.Life, Rec: &rec, Contract: s.Contract, Next: s.Next})
+}
+
+func (t *Table) deny(now int64, to string, m Msg, s *seat) {
+	d := Msg{Kind: Deny, Channel: m.Channel, Fence: s.Fence, At: m.At, Life: m.Life, Contract: s.Contract}
+	if s.Owner != "" && now < s.until {
+		d.Owner, d.Left = s.Owner, s.until-now
+		if s.Rec.Fence < s.Fence { // it has not begun, and may give up soon
+			d.Left = min(d.Left, 2*t.t.Answer)
+		}
+	}
+	rec := s.Rec
+	rec.Sums = nil
+	d.Rec = &rec
+	t.send(to, d)
+}
+
+// hearHold writes a record down. A fence above the one promised comes from an owner whose majority was without this elector.
+func (t *Table) hearHold(now int64, from string, m Msg) {
+	s := t.seats[m.Channel]
+	if m.Rec == nil || m.Contract == nil || m.Contract.Channel != m.Channel || m.Contract.Check() != nil || len(m.Rec.Sums) > MostWindow {
+		t.bad++
+		return
+	}
+	if s == nil {
+		if len(t.seats) >= t.room.Channels {
+			t.send(from, Msg{Kind: Deny, Channel: m.Channel, At: m.At, Life: m.Life, Fence: m.Fence, Blank: true})
+			return
+		}
+		s = &seat{}
+		t.seats[m.Channel] = s
+	}
+	if m.Fence < s.Fence || m.Fence == s.Fence && s.Owner != from && !m.Rec.Clean {
+		t.deny(now, from, m, s)
+		return
+	}
+	s.Fence, s.Owner, s.Life, s.until, s.Blank = m.Fence, from, m.Life, now+t.t.promise(), false
+	if m.Rec.newer(s.Rec) {
+		s.Rec = *m.Rec
+	}
+	if s.Rec.Clean {
+		s.Owner, s.until = "", 0
+	}
+	if s.Contract == nil || m.Contract.Version >= s.Contract.Version {
+		s.Contract = m.Contract
+	}
+	if s.Next != nil && s.Next.Version <= s.Contract.Version {
+		s.Next = nil
+	}
+	t.keepSeat(now, m.Channel, s)
+	t.send(from, Msg{Kind: Held, Channel: m.Channel, Fence: m.Fence, At: m.At, Life: m.Life, Seq: m.Rec.Seq, Next: s.Next})
+}
+
+// hearDrop ends a promise that its candidate does without: it never owns under that fence.
+func (t *Table) hearDrop(now int64, from string, m Msg) {
+	s := t.seats[m.Channel]
+	if s == nil || s.Owner != from || s.Fence != m.Fence || s.Life != m.Life {
+		return
+	}
+	s.Owner, s.until = "", 0
+	t.keepSeat(now, m.Channel, s)
+}
+
+// hearDeclare takes a contract on, or says why never. Only version 1 may make a seat that votes: any other finds an elector that has
+// lost what it knew.
+func (t *Table) hearDeclare(now int64, from string, m Msg) {
+	k := m.Contract
+	if k == nil || k.Check() != nil || k.Channel != m.Channel {
+		t.bad++
+		return
+	}
+	answer := Msg{Kind: Declared, Channel: k.Channel, Fence: k.Version}
+	s := t.seats[k.Channel]
+	if s == nil && len(t.seats) >= t.room.Channels {
+		answer.Kind, answer.Cause = Refused, "no room for another channel"
+	} else if s == nil {
+		t.seats[k.Channel] = &seat{Contract: k, Blank: k.Version != 1}
+		t.keepSeat(now, k.Channel, t.seats[k.Channel])
+	} else if err := k.follows(s.newest()); err != nil {
+		answer.Kind, answer.Cause = Refused, err.Error()
+	} else if k.Version > s.newest().Version {
+		next := *k
+		next.Electors = s.Contract.Electors
+		s.Next = &next
+		t.keepSeat(now, k.Channel, s)
+	}
+	t.send(from, answer)
+}
+
+func (s *seat) newest() *Contract {
+	if s.Next != nil {
+		return s.Next
+	}
+	return s.Contract
+}
+
+func (t *Table) keepSeat(now int64, name string, s *seat) {
+	s.touched = now
+	t.row(seatKey+name, s)
+	if !s.waiting {
+		s.waiting = true
+		t.wakeAt(now+t.t.Forget, name, true)
+	}
+}
+
+// forgetSeat lets go of what an unused channel need not keep: the ids, and all of one that was withdrawn.
+func (t *Table) forgetSeat(now int64, name string) {
+	s := t.seats[name]
+	if s == nil {
+		return
+	}
+	s.waiting = false
+	switch {
+	case now < s.touched+t.t.Forget || s.Owner != "" && now < s.until:
+		s.waiting = true
+		t.wakeAt(max(s.touched+t.t.Forget, s.until), name, true)
+	case s.newest().Withdrawn:
+		delete(t.seats, name)
+		t.drop(seatKey + name)
+	case s.Rec.Sums != nil:
+		s.Rec.Sums = nil
+		t.row(seatKey+name, s)
+	}
+}
