--- a/internal/channels/channel.go
+++ b/internal/channels/channel.go
@@ -25,6 +25,7 @@
 	heldSeq  []uint64    // and its record's seq
 	told     []*Contract // by elector: in force, as far as it knows
 	nexts    []*Contract // by elector: declared, not yet in force
+	tails    []Record    // of fenced owners, told with the grants
 	best     Record      // the newest of those that were granted with
 	renewAt  int64
 	quietEnd int64
@@ -43,15 +44,12 @@
 	ceilOK int64  // ceil on a majority's disks
 	ceilAt uint64 // seq of the record that told the newest ceil
 	gapEnd int64
-	before uint64 // fence of the owner that Doubt is about
-	base   int64  // Last when it was taken over
 
 	entries []*entry // by position
 	rests   []rest
 
-	tail   *Record // to be told to the one that followed
-	tailTo string
-	tails  int
+	tail   *Record // to be told to electors, for the one that followed
+	tailOK []bool  // by elector
 	tailAt int64
 
 	wake int64
--- a/internal/channels/line.go
+++ b/internal/channels/line.go
@@ -15,7 +15,6 @@
 	Dst     int64
 	Until   int64 // µs; its deadline
 	Settle  int64 // µs for which a leg that may still run keeps the next message back
-	Repeat  bool  // its lane lets it run twice: retriable, or keyed with a memory above Timing.Unknown
 }
 
 // Way is what becomes of a hand-in.
@@ -114,8 +113,8 @@
 		return bar("channel %s is withdrawn", c.name)
 	case c.mine.Closed >= k.Version:
 		return bar("channel %s is closed since a gap after position %d", c.name, at)
-	case in.Pos <= c.mine.Doubt && !in.Repeat:
-		return t.doubtful(c, k, in)
+	case c.mine.Doubt > at: // it may have run at an owner that vanished, or something before it may
+		return Verdict{Way: Busy, Pos: at, Wait: max(t.t.Answer, c.gapEnd-now)}
 	}
 	if ahead := c.ahead(); in.Pos > at+1 && !ahead && (k.Wait == 0 || in.Pos > at+int64(k.Window)) && k.Gap != Wait {
 		return t.jump(now, c, k, in)
@@ -184,24 +183,6 @@
 	return Verdict{Way: Doubled, Pos: at}
 }
 
-// doubtful answers a position that an owner which vanished may have taken on and run, in a lane that forbids a repeat.
-func (t *Table) doubtful(c *channel, k *Contract, in In) Verdict {
-	cause := fmt.Sprintf("position %d may have run at a sender that is out of reach", in.Pos)
-	switch k.Gap {
-	case Skip:
-		if !c.ahead() {
-			c.advance(in.Pos, 0)
-			t.row(ownKey+c.name, c.mine)
-		}
-	case Wait:
-		return Verdict{Way: Busy, Pos: c.mine.Last, Wait: k.Wait}
-	case Close:
-		c.mine.Closed = k.Version
-		t.row(ownKey+c.name, c.mine)
-	}
-	return Verdict{Way: Barred, Pos: c.mine.Last, Cause: cause}
-}
-
 func (t *Table) take(now int64, c *channel, k *Contract, in In) Verdict {
 	e := &entry{Channel: c.name, Pos: in.Pos, ID: in.ID, Key: in.Key, Until: min(in.Until, now+k.MostHold), Settle: in.Settle,
 		Version: k.Version, Mode: k.Mode, Pass: k.PassFailed}
@@ -231,10 +212,17 @@
 	if c.next == nil {
 		return
 	}
-	if c.mine.Closed > 0 && c.mine.Closed >= c.contract.Version && c.next.From > c.mine.Last+1 && c.next.From <= c.ceilOK {
-		c.advance(c.next.From-1, 0)
+	stuck := c.mine.Closed >= c.contract.Version || c.mine.Doubt > c.mine.Last
+	if stuck && c.next.From > c.mine.Last+1 {
+		if c.next.From > c.ceilOK {
+			if c.acked() >= c.ceilAt {
+				t.raise(now, c, c.next.From)
+			}
+			return
+		}
+		c.advance(max(c.next.From-1, c.mine.Doubt), 0)
 	}
-	if c.mine.Last+1 >= c.next.From || c.mine.Closed > 0 && c.mine.Closed >= c.contract.Version {
+	if c.mine.Last+1 >= c.next.From {
 		c.contract, c.next, c.renewAt = c.next, nil, now
 		t.row(ownKey+c.name, c.mine)
 	}
@@ -242,22 +230,32 @@
 
 // gap watches the positions that are missing.
 func (t *Table) gap(now int64, c *channel) {
-	switch {
-	case !c.ahead():
+	doubt := c.mine.Doubt > c.mine.Last && c.mine.Closed < c.contract.Version
+	if !c.ahead() && !doubt {
 		c.gapEnd = 0
-	case c.gapEnd == 0:
+		return
+	}
+	if c.gapEnd == 0 {
 		c.gapEnd = now + c.contract.Wait
-	case now >= c.gapEnd:
-		c.gapEnd = 0
+	}
+	if now >= c.gapEnd {
 		switch c.contract.Gap {
 		case Skip:
-			i, _ := c.find(c.mine.Last + 1)
-			c.advance(c.entries[i].Pos-1, 0)
+			if doubt {
+				c.advance(c.mine.Doubt, 0)
+			} else {
+				i, _ := c.find(c.mine.Last + 1)
+				c.advance(c.entries[i].Pos-1, 0)
+			}
 			t.absorb(c)
 			t.row(ownKey+c.name, c.mine)
+			c.gapEnd = 0
 			t.gap(now, c) // there may be a further one
 		case Wait:
 			t.giveAhead(now, c)
+			if c.gapEnd = 0; doubt { // it is the owner's to say; look again
+				c.gapEnd = now + c.contract.Wait
+			}
 		case Close:
 			t.close(now, c)
 		}
--- a/internal/channels/owner.go
+++ b/internal/channels/owner.go
@@ -67,7 +67,7 @@
 	c.heard = c.fence
 	c.granted, c.blank, c.best, c.at = make([]bool, n), make([]bool, n), Record{}, 0
 	c.nexts, c.told = make([]*Contract, n), make([]*Contract, n)
-	c.heldAt, c.heldSeq, c.nobody = nil, nil, false
+	c.heldAt, c.heldSeq, c.tails, c.nobody = nil, nil, nil, false
 	t.turn(c, Asking)
 	t.askOne(now, c)
 }
@@ -129,14 +129,17 @@
 			c.comeBack = min(c.comeBack, now+max(m.Left, aMoment))
 		} else if c.phase == Asking && i >= 0 && m.Life == t.life && m.At >= c.askedAt {
 			t.hearDeny(now, c, i, m)
+		} else if c.phase == Releasing && i >= 0 && m.Life == t.life && m.Fence > c.fence && m.Rec != nil {
+			t.overtaken(now, c, m)
 		}
 	case Want:
 		t.hearWant(now, c, from)
-	case Tail:
-		t.hearTail(now, c, from, m)
 	case TailHeard:
-		if c.phase == Fenced && from == c.tailTo {
-			c.tail = nil
+		if c.tail != nil && i >= 0 && m.Fence == c.tail.Fence {
+			c.tailOK[i] = true
+			if count(c.tailOK) > len(c.electors)/2 {
+				c.tail = nil
+			}
 		}
 	}
 }
@@ -152,19 +155,27 @@
 	if m.Rec.newer(c.best) {
 		c.best, c.contract = *m.Rec, m.Contract // an owner wrote both down
 	}
-	n := 0
-	for _, g := range c.granted {
-		if g {
-			n++
+	for _, r := range m.Tails {
+		if !slices.ContainsFunc(c.tails, func(o Record) bool { return o.Fence == r.Fence }) {
+			c.tails = append(c.tails, r)
 		}
 	}
-	if n > len(c.electors)/2 && c.agreed() {
+	if count(c.granted) > len(c.electors)/2 && c.agreed() {
 		t.hold(now, c)
 	} else if i == c.at {
 		t.askNext(now, c)
 	}
 }
 
+func count(some []bool) (n int) {
+	for _, s := range some {
+		if s {
+			n++
+		}
+	}
+	return n
+}
+
 // agreed finds the contract in force: the one that the newest record was written with, or before there was an owner the
 // one that a majority took on.
 func (c *channel) agreed() bool {
@@ -212,6 +223,17 @@
 	}
 }
 
+// overtaken ends a release that came too late for an elector: another sender has a higher fence there.
+func (t *Table) overtaken(now int64, c *channel, m Msg) {
+	c.heard = max(c.heard, m.Fence)
+	if m.Rec.Fence > c.mine.Fence {
+		t.fenced(now, c, *m.Rec)
+		return
+	}
+	c.comeBack = now + max(m.Left, aMoment)
+	t.turn(c, Lapsed)
+}
+
 // want tells the owner that a client is here.
 func (t *Table) want(now int64, c *channel) {
 	if c.other != "" && now >= c.wantAt && c.used > 0 && now-c.used < t.t.Live {
@@ -241,14 +263,15 @@
 			c.mine.Last = c.contract.From - 1
 		}
 		if !c.best.Clean {
-			c.mine.Doubt = max(c.best.Ceil, c.best.Doubt)
+			c.mine.Doubt, c.mine.Before = max(c.best.Ceil, c.best.Doubt), c.best.Fence
 		}
-		c.before, c.base = c.best.Fence, c.best.Last
+		c.mine.Since = c.fence
 	}
 	c.mine.Owner, c.mine.Fence, c.mine.Seq, c.mine.Clean, c.fresh = t.self, c.fence, 0, false, false
 	c.ceilOK, c.ceilAt, c.other = 0, 0, ""
 	c.heldAt, c.heldSeq = make([]int64, len(c.electors)), make([]uint64, len(c.electors))
 	c.askedAt, c.at = now, len(c.electors)
+	t.settle(c, c.tails)
 	t.turn(c, Holding)
 	t.raise(now, c, 0)
 }
@@ -298,6 +321,7 @@
 func (t *Table) hearHeld(now int64, c *channel, i int, m Msg) {
 	c.heldAt[i], c.heldSeq[i] = max(c.heldAt[i], m.At), max(c.heldSeq[i], m.Seq)
 	c.nexts[i] = m.Next
+	t.settle(c, m.Tails)
 	if c.acked() >= c.ceilAt {
 		c.ceilOK = c.mine.Ceil
 	}
@@ -373,10 +397,10 @@
 func (t *Table) fenced(now int64, c *channel, by Record) {
 	t.turn(c, Fenced)
 	c.other = by.Owner
-	if c.mine.Fence > 0 && by.Owner != t.self {
-		rec := c.mine
-		rec.Last, rec.Sums = c.tailOf(), nil
-		c.tail, c.tailTo, c.tails, c.tailAt = &rec, by.Owner, 0, now
+	if c.mine.Fence > 0 {
+		left := channel{mine: c.mine}
+		left.back(c.tailOf())
+		c.tail, c.tailOK, c.tailAt = &left.mine, make([]bool, len(c.electors)), now
 	}
 	t.giveAll(now, c)
 	t.stepFenced(now, c)
@@ -384,11 +408,11 @@
 
 func (t *Table) stepFenced(now int64, c *channel) {
 	if c.tail != nil && now >= c.tailAt {
-		if c.tails++; c.tails > mostTails {
-			c.tail = nil
-		} else {
-			c.tailAt = now + t.t.Answer
-			t.send(c.tailTo, Msg{Kind: Tail, Channel: c.name, Fence: c.tail.Fence, Rec: c.tail})
+		c.tailAt = now + t.t.Answer
+		for i, e := range c.electors {
+			if !c.tailOK[i] {
+				t.send(e, Msg{Kind: Tail, Channel: c.name, Fence: c.tail.Fence, Rec: c.tail})
+			}
 		}
 	}
 	if c.tail == nil && len(c.entries) == 0 {
@@ -398,23 +422,29 @@
 	}
 }
 
-// hearTail settles what the owner before had taken on, if nothing was handed in again meanwhile.
-func (t *Table) hearTail(now int64, c *channel, from string, m Msg) {
-	switch c.phase {
-	case Quiet, Owning, Yielding:
-	default:
-		return
-	}
-	t.send(from, Msg{Kind: TailHeard, Channel: c.name})
-	if m.Rec == nil || m.Fence != c.before || c.mine.Doubt <= c.mine.Last {
-		return
+// settle ends the doubt about an owner that told how far it had got. What that one was in doubt of itself stays so.
+func (t *Table) settle(c *channel, tails []Record) {
+	for again := true; again; {
+		again = false
+		for _, r := range tails {
+			if c.mine.Doubt <= c.mine.Last || c.mine.Before < r.Since || c.mine.Before > r.Fence {
+				continue
+			}
+			t.takeOver(c, r)
+			again = true
+		}
 	}
-	tail := min(m.Rec.Last, c.mine.Doubt)
-	again := c.mine.Last > c.base || len(c.entries) > 0 && c.entries[0].Pos <= tail
-	if !again && tail > c.mine.Last {
-		c.advance(tail, taken)
-		t.absorb(c)
+}
+
+func (t *Table) takeOver(c *channel, r Record) {
+	old, tail := channel{mine: r}, min(r.Last, c.mine.Doubt)
+	for p := c.mine.Last + 1; p <= tail; p++ {
+		sum, known := old.sumAt(p)
+		if !known {
+			sum = taken
+		}
+		c.advance(p, sum)
 	}
-	c.mine.Doubt = max(c.mine.Last, tail)
+	c.mine.Before, c.mine.Doubt = r.Before, min(c.mine.Doubt, max(c.mine.Last, r.Doubt))
 	t.row(ownKey+c.name, c.mine)
 }
--- a/internal/channels/phase.go
+++ b/internal/channels/phase.go
@@ -28,7 +28,7 @@
 	Quiet:     {Owning, Idle, Lapsed, Fenced},
 	Owning:    {Yielding, Idle, Lapsed, Fenced},
 	Yielding:  {Releasing, Lapsed, Fenced},
-	Releasing: {Idle, Fenced},
+	Releasing: {Idle, Lapsed, Fenced},
 	Lapsed:    {Asking, Idle, Fenced},
 	Fenced:    {Idle},
 }
--- a/internal/channels/seat.go
+++ b/internal/channels/seat.go
@@ -1,5 +1,7 @@
 package channels
 
+import "slices"
+
 // seat is what an elector keeps of a channel. All but the end of the promise is durable; after a restart a promise counts
 // in full again.
 type seat struct {
@@ -11,6 +13,8 @@
 	Rec      Record    `cbor:"6,keyasint"`
 	Blank    bool      `cbor:"7,keyasint,omitempty"` // knows the contract, not the record: it lost its folder. No votes until a record comes
 
+	Tails []Record `cbor:"8,keyasint,omitempty"`
+
 	until   int64
 	touched int64
 	waiting bool // in the heap
@@ -31,7 +35,7 @@
 	s.Fence, s.Owner, s.Life, s.until = m.Fence, from, m.Life, now+t.t.promise()
 	t.keepSeat(now, m.Channel, s)
 	rec := s.Rec
-	t.send(from, Msg{Kind: Grant, Channel: m.Channel, Fence: m.Fence, At: m.At, Life: m.Life, Rec: &rec, Contract: s.Contract, Next: s.Next})
+	t.send(from, Msg{Kind: Grant, Channel: m.Channel, Fence: m.Fence, At: m.At, Life: m.Life, Rec: &rec, Contract: s.Contract, Next: s.Next, Tails: s.Tails})
 }
 
 func (t *Table) deny(now int64, to string, m Msg, s *seat) {
@@ -71,6 +75,9 @@
 	if m.Rec.newer(s.Rec) {
 		s.Rec = *m.Rec
 	}
+	if s.Rec.Doubt <= s.Rec.Last && (s.Rec.Clean || s.Rec.Fence == m.Fence) { // nobody is in doubt of those before
+		s.Tails = slices.DeleteFunc(slices.Clone(s.Tails), func(r Record) bool { return r.Fence < s.Rec.Fence })
+	}
 	if s.Rec.Clean {
 		s.Owner, s.until = "", 0
 	}
@@ -81,7 +88,7 @@
 		s.Next = nil
 	}
 	t.keepSeat(now, m.Channel, s)
-	t.send(from, Msg{Kind: Held, Channel: m.Channel, Fence: m.Fence, At: m.At, Life: m.Life, Seq: m.Rec.Seq, Next: s.Next})
+	t.send(from, Msg{Kind: Held, Channel: m.Channel, Fence: m.Fence, At: m.At, Life: m.Life, Seq: m.Rec.Seq, Next: s.Next, Tails: s.Tails})
 }
 
 // hearDrop ends a promise that its candidate does without: it never owns under that fence.
@@ -94,6 +101,21 @@
 	t.keepSeat(now, m.Channel, s)
 }
 
+// hearTail writes down how far a fenced owner had got.
+func (t *Table) hearTail(now int64, from string, m Msg) {
+	s := t.seats[m.Channel]
+	if s == nil || m.Rec == nil || m.Rec.Owner != from || len(m.Rec.Sums) > MostWindow {
+		t.bad++
+		return
+	}
+	if !slices.ContainsFunc(s.Tails, func(r Record) bool { return r.Fence == m.Rec.Fence }) {
+		s.Tails = append(slices.Clone(s.Tails), *m.Rec)
+		s.Tails = s.Tails[max(0, len(s.Tails)-mostTails):]
+		t.keepSeat(now, m.Channel, s)
+	}
+	t.send(from, Msg{Kind: TailHeard, Channel: m.Channel, Fence: m.Rec.Fence})
+}
+
 // hearDeclare takes a contract on, or says why never. Only version 1 may make a seat that votes: any other finds an elector that has
 // lost what it knew.
 func (t *Table) hearDeclare(now int64, from string, m Msg) {
@@ -150,8 +172,8 @@
 	case s.newest().Withdrawn:
 		delete(t.seats, name)
 		t.drop(seatKey + name)
-	case s.Rec.Sums != nil:
-		s.Rec.Sums = nil
+	case s.Rec.Sums != nil || s.Tails != nil:
+		s.Rec.Sums, s.Tails = nil, nil
 		t.row(seatKey+name, s)
 	}
 }
--- a/internal/channels/table.go
+++ b/internal/channels/table.go
@@ -184,9 +184,11 @@
 		t.hearDrop(now, from, m)
 	case Declare:
 		t.hearDeclare(now, from, m)
+	case Tail:
+		t.hearTail(now, from, m)
 	case Declared, Refused:
 		t.hearOrder(from, m)
-	case Grant, Deny, Held, Want, Tail, TailHeard:
+	case Grant, Deny, Held, Want, TailHeard:
 		if c := t.chans[m.Channel]; c != nil {
 			t.step(now, c)
 			t.hearOwner(now, c, from, m)
--- a/internal/channels/timing.go
+++ b/internal/channels/timing.go
@@ -41,7 +41,3 @@
 
 // quiet is how long a new owner waits for legs of one that is not known to have stopped, by a clock that may run fast.
 func (t Timing) quiet() int64 { return t.Leg + t.Leg*2*t.Drift/1_000_000 + 1 }
-
-// Unknown is the longest time before a takeover at which a position may have been taken on, and run, that no elector heard of. A keyed lane
-// allows a repeat only where its key is remembered longer.
-func (t Timing) Unknown() int64 { return 2*t.promise() + 2*t.quiet() }
--- a/internal/channels/world_test.go
+++ b/internal/channels/world_test.go
@@ -18,10 +18,13 @@
 	client map[string]int64
 	high   map[string]int64 // by channel: the highest position of which a leg began
 	ran    map[string]int   // legs by channel and position
-	owed   map[string]bool  // channels where a failed message may not be passed
+	mode   map[string]Mode
+	strict map[string]bool // channels whose gap rule is wait: no position goes before the one below was taken on
+	took   map[string]bool
+	owed   map[string]bool // channels where a failed message may not be passed
+	healed bool
 	story  []string
 	wrong  string
-	repeat bool                             // lanes let messages run twice
 	plant  func(w *world, n *node)          // a fault: runs after each step of a sender
 	lose   func(n *node, r Row) (lost bool) // a fault of the disk
 }
@@ -53,6 +56,8 @@
 	ended                  int
 }
 
+const settle = 500_000 // µs; part of Leg
+
 var names = []string{"a", "b", "c"}
 
 var quick = Timing{Lease: 3_000_000, Drift: 1000, Answer: 200_000, Leg: 1_000_000, Live: 500_000, Drain: 300_000, Idle: 4_000_000, Forget: 60_000_000}
@@ -67,7 +72,8 @@
 }
 
 func newWorld(ks ...Contract) *world {
-	w := &world{now: 1_000_000, client: map[string]int64{}, high: map[string]int64{}, ran: map[string]int{}, owed: map[string]bool{}}
+	w := &world{now: 1_000_000, client: map[string]int64{}, high: map[string]int64{}, ran: map[string]int{}, owed: map[string]bool{},
+		mode: map[string]Mode{}, strict: map[string]bool{}, took: map[string]bool{}}
 	for _, n := range names {
 		w.nodes = append(w.nodes, &node{name: n, life: 1, t: New(n, 1, names, quick, Room{1000, 1000}), disk: map[string][]byte{}})
 	}
@@ -77,6 +83,7 @@
 			panic(err)
 		}
 		w.do(w.nodes[0], e)
+		w.mode[k.Channel], w.strict[k.Channel] = k.Mode, k.Gap == Wait
 		w.client[k.Channel], w.owed[k.Channel] = k.From, !k.PassFailed
 	}
 	w.settle()
@@ -184,8 +191,9 @@
 func (w *world) handIn(n *node, ch string, ahead int64) Verdict {
 	pos := w.client[ch] + ahead
 	id := fmt.Sprintf("%s%d", ch, pos)
-	v, e := n.t.HandIn(w.now, In{Channel: ch, Pos: pos, ID: id, Dst: 1, Until: w.now + 5_000_000, Settle: 500_000, Repeat: w.repeat})
+	v, e := n.t.HandIn(w.now, In{Channel: ch, Pos: pos, ID: id, Key: keyOf(pos), Dst: 1, Until: w.now + 5_000_000, Settle: settle})
 	if v.Way == Taken {
+		w.took[fmt.Sprintf("%s/%d", ch, pos)] = true
 		w.msgs = append(w.msgs, &taking{node: n.name, ch: ch, id: id, pos: pos})
 	}
 	w.say("%s hands in %s: %+v", n.name, id, v)
@@ -196,6 +204,8 @@
 	return v
 }
 
+func keyOf(pos int64) string { return []string{"odd", "even", ""}[pos%2] }
+
 // begin has a sender's decisions start a leg of every message that may have one, and judges order and doubled effects.
 func (w *world) begin(n *node) {
 	for _, m := range w.msgs {
@@ -205,15 +215,22 @@
 		m.begun = true
 		w.say("%s begins %s", n.name, m.id)
 		key := fmt.Sprintf("%s/%d", m.ch, m.pos)
-		if w.ran[key]++; w.ran[key] > 1 && !w.repeat {
+		if w.ran[key]++; w.ran[key] > 1 {
 			w.fail("%s ran twice", key)
 		}
-		if m.pos < w.high[m.ch] {
-			w.fail("%s began at %s after position %d", key, n.name, w.high[m.ch])
+		if w.strict[m.ch] && m.pos > 1 && !w.took[fmt.Sprintf("%s/%d", m.ch, m.pos-1)] {
+			w.fail("%s began at %s over a gap", key, n.name)
+		}
+		line := m.ch // of messages that wait for each other
+		if w.mode[m.ch] == PerKey {
+			line += keyOf(m.pos)
 		}
-		w.high[m.ch] = max(w.high[m.ch], m.pos)
+		if w.mode[m.ch] != None && m.pos < w.high[line] {
+			w.fail("%s began at %s after position %d", key, n.name, w.high[line])
+		}
+		w.high[line] = max(w.high[line], m.pos)
 		for _, l := range w.legs {
-			if l.of.ch == m.ch && l.of.pos != m.pos && (l.out || l.until > w.now) {
+			if l.of.ch == m.ch && l.of.pos != m.pos && (w.mode[m.ch] == Whole || w.mode[m.ch] == PerKey && keyOf(l.of.pos) == keyOf(m.pos)) && l.until > w.now {
 				w.fail("%s began at %s while %d of %s could run", key, n.name, l.of.pos, l.of.node)
 			}
 		}
@@ -224,15 +241,29 @@
 // over ends a sender's legs: delivered, or failed with half a second to run.
 func (w *world) over(n *node, delivered bool) {
 	for i := range w.legs {
-		l := &w.legs[i]
-		if l.of.node != n.name || !l.out {
-			continue
+		if l := w.legs[i]; l.of.node == n.name && l.out {
+			w.overOne(n, i, delivered)
 		}
-		l.out = false
-		if l.until = w.now; !delivered {
-			l.until += 500_000
+	}
+}
+
+func (w *world) overOne(n *node, i int, delivered bool) {
+	l := &w.legs[i]
+	l.out = false
+	if delivered {
+		l.until = min(l.until, w.now)
+	} else {
+		l.until = min(l.until, w.now+settle)
+	}
+	w.end(n, l.of, delivered, !delivered)
+}
+
+// patience ends legs that are out too long.
+func (w *world) patience(n *node) {
+	for i := range w.legs {
+		if l := w.legs[i]; l.of.node == n.name && l.out && l.until-settle <= w.now {
+			w.overOne(n, i, false)
 		}
-		w.end(n, l.of, delivered, !delivered)
 	}
 }
 
@@ -268,6 +299,7 @@
 
 func (w *world) tick(n *node) {
 	if !n.down && !n.paused {
+		w.patience(n)
 		w.do(n, n.t.Tick(w.now))
 	}
 }
@@ -304,7 +336,7 @@
 		if !slices.Contains(ids, m.id) {
 			w.fail("%s lost %s", n.name, m.id)
 		}
-		if m.begun && !w.repeat { // the decisions end it: it may have run, and its lane forbids a repeat
+		if m.begun { // the decisions end it: it may have run, and its lane forbids a repeat
 			m.released = true
 			w.end(n, m, false, true)
 		}
@@ -362,7 +394,7 @@
 // clone copies all that steps change in place.
 func (w *world) clone() *world {
 	o := *w
-	o.client, o.high, o.ran = maps.Clone(w.client), maps.Clone(w.high), maps.Clone(w.ran)
+	o.client, o.high, o.ran, o.took = maps.Clone(w.client), maps.Clone(w.high), maps.Clone(w.ran), maps.Clone(w.took)
 	o.story = slices.Clone(w.story)
 	o.mail, o.legs, o.msgs, o.nodes = slices.Clone(w.mail), slices.Clone(w.legs), nil, nil
 	was := map[*taking]*taking{}
@@ -401,7 +433,7 @@
 // key tells states apart, whatever way led there.
 func (w *world) key() string {
 	var b strings.Builder
-	fmt.Fprint(&b, w.now, w.cut, w.client, w.high, w.ran)
+	fmt.Fprint(&b, w.now, w.healed, w.cut, w.client, w.high, w.ran)
 	var letters []string
 	for _, l := range w.mail {
 		m := l.m
