Capacity is reckoned from deliveries while a destination stood, not from what arrived

Cause: where no limit is told, what arrived made the capacity, and clients that came again during the outage (2.4 tries a message) counted each time: 130 to 380 calls a second believed, 40 true. New code cannot repeat it: deliveries summed over the senders are never more than what the destination did, and the time down is left out.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -50,7 +50,7 @@
 	rampMargin     = 0.8             // share of the allowed load on a cold receiver; rest is for chance
 	rampExtra      = 0.25            // of a call; weight of each further message in a call to a cold receiver
 	roughLow       = 0.67            // a rough weight may be half too high
-	arrivalSpan    = 5 * second      // µs after the start before arrivals make a rate
+	rateSpan       = 5 * second      // µs before what was counted makes a rate
 
 	paceShares     = 1.3         // even shares of a known limit: others may leave some of theirs
 	paceLeast      = 3.0         // calls that may go at once at least, however small the even share
@@ -60,8 +60,6 @@
 	pressGap       = second      // µs between two cuts; the last one must have shown first
 	leastShareLeft = 0.2         // of a limit; told less, a route waits for the next token
 	paceBurst      = 0.3         // seconds of the rate that may go at once
-	okSpan         = 2 * second  // µs; successes are counted over such spans at least,
-	okLeast        = 5           // and until there are so many: fewer make no rate
 	scarceSlots    = 0.85        // of the slots; with more in use, patience goes by the answer times
 	patienceVar    = 9           // deviations above the mean answer time until a leg is given up
 	slowVar        = 4           // deviations until a leg out counts as slow
@@ -249,7 +247,7 @@
 
 // rate is how many messages a second this sender takes on, 0 while it has not run long enough to tell.
 func (s *Sender) rate() float64 {
-	if s.now-s.takenFrom < arrivalSpan {
+	if s.now-s.takenFrom < rateSpan {
 		return 0
 	}
 	return float64(s.taken) * float64(second) / float64(s.now-s.takenFrom)
@@ -288,23 +286,13 @@
 		return
 	}
 	turn := int64(float64(second) / max(share, leastTrials))
+	if p.share > 0 { // pace keeps to the limit; a cold share's interval is minutes in a large fleet
+		turn = 0
+	}
 	first := max(pauseFirst, int64(pauseTurn*float64(turn)))
 	p.pause = now + int64((0.5+chance)*float64(min(max(pauseMost, turn), first<<min(p.row-1, 10))))
 }
 
-func (p *route) succeeded(now int64, open bool) {
-	p.row = 0
-	if !open || p.okFrom == 0 { // a ramp's own restraint is no measure
-		p.okFrom, p.okNow = now, 0
-		return
-	}
-	if now-p.okFrom > okSpan && p.okNow >= okLeast {
-		p.okPeak = max(p.okPeak, p.okNow*float64(second)/float64(now-p.okFrom))
-		p.okFrom, p.okNow = now, 0
-	}
-	p.okNow++
-}
-
 func (d *dst) slowAfter() float64 { return d.mean + slowVar*d.dev }
 
 // overdue calls take longer than the answers seen at their destination make likely.
@@ -407,7 +395,6 @@
 		m.sentAt = s.now
 	}
 	s.msgs[id] = m
-	m.dst.taken++
 	if s.taken++; s.now-s.takenFrom > takenSpan {
 		s.taken, s.takenFrom = s.taken/2, (s.now+s.takenFrom)/2
 	}
@@ -609,7 +596,8 @@
 		d.told.deposit(s.now, percentCanRetry*toldWaitBonus)
 		d.timed(float64(s.now - c.sentAt))
 		s.mean += (float64(s.now-c.sentAt) - s.mean) * meanStep
-		r.route.succeeded(s.now, r.health == open)
+		r.route.row = 0
+		r.route.oks++
 		s.answered(r, c.sentAt)
 	case Full:
 		if r.route.pressed(s.now, s.target(), s.chance()) && s.allowed.Notes {
@@ -673,7 +661,8 @@
 		s.saw(r, Sight{Kind: SeenBack, Warm: min(1, float64(s.now-r.since)/float64(max(1, s.guards.WarmWithin)))})
 		s.tell(r, backMark, &r.toldBack, backEvery)
 	}
-	r.dst.down, r.proved = false, true
+	r.dst.isDown(s.now, false)
+	r.proved = true
 }
 
 func (s *Sender) become(r *receiver, h health) {
@@ -791,7 +780,7 @@
 func (s *Sender) shut(r *receiver) {
 	s.become(r, closed)
 	s.spaceTrials(r, true)
-	r.dst.down = !slices.ContainsFunc(r.dst.recvs, func(o *receiver) bool { return o.health == open })
+	r.dst.isDown(s.now, !slices.ContainsFunc(r.dst.recvs, func(o *receiver) bool { return o.health == open }))
 }
 
 // spaceTrials keeps probes to what a cold destination may be sent: they weigh like calls, and no one knows
@@ -836,11 +825,11 @@
 		return r.weight
 	case s.trust == RoughWeight && r.weight > 0:
 		return r.weight * roughLow
-	case r.route.okPeak > 0:
-		return float64(s.team.Senders) * r.route.okPeak
 	}
-	arriving := float64(r.dst.taken) * float64(second) / float64(max(s.now-s.startAt, arrivalSpan))
-	return float64(s.team.Senders) * arriving // over all senders the sum is right, however thin each
+	// What this sender delivered while it stood: over all senders the sum is right, however thin each. Danger:
+	// the best of many spans is twice the mean, and what arrives counts each time that clients come again.
+	stood := max(s.now-s.startAt-r.dst.downFor(s.now), rateSpan)
+	return float64(s.team.Senders) * max(1, r.route.oks) * float64(second) / float64(stood)
 }
 
 // ramp is this sender's share of what a receiver back from an outage may be sent, in calls a second.
--- a/choice/state.go
+++ b/choice/state.go
@@ -88,6 +88,19 @@
 
 func (l lease) none() bool { return l.told && l.perSec <= 0 }
 
+func (d *dst) isDown(now int64, is bool) {
+	d.wasDown = d.downFor(now)
+	d.down, d.downAt = is, now
+}
+
+// downFor is how long it was down so far.
+func (d *dst) downFor(now int64) int64 {
+	if d.down {
+		return d.wasDown + now - d.downAt
+	}
+	return d.wasDown
+}
+
 // leaseOf is the lease of one of its routes: those apart get as much each.
 func (d *dst) leaseOf() lease {
 	l := d.lease
@@ -138,9 +151,7 @@
 	piling    bool    // the latest call or probe hung or was refused, so trials may pile up there
 	trialAt   int64   // no probe of a closed receiver before
 	pause     int64   // until when a row of refusals keeps all calls back
-	okFrom    int64
-	okNow     float64 // successes in the span since okFrom
-	okPeak    float64 // most successes a second over a span
+	oks       float64 // successes
 }
 
 type health uint8
@@ -200,12 +211,13 @@
 	dev      float64
 	sampled  bool
 	down     bool  // no receiver was open at the latest closing, and none has delivered since
+	downAt   int64 // since when
+	wasDown  int64 // µs, before that
 	wakeAt   int64 // when it is to be looked at again; now or past: it is among the due ones
 	due      bool  // it is
 	at       int   // place in the heap of wake-ups, -1 for none
 	number   int   // in the order in which destinations came to be known
 	calledAt int64 // when the latest call went out
-	taken    int   // messages taken since the start
 }
 
 // Sender decides for one sender.
