--- a/internal/fleettest/process.go
+++ b/internal/fleettest/process.go
@@ -120,8 +120,16 @@
 	s.cmd = nil
 }
 
-// Stop halts the process where it is; Cont has it go on.
-func (s *Sender) Stop() { s.signal("stop", syscall.SIGSTOP) }
+// Stop halts the process where it is, and waits until all of it stands; Cont has it go on.
+func (s *Sender) Stop() {
+	s.r.t.Helper()
+	s.signal("stop", syscall.SIGSTOP)
+	stat := fmt.Sprintf("/proc/%d/stat", s.cmd.Process.Pid)
+	s.r.Until(s.Name+" stands", func(Record) bool {
+		text, err := os.ReadFile(stat)
+		return err == nil && bytes.Contains(text, []byte(") T "))
+	})
+}
 
 // Cont has a stopped process go on.
 func (s *Sender) Cont() { s.signal("cont", syscall.SIGCONT) }
--- a/internal/links/links.go
+++ b/internal/links/links.go
@@ -35,7 +35,7 @@
 	lateAfter   = 2 * time.Second         // on the way, by the hearer's own clock (see stamp)
 	restLeast   = 50 * time.Millisecond   // after the first failure; doubled by each further one
 	restMost    = 2 * time.Second
-	farewell    = 200 * time.Millisecond // for what waits when the links are closed
+	farewell    = 200 * time.Millisecond // for the post that is out and for what waits, when the links are closed
 	drift       = 1000                   // two clocks differ by less than one part in this
 	flood       = 500                    // posts a second that one peer may send: linger allows no more
 	floodBurst  = 1000
@@ -55,6 +55,7 @@
 	heard    func(from Hello, f Frame)
 	hearing  hearing
 	tally    tally
+	farewell time.Duration // shorter than any test may be sure of
 
 	mu    sync.Mutex // a leaf: nothing is called with it held
 	named map[string]bool
@@ -65,7 +66,7 @@
 func New(log *zap.Logger, hello Hello, peers []Peer, listen string, heard func(from Hello, f Frame)) (*Links, error) {
 	hello.Version = Version
 	l := &Links{log: log, hello: hello, boot: rand.Uint64(), start: time.Now(), peers: map[string]*peer{}, heard: heard,
-		named: map[string]bool{}}
+		named: map[string]bool{}, farewell: farewell}
 	for _, p := range peers {
 		if p.Name == hello.Name || p.Name == "" || l.peers[p.Name] != nil {
 			return nil, fmt.Errorf("links: peer %q is this sender, listed twice, or without a name", p.Name)
--- a/internal/links/links_test.go
+++ b/internal/links/links_test.go
@@ -84,6 +84,7 @@
 	a.Send("b", note("d", "old"))
 	a.Send("", note("d", "new"))
 	a.Send("nobody", note("d", "lost"))
+	a.farewell = long
 	b.run(t)
 	stop := a.run(t)
 	require.Eventually(t, b.has("d", "new"), long, glimpse)
--- a/internal/links/peer.go
+++ b/internal/links/peer.go
@@ -61,17 +61,18 @@
 // run sends what waits until the context ends, and then tries once more.
 func (p *peer) run(ctx context.Context) {
 	defer p.client.CloseIdleConnections()
+	last, cancel := context.WithCancel(context.Background()) // ends a short while after ctx
+	defer cancel()
+	defer context.AfterFunc(ctx, func() { time.AfterFunc(p.l.farewell, cancel) })()
 	for p.pause(ctx, p.wake, 0) && p.pause(ctx, nil, linger) {
 		batch := p.take(p.l.now())
 		if len(batch) == 0 {
 			continue
 		}
-		if rest := p.step(p.deliver(ctx, batch)); !p.pause(ctx, nil, rest) {
+		if rest := p.step(p.deliver(last, batch)); !p.pause(ctx, nil, rest) {
 			break
 		}
 	}
-	last, cancel := context.WithTimeout(context.Background(), farewell)
-	defer cancel()
 	if batch := p.take(p.l.now()); len(batch) > 0 && p.fails == 0 {
 		p.deliver(last, batch)
 	}
@@ -148,6 +149,7 @@
 	return cbor.Marshal(body)
 }
 
+// post posts a batch, or a greeting.
 func (p *peer) post(ctx context.Context, batch []waiting) outcome {
 	ctx, cancel := context.WithTimeout(ctx, postWithin)
 	defer cancel()
