--- a/internal/fleettest/schedule.go
+++ b/internal/fleettest/schedule.go
@@ -187,7 +187,7 @@
 			{Disorder: 0.5, ReplayWait: 100 * time.Millisecond}, {BytesEach: 64, Each: 10 * time.Millisecond}}
 		s.Faults = &all[rng.IntN(len(all))]
 	case DoConduct:
-		all := []Conduct{{}, {Status: 500}, {Down: true}, {Slow: 200 * time.Millisecond}, {Limit: 3, Wait: 300 * time.Millisecond}}
+		all := []Conduct{{}, {Status: 500}, {Down: true}, {Slow: 200 * time.Millisecond}, {Limit: 3, Wait: time.Second}}
 		s.Conduct = &all[rng.IntN(len(all))]
 	}
 	return s
