--- a/internal/members/fleet.go
+++ b/internal/members/fleet.go
@@ -40,6 +40,7 @@
 	flapsMost = 4          // doublings of Returns at most
 	flapFade  = 60_000_000 // µs after which one return is forgotten
 	leap      = 1 << 20    // an incarnation further ahead than this of what is known is refused
+	lately    = 30_000_000 // µs for which a change is told in turn
 	copies    = 6          // letters that carry a change, for each member that takes it in
 	wholeGap  = 1_000_000  // µs between two whole lists to one asker
 	wholeMost = 64         // words a letter of a whole list
@@ -82,6 +83,7 @@
 	last    int64 // latest Tick
 	turn    int   // place in the list of whom the next beat goes to
 	asking  int   // counts questions, so that watchers are asked by turns
+	late    int   // place of the next word on a late change
 	fill    int   // place of the next word that fills a letter
 	begun   bool
 	leaving bool
--- a/internal/members/hard_test.go
+++ b/internal/members/hard_test.go
@@ -78,7 +78,9 @@
 
 func TestStartsFoldersAndLeaving(t *testing.T) {
 	f := New("a", []string{"a", "b", "c"}, 3, 30, Usual(3))
-	beat := func(now int64, inc, folder, n uint64) { f.Heard(now, "b", Msg{Incarnation: inc, Folder: folder, Beat: n}) }
+	beat := func(now int64, inc, folder, n uint64) {
+		f.Heard(now, "b", Msg{Incarnation: inc, Folder: folder, Beat: n})
+	}
 	member := func() Member { m, _ := f.View().Member("b"); return m }
 	for i := range int64(8) {
 		beat(i*250_000, 5, 50, uint64(i+1))
--- a/internal/members/tick.go
+++ b/internal/members/tick.go
@@ -115,7 +115,8 @@
 	return &o.letters[i].Msg
 }
 
-// inTurn beats to the next ones of the list, those gone among them, and fills their letters with words.
+// inTurn beats to the next ones of the list, those gone among them, and fills their letters with words: half of them on
+// members that changed lately, for those whom no letter on that has reached.
 func (f *Fleet) inTurn(now int64, o *outbox) {
 	n := len(f.peers)
 	for i := 0; i < min(f.t.Turns, n); i++ {
@@ -132,6 +133,12 @@
 		if p.Incarnation == 0 || p.State == Gone {
 			m.Flags |= flagWhole
 		}
+		for k := 0; k < n && len(m.Words) < f.t.Words/2; k++ {
+			f.late = (f.late + 1) % n
+			if q := f.peers[f.late]; q != p && q.Incarnation > 0 && now-q.Since < lately {
+				m.Words = append(m.Words, f.word(now, q))
+			}
+		}
 		for k := 0; k < n && len(m.Words) < f.t.Words; k++ {
 			f.fill = (f.fill + 1) % n
 			if q := f.peers[f.fill]; q != p && q.Incarnation > 0 && now-q.heard < f.t.Silence {
@@ -178,7 +185,7 @@
 	}
 }
 
-// hot puts changes into the letters that go out anyway, and tells a doubted member of its doubt.
+// hot puts changes, and doubts that stand, into the letters that go out anyway.
 func (f *Fleet) hot(now int64, o *outbox) {
 	for _, p := range f.peers {
 		if p.hot == 0 && p.State != Doubted || p.Incarnation == 0 {
--- a/internal/verdicts/hear.go
+++ b/internal/verdicts/hear.go
@@ -108,7 +108,8 @@
 	case m.Want != 0:
 		had := map[uint32]bool{}
 		for _, w := range m.Facts {
-			had[entry{Fact: w.fact()}.mark()] = true
+			f := w.fact()
+			had[entry{Fact: f, surely: -f.Slack}.mark()] = true
 		}
 		return t.delta(now, p.name, m.Want, had, 0)
 	case m.Flags&flagEcho != 0:
--- a/internal/verdicts/msg.go
+++ b/internal/verdicts/msg.go
@@ -66,7 +66,10 @@
 
 func numeral(n uint64) int { return 1 + (bits.Len64(n)+7)/8 }
 
-const head = 48 // bytes of a letter without facts and digests, at most
+const (
+	vague = 1_000_000 // µs of slack
+	head  = 48        // bytes of a letter without facts and digests, at most
+)
 
 // Decode reads a letter; anything not in the form of a Msg, or with more in it than any sender puts there, is an error.
 func Decode(b []byte) (Msg, error) {
@@ -92,10 +95,10 @@
 	return mix(uint64(s.Dst)) ^ xxhash.Sum64String(s.Receiver)
 }
 
-// mark of an entry's version in a digest.
+// mark of an entry's version in a digest. One that came by a slow letter is marked apart: who has a better date of it shall tell.
 func (e entry) mark() uint32 {
 	h := mix(e.sum()+uint64(e.Kind.slot())) ^ xxhash.Sum64String(e.Origin)
-	h = mix(mix(h^e.Incarnation) ^ e.Version)
+	h = mix(mix(h^e.Incarnation)^e.Version) ^ uint64(bit(e.seen-e.surely >= vague))
 	return uint32(h ^ h>>32)
 }
 
