Pushed back at once what cannot go in time; legs go where a connection stands, lanes where they pass

An endpoint that fails one lane alone keeps its strikes cleared by the others. So: what cannot go before its last chance ends at once, with when to come back; a receiver with an idle connection (limits.conn_idle, now passed on) has four times the odds; one whose latest leg of the lane went wrong a twentieth.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -66,6 +66,8 @@
 	meanStep       = 1.0 / 32    // weight of the newest answer time in the mean over all destinations
 	leastTook      = second / 20 // µs; answers quicker than that are alike
 	leastRoom      = 0.1         // odds of a receiver that seems full: it may have room after all
+	idleLean       = 4.0         // odds of a receiver to which an idle connection stands, likewise
+	laneFailed     = 0.05        // odds of a receiver where the latest leg of that lane went wrong
 	farLean        = 0.3         // odds of a receiver across zones where a crossing has a price
 	waitKeeps      = 0.4         // odds that what waits still goes: below late values, so fresh goes first
 	roomKept       = 0.97        // of the holding room; beyond, messages that cannot go soon are pushed back
@@ -343,7 +345,7 @@
 	}
 	r := s.recvs[e.Receiver]
 	if r == nil {
-		r = &receiver{id: e.Receiver, dst: d, route: d.route}
+		r = &receiver{id: e.Receiver, dst: d, route: d.route, fails: map[*Lane]bool{}}
 		if d.kind.Apart {
 			r.route = &route{}
 		}
@@ -522,6 +524,9 @@
 	s.reported(c.r, rep)
 	s.wake(c.r.dst)
 	s.countLost(c.r, o)
+	if o == Delivered || o == Errored || o == TimedOut || o == Reset {
+		c.r.fails[m.lane] = o != Delivered
+	}
 	if m.line != nil && (o == TimedOut || o == Reset || o == Cancelled) {
 		m.line.rest = s.now + s.guards.KeyRest
 	}
@@ -967,6 +972,7 @@
 	for _, d := range s.awake() {
 		if len(d.held) > 0 || len(d.recvs) > 0 {
 			s.tryClosed(d)
+			s.giveUp(d)
 			ready = append(ready, d)
 		}
 	}
@@ -979,6 +985,27 @@
 	s.setTimer()
 }
 
+// giveUp ends at once what cannot go in time: nobody hears of a return before the next trial. Held, it would
+// fill the room and run out; pushed back, its client finds another sender, or this one later.
+func (s *Sender) giveUp(d *dst) {
+	at := never
+	for _, r := range d.recvs {
+		hope := max(r.route.waitUntil, r.route.pause)
+		if r.health == closed {
+			hope = max(hope, r.route.trialAt)
+		}
+		at = min(at, hope)
+	}
+	if at == never {
+		return
+	}
+	for _, m := range slices.Clone(d.held) {
+		if m.lastChance() < at {
+			s.end(m, at-s.now)
+		}
+	}
+}
+
 // tryClosed probes closed receivers, rarely.
 func (s *Sender) tryClosed(d *dst) {
 	for _, r := range d.recvs {
@@ -1112,7 +1139,7 @@
 
 // refresh guards against connections that died while idle: only a new one helps. Done while loss is common.
 func (s *Sender) refresh(r *receiver) {
-	if r.calls == 0 && s.now < s.distrust && s.now-r.usedAt > staleIdle {
+	if r.calls == 0 && !s.hasIdle(r) && s.now < s.distrust {
 		s.host.CloseIdle(r.id)
 	}
 }
@@ -1125,7 +1152,9 @@
 	s.host.Send(m.id, c.r.id, s.patience(m, c.r))
 }
 
-// draw picks one receiver at random, odds in step with the room each is thought to have.
+// draw picks one receiver at random, odds in step with the room each is thought to have, rather one with an
+// idle connection: in a large fleet most calls of a thin sender would open one. Danger: an endpoint may fail
+// one lane alone, and its other lanes' answers clear its strikes.
 func (s *Sender) draw(m *msg, rs []*receiver) *receiver {
 	var best *receiver
 	sum := 0.0
@@ -1134,6 +1163,12 @@
 			continue
 		}
 		odds := max(leastRoom, float64(r.peak+1-r.calls))
+		if s.hasIdle(r) {
+			odds *= idleLean
+		}
+		if r.fails[m.lane] {
+			odds *= laneFailed
+		}
 		if r.zone != s.team.Zone && s.team.CrossingFee > 0 {
 			odds *= farLean
 		}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -477,3 +477,62 @@
 	f.take("a", "b", "c")
 	assert.Equal(t, 1, count(f.after(4*second), "send"), "one call until it has delivered")
 }
+
+func TestWhatCannotGoInTimeIsPushedBackAtOnce(t *testing.T) {
+	f := begin(t, keyed, 40, 1, 0, Kind{Batch: 1})
+	f.team.Senders = 300
+	f.close(f.recvs[1])
+	f.recvs[1].route.trialAt = f.now + 20*second
+	f.take("a")
+	assert.Empty(t, f.after(0), "the next trial is in time")
+	f.recvs[1].route.trialAt = f.now + 30*second
+	f.take("b")
+	assert.Equal(t, []string{"push back a", "push back b"}, f.after(0))
+	assert.Equal(t, second, f.back["b"])
+}
+
+func TestCallsGoRatherWhereAnIdleConnectionStands(t *testing.T) {
+	f := begin(t, keyed, 40, 2, aLot, Kind{Batch: 1})
+	f.room.Idle = 10 * second
+	same := 0
+	for i := range 200 {
+		m, last := fmt.Sprint(i), uint32(0)
+		if i > 0 {
+			last = f.to[fmt.Sprint(i-1)]
+		}
+		for _, r := range f.recvs {
+			r.usedAt = 0
+			if r.id == last {
+				r.usedAt = f.now
+			}
+		}
+		f.take(m)
+		f.after(100 * ms)
+		f.ends(m, Delivered, 0)
+		if f.to[m] == last {
+			same++
+		}
+	}
+	assert.Greater(t, same, 130)
+}
+
+func TestEndpointThatFailsOneLaneIsLeftToTheOthers(t *testing.T) {
+	f := begin(t, oneWay, 40, 2, aLot, Kind{Batch: 1})
+	f.lanes = append(f.lanes, keyed)
+	failed, others := 0, 0
+	for i := range 200 {
+		m, lane := fmt.Sprint(i), i%2
+		f.Take(m, lane, "", 7, f.now+28*second)
+		f.after(100 * ms)
+		o := Delivered
+		if f.to[m] == 1 && lane == 0 {
+			o = Errored
+			failed++
+		} else if f.to[m] == 1 {
+			others++
+		}
+		f.ends(m, o, 0)
+	}
+	assert.Less(t, failed, 20, "of 100, half of them by chance alone")
+	assert.Greater(t, others, 20)
+}
--- a/choice/host.go
+++ b/choice/host.go
@@ -54,7 +54,8 @@
 // Room is what a sender has to work with.
 type Room struct {
 	Slots, Held, Legs int
-	HalvesLate        bool // late value falls by half with each further target time, not evenly
+	Idle              int64 // how long a connection stands idle until it closes
+	HalvesLate        bool  // late value falls by half with each further target time, not evenly
 }
 
 // Allowed is what the deployment lets a sender do.
--- a/choice/state.go
+++ b/choice/state.go
@@ -175,12 +175,13 @@
 	health     health
 	since      int64 // of the last change of health, or of the last setback while warming
 	strikes    float64
-	missed     bool  // lost a leg since it last delivered
-	usedAt     int64 // of the latest outcome
-	listedAt   int64 // when the list last named it
-	toldBack   int64 // until when a note of its return need not be told again
-	scarceTill int64 // until when its connections are scarce
-	proved     bool  // delivered something since it is warming
+	fails      map[*Lane]bool // the latest leg of that lane went wrong there
+	missed     bool           // lost a leg since it last delivered
+	usedAt     int64          // of the latest outcome
+	listedAt   int64          // when the list last named it
+	toldBack   int64          // until when a note of its return need not be told again
+	scarceTill int64          // until when its connections are scarce
+	proved     bool           // delivered something since it is warming
 	okAt       int64
 	okSent     int64 // when the latest call that it answered went out
 	probing    bool
@@ -263,6 +264,15 @@
 	floor     float64 // repeats a second always allowed at a destination
 }
 
+// hasIdle tells whether a connection to a receiver stands idle that may be trusted.
+func (s *Sender) hasIdle(r *receiver) bool {
+	trusted := s.room.Idle
+	if s.now < s.distrust {
+		trusted = min(trusted, staleIdle)
+	}
+	return r.calls == 0 && r.usedAt > 0 && s.now-r.usedAt <= trusted
+}
+
 // age is the time since a message's client sent it.
 func (s *Sender) age(m *msg) int64 { return s.now - m.sentAt }
 
@@ -387,7 +397,7 @@
 		return
 	}
 	for _, l := range legs { // receivers may be gone: each leg stands at one of its own
-		r := &receiver{dst: m.dst, route: &route{}, zone: l.Zone, calls: 1}
+		r := &receiver{fails: map[*Lane]bool{}, dst: m.dst, route: &route{}, zone: l.Zone, calls: 1}
 		past := leg{call: &call{r: r, sentAt: l.SentAt, open: 1, msgs: []*msg{m}}, settled: true, outcome: Reset}
 		if l.NeverRan {
 			past.outcome = Skipped
--- a/internal/startup/startup.go
+++ b/internal/startup/startup.go
@@ -43,7 +43,8 @@
 	team := choice.Team{Senders: max(1, int(c.Get("balancers").Int())),
 		Zone: int(c.Get("zone").Int()), CrossingFee: c.Get("deductions.cross_zone").Float()}
 	room := choice.Room{Slots: limit(c.Get("family_info.max_calls")), Held: MostHeld(c),
-		Legs: limit(c.Get("limits.send_cap")), HalvesLate: c.Get("family_info.late").String() == "halves"}
+		Legs: limit(c.Get("limits.send_cap")), HalvesLate: c.Get("family_info.late").String() == "halves",
+		Idle: Micros(c.Get("limits.conn_idle"))}
 	allowed := choice.Allowed{Probes: c.Get("limits.probes").Bool(),
 		Subscribe: Subscribes(c), Notes: Notes(c), Cancel: c.Get("limits.cancel").Bool()}
 	if c.Get("limits.retry_after").Bool() {
