--- a/internal/fleettest/record.go
+++ b/internal/fleettest/record.go
@@ -1,6 +1,8 @@
 package fleettest
 
 import (
+	"cmp"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -137,3 +139,41 @@
 	}
 	return ids
 }
+
+// Story tells all that passed of one message, in the order of time, and what was done to senders meanwhile.
+func (r Record) Story(id string) string {
+	type line struct {
+		at   time.Duration
+		text string
+	}
+	var lines []line
+	add := func(at time.Duration, form string, args ...any) {
+		lines = append(lines, line{at, fmt.Sprintf(form, args...)})
+	}
+	for _, h := range r.HandIns {
+		if h.ID == id {
+			add(h.At, "handed in at %s, lane %s, destination %d, within %v", h.Sender, h.Lane, h.Dst, h.Within)
+			add(h.Answered, "%s answers %q", h.Sender, h.Answer)
+		}
+	}
+	for _, c := range r.CallsOf(id) {
+		add(c.At, "%s calls %d", c.Sender, c.Dst)
+		if c.Answered > 0 {
+			add(c.Answered, "answer to %s: %s", c.Sender, status(c))
+		}
+	}
+	for _, n := range r.Notices {
+		if n.ID == id {
+			add(n.At, "%s tells the platform: %s", n.Sender, n.State)
+		}
+	}
+	for _, a := range r.Acts {
+		add(a.At, "%s: %s", a.Sender, a.What)
+	}
+	slices.SortStableFunc(lines, func(a, b line) int { return cmp.Compare(a.at, b.at) })
+	text := "story of " + id
+	for _, l := range lines {
+		text += fmt.Sprintf("\n%12v %s", l.at.Round(time.Microsecond), l.text)
+	}
+	return text
+}
--- a/internal/fleettest/rig.go
+++ b/internal/fleettest/rig.go
@@ -194,5 +194,10 @@
 // UntilEnded waits until every message that was taken on has ended.
 func (r *Rig) UntilEnded() {
 	r.t.Helper()
+	defer func() {
+		for _, id := range r.Record().Owed() {
+			r.t.Log(r.Record().Story(id))
+		}
+	}()
 	r.Until("all messages end", func(rec Record) bool { return len(rec.Owed()) == 0 })
 }
--- a/internal/fleettest/schedule.go
+++ b/internal/fleettest/schedule.go
@@ -153,11 +153,10 @@
 }
 
 // Draw makes a schedule of hand-ins every gap at all destinations, with so many troubles among them; the same seed gives the same one.
-// Folders stay: what restoring or wiping one loses is no fault of the sender.
+// One sender is up at any time. Folders stay: what restoring or wiping one loses is no fault of the sender.
 func Draw(seed uint64, senders int, dsts []int64, messages, troubles int, gap time.Duration) Schedule {
 	rng := rand.New(rand.NewPCG(seed, 0x5c4ed))
 	s := Schedule{Seed: seed, Senders: senders, Clients: senders, Dsts: dsts}
-	name := func() string { return string(rune('a' + rng.IntN(senders))) }
 	lanes := []string{"notice", "once", "again", "lined"}
 	for i := range messages {
 		m := Message{ID: fmt.Sprintf("m%d", i), Lane: lanes[rng.IntN(len(lanes))], Dst: dsts[rng.IntN(len(dsts))], Within: 4 * time.Second}
@@ -166,27 +165,50 @@
 		}
 		s.Steps = append(s.Steps, Step{At: time.Duration(i) * gap, Do: DoHandIn, Client: rng.IntN(senders), Message: &m})
 	}
+	d := drawn{rng: rng, senders: senders, dsts: dsts, away: map[string]What{}}
 	every := max(1, messages/max(1, troubles))
 	for i := range troubles {
 		at := i * every
-		s.Steps = append(s.Steps, trouble(rng, s.Steps[min(at, messages-1)].At, name, dsts))
+		s.Steps = append(s.Steps, d.trouble(s.Steps[min(at, messages-1)].At))
 	}
 	slices.SortStableFunc(s.Steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	return s
 }
 
-func trouble(rng *rand.Rand, at time.Duration, name func() string, dsts []int64) Step {
-	s := Step{At: at, A: name(), Dst: dsts[rng.IntN(len(dsts))]}
-	acts := []What{DoKill, DoStart, DoStop, DoCont, DoTerm, DoStart, DoLink, DoLink, DoLink, DoHeal, DoConduct, DoConduct}
-	switch s.Do = acts[rng.IntN(len(acts))]; s.Do {
-	case DoLink:
+// drawn keeps who is away while a schedule is drawn.
+type drawn struct {
+	rng     *rand.Rand
+	senders int
+	dsts    []int64
+	away    map[string]What
+}
+
+func (d *drawn) trouble(at time.Duration) Step {
+	rng, name := d.rng, func() string { return string(rune('a' + d.rng.IntN(d.senders))) }
+	s := Step{At: at, A: name(), Dst: d.dsts[rng.IntN(len(d.dsts))]}
+	acts := []What{DoKill, DoStop, DoTerm, DoLink, DoLink, DoLink, DoHeal, DoConduct, DoConduct}
+	s.Do = acts[rng.IntN(len(acts))]
+	switch was := d.away[s.A]; {
+	case was == DoStop:
+		s.Do = DoCont
+		delete(d.away, s.A)
+	case was != "":
+		s.Do = DoStart
+		delete(d.away, s.A)
+	case s.Do == DoKill || s.Do == DoStop || s.Do == DoTerm:
+		if len(d.away) == d.senders-1 {
+			s.Do = DoHeal
+			break
+		}
+		d.away[s.A] = s.Do
+	case s.Do == DoLink:
 		for s.B = name(); s.B == s.A; {
 			s.B = name()
 		}
 		all := []Faults{{Cut: true}, {Mute: true}, {HalfOpen: true}, {Delay: 300 * time.Millisecond}, {Loss: 0.3}, {Doubles: 0.5},
 			{Disorder: 0.5, ReplayWait: 100 * time.Millisecond}, {BytesEach: 64, Each: 10 * time.Millisecond}}
 		s.Faults = &all[rng.IntN(len(all))]
-	case DoConduct:
+	case s.Do == DoConduct:
 		all := []Conduct{{}, {Status: 500}, {Down: true}, {Slow: 200 * time.Millisecond}, {Limit: 3, Wait: time.Second}}
 		s.Conduct = &all[rng.IntN(len(all))]
 	}
