Ranked locks, a pool of keyed workers and the fleet's log

The runtime of the fleet needs tables that cannot lock one another out, work of one subject in order on one worker, and a place for what outlasts the process.

--- /dev/null
+++ b/internal/fleetlog/record.go
@@ -0,0 +1,143 @@
+package fleetlog
+
+import (
+	"encoding/binary"
+	"hash/crc32"
+
+	"go.etcd.io/bbolt"
+)
+
+const sealed = 6 // bytes before a value: its version and the checksum
+
+// Record is one that a module keeps. Version is of the value's form and the module's to read: it refuses one that it does not know.
+type Record struct {
+	Bucket  Bucket
+	Key     string
+	Version uint16
+	Value   []byte
+}
+
+// seal puts version and checksum before a value.
+func seal(r Record) []byte {
+	v := binary.BigEndian.AppendUint16(make([]byte, 0, sealed+len(r.Value)), r.Version)
+	v = binary.BigEndian.AppendUint32(v, sum(r))
+	return append(v, r.Value...)
+}
+
+// sum is over all that a record says, and where it stands.
+func sum(r Record) uint32 {
+	head := binary.BigEndian.AppendUint16(nil, r.Version)
+	head = binary.BigEndian.AppendUint16(append(append(head, r.Bucket...), 0), uint16(len(r.Key)))
+	return crc32.Update(crc32.ChecksumIEEE(append(head, r.Key...)), crc32.IEEETable, r.Value)
+}
+
+// unseal reads a value; the record is a copy.
+func unseal(b Bucket, key, v []byte) (r Record, whole bool) {
+	if len(v) < sealed {
+		return r, false
+	}
+	r = Record{b, string(key), binary.BigEndian.Uint16(v), append([]byte(nil), v[sealed:]...)}
+	return r, sum(r) == binary.BigEndian.Uint32(v[2:])
+}
+
+// cost is what a record counts towards the bound.
+func cost(key, v []byte) int64 {
+	n := int64(len(key) + len(v) + extra)
+	if n > bigValue {
+		n *= 2
+	}
+	return n
+}
+
+func (l *Log) read(f func(*bbolt.Tx) error) error {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return wrap(l.db.View(f))
+}
+
+// write changes the file in one step, and has it compacted when it has grown too long.
+func (l *Log) write(f func(*bbolt.Tx) error) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	before := l.live
+	if err := l.db.Update(f); err != nil {
+		l.live = before
+		return wrap(err)
+	}
+	if l.size() <= l.most/filePart {
+		return nil
+	}
+	return wrap(l.compact())
+}
+
+// Put writes records down in one step: all or none.
+func (l *Log) Put(rs ...Record) error {
+	for _, r := range rs {
+		if len(r.Key) == 0 || len(r.Key) > mostKey || len(r.Value) > mostValue {
+			return ErrSize
+		}
+	}
+	return l.write(func(tx *bbolt.Tx) error {
+		for _, r := range rs {
+			b, k, v := tx.Bucket([]byte(r.Bucket)), []byte(r.Key), seal(r)
+			if old := b.Get(k); old != nil {
+				l.live -= cost(k, old)
+			}
+			if l.live += cost(k, v); l.live > l.room() {
+				return ErrFull
+			}
+			if err := b.Put(k, v); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
+
+// room is how many bytes of records there may be.
+func (l *Log) room() int64 { return (l.most - 2*base) / livePart }
+
+// Get finds a record.
+func (l *Log) Get(b Bucket, key string) (r Record, found bool, err error) {
+	err = l.read(func(tx *bbolt.Tx) error {
+		if v := tx.Bucket([]byte(b)).Get([]byte(key)); v != nil {
+			r, found = unseal(b, []byte(key), v)
+		}
+		return nil
+	})
+	return r, found, err
+}
+
+// Each walks a bucket's records by key. An error of f ends the walk and is given back as it is.
+func (l *Log) Each(b Bucket, f func(Record) error) (err error) {
+	stopped := l.read(func(tx *bbolt.Tx) error {
+		return tx.Bucket([]byte(b)).ForEach(func(k, v []byte) error {
+			if r, whole := unseal(b, k, v); whole {
+				err = f(r)
+			}
+			return err
+		})
+	})
+	if err != nil {
+		return err
+	}
+	return stopped
+}
+
+// Delete forgets records. Their bytes may stay in the file until it is compacted: Wipe is for those that must go.
+func (l *Log) Delete(b Bucket, keys ...string) error {
+	return l.write(func(tx *bbolt.Tx) error { return l.drop(tx, b, keys) })
+}
+
+func (l *Log) drop(tx *bbolt.Tx, b Bucket, keys []string) error {
+	for _, k := range keys {
+		at := tx.Bucket([]byte(b))
+		if old := at.Get([]byte(k)); old != nil {
+			l.live -= cost([]byte(k), old)
+		}
+		if err := at.Delete([]byte(k)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/fleetlog/wipe.go
@@ -0,0 +1,117 @@
+package fleetlog
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"os"
+	"path/filepath"
+
+	"go.etcd.io/bbolt"
+)
+
+// Wipe forgets records so that none of their bytes is left in the folder's files when it returns: the file is written anew without
+// them, and the old one overwritten.
+func (l *Log) Wipe(b Bucket, keys ...string) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err := l.db.Update(func(tx *bbolt.Tx) error { return l.drop(tx, b, keys) }); err != nil {
+		return wrap(err)
+	}
+	return wrap(l.compact())
+}
+
+// Size is the file's, in bytes.
+func (l *Log) Size() int64 {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return l.size()
+}
+
+func (l *Log) size() int64 {
+	info, err := os.Stat(l.path(fileName))
+	if err != nil {
+		return 0
+	}
+	return info.Size()
+}
+
+// compact writes the file anew without what is free in it and puts it in the old one's place, which it overwrites. At each moment
+// fleet.db is whole: a process that dies here leaves further files that the next Open sweeps.
+func (l *Log) compact() error {
+	to, err := openFile(l.path(newName), new(*os.File))
+	if err != nil {
+		return err
+	}
+	if err := errors.Join(bbolt.Compact(to, l.db, 0), to.Sync(), to.Close()); err != nil {
+		return errors.Join(err, erase(l.path(newName)))
+	}
+	if err := l.db.Close(); err != nil {
+		return err
+	}
+	if err := l.swap(); err != nil {
+		return errors.Join(err, l.reopen())
+	}
+	return l.reopen()
+}
+
+func (l *Log) swap() error {
+	if err := os.Link(l.path(fileName), l.path(oldName)); err != nil {
+		return err
+	}
+	if err := os.Rename(l.path(newName), l.path(fileName)); err != nil {
+		return err
+	}
+	return erase(l.path(oldName))
+}
+
+func (l *Log) reopen() (err error) {
+	db, err := openFile(l.path(fileName), new(*os.File))
+	if err == nil {
+		l.db = db
+	}
+	return err
+}
+
+// erase overwrites a file and removes it. One that has another name still (a process died between link and rename) is only removed.
+func erase(path string) error {
+	if sole, err := soleName(path); err != nil {
+		return err
+	} else if !sole {
+		return os.Remove(path)
+	}
+	f, err := os.OpenFile(path, os.O_WRONLY, 0)
+	if err != nil {
+		return err
+	}
+	info, err := f.Stat()
+	if err == nil {
+		_, err = io.CopyN(f, zeros{}, info.Size())
+	}
+	if err := errors.Join(err, f.Sync(), f.Close()); err != nil {
+		return fmt.Errorf("overwriting %s: %w", path, err)
+	}
+	return os.Remove(path)
+}
+
+// zeros reads as nothing but zeros.
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) {
+	clear(p)
+	return len(p), nil
+}
+
+// soleName tells whether a file is none but what its name says: the file in force may have it as a second one.
+func soleName(path string) (bool, error) {
+	info, err := os.Lstat(path)
+	if err != nil {
+		return false, err
+	}
+	force, err := os.Lstat(filepath.Join(filepath.Dir(path), fileName))
+	if errors.Is(err, fs.ErrNotExist) {
+		return true, nil
+	}
+	return !os.SameFile(info, force), err
+}
--- /dev/null
+++ b/internal/ranked/ranked_test.go
@@ -0,0 +1,57 @@
+package ranked
+
+import (
+	"os"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+func TestMain(m *testing.M) {
+	Watch()
+	os.Exit(m.Run())
+}
+
+func TestAWrongOrderPanicsWithBothNames(t *testing.T) {
+	low, high, twin := New(Members, "members"), New(Log, "log"), New(Log, "twin")
+	low.Lock()
+	high.Lock()
+	assert.Equal(t, 2, Held())
+	assert.PanicsWithValue(t, "lock twin (log) taken while log (log) is held", twin.Lock, "no two shards of one rank")
+	high.Unlock()
+	low.Unlock()
+	high.Lock()
+	assert.PanicsWithValue(t, "lock members (members) taken while log (log) is held", low.Lock)
+	high.Unlock()
+	assert.Zero(t, Held())
+}
+
+func TestOtherGoroutinesLocksDoNotCount(t *testing.T) {
+	low, high := New(Members, "members"), New(Log, "log")
+	high.Lock()
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		low.Lock()
+		low.Unlock()
+		assert.PanicsWithValue(t, "lock log (log) let go by a goroutine that does not hold it", func() { high.leave() })
+	})
+	wg.Wait()
+	high.Unlock()
+}
+
+func TestALockShutsOthersOut(t *testing.T) {
+	m, n := New(Shares, "shares"), 0
+	var wg sync.WaitGroup
+	for range 8 {
+		wg.Go(func() {
+			for range 200 {
+				m.Lock()
+				n++
+				m.Unlock()
+			}
+		})
+	}
+	wg.Wait()
+	assert.Equal(t, 1600, n)
+}
