The fleet's runtime: members, limits and verdicts over links, wired into the sender

Each sender decided alone. With [fleet] in the operator's file its decision modules run as shared tables under ranked locks: letters are decoded on the link's goroutine, queued for a worker by subject, and answered outside the lock; the message loop asks for its share right before a call's first byte and waits for no link. Where the address or the folder cannot be had, one line says so and the sender serves alone.

--- a/internal/daemon/chores.go
+++ b/internal/daemon/chores.go
@@ -23,6 +23,8 @@
 			}
 		case routing.Watch:
 			p.discovery.Asked()
+		case routing.Saw:
+			p.saw(c)
 		}
 	}
 }
--- /dev/null
+++ b/internal/daemon/fleet.go
@@ -0,0 +1,39 @@
+package daemon
+
+import (
+	"fmt"
+
+	"go.uber.org/zap"
+
+	"ravenlink/internal/fleet"
+	"ravenlink/internal/routing"
+)
+
+// Fleet has this sender take part in its fleet. It comes before Run. Where the fleet cannot be had, one line says why and the sender serves
+// alone.
+func (p *Program) Fleet(t fleet.Table) {
+	log := part(p.log, "fleet")
+	r, err := p.openFleet(t, log)
+	if err != nil {
+		log.Error("this sender goes without the fleet", zap.Error(err))
+		return
+	}
+	p.fleet = r
+	p.router.Gate = r.May
+	p.engine.Watch = r
+}
+
+// openFleet counts the fleet's log against the part of the disk that the spool leaves.
+func (p *Program) openFleet(t fleet.Table, log *zap.Logger) (*fleet.Runtime, error) {
+	if room := p.disk - int64(diskShare*float64(p.disk)); t.Bytes() > room {
+		return nil, fmt.Errorf("fleet.most_mb of %g does not fit: the spool leaves %.2f MB of the folder", t.MostMB, float64(room)/1e6)
+	}
+	return fleet.Open(t, p.state, log, p.router)
+}
+
+// saw passes on what the module saw, where a fleet wants to know.
+func (p *Program) saw(c routing.Chore) {
+	if p.fleet != nil {
+		p.fleet.Saw(c.Receiver.ID, c.Sight)
+	}
+}
--- a/internal/daemon/program.go
+++ b/internal/daemon/program.go
@@ -14,6 +14,7 @@
 	"github.com/tidwall/gjson"
 	"go.uber.org/zap"
 
+	"ravenlink/internal/fleet"
 	"ravenlink/internal/keep"
 	"ravenlink/internal/kept"
 	"ravenlink/internal/platform"
@@ -60,10 +61,12 @@
 	agent    *platform.Agent
 	levels   *levels // nil without an operator's file
 	opFile   string
-	keeper   *keep.Keeper // nil where nothing is kept
-	phase    phase        // changes in enter only
+	keeper   *keep.Keeper   // nil where nothing is kept
+	fleet    *fleet.Runtime // nil where this sender decides alone
+	phase    phase          // changes in enter only
 	clock    relay.Clock
 	state    string // the folder that lasts
+	disk     int64  // bytes that it may hold
 	settings gjson.Result
 	spool    *spool.Spool
 	router   *routing.Router
@@ -103,7 +106,7 @@
 		return nil, err
 	}
 	settings := startup.Module(c)
-	p.settings, p.state = settings, startup.StateDir(env)
+	p.settings, p.state, p.disk = settings, startup.StateDir(env), startup.Disk(c)
 	up, idle := startup.Connections(settings)
 	p.pool = transport.NewPool(up, time.Duration(idleShare*float64(idle)), startup.Sockets(c)/callPart)
 	module := part(p.log, "module")
@@ -146,6 +149,9 @@
 	defer stopPicking()
 	p.engine.Begin(picking, working)
 	p.enter(recovering)
+	if p.fleet != nil {
+		p.goWork(func() { p.fleet.Run(picking) }) // it gives back what was lent as soon as no leg may begin
+	}
 	p.start(working)
 	for _, m := range p.spool.Owed() {
 		p.engine.Resume(m)
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -33,5 +33,8 @@
 	if f.Kept != nil {
 		p.Keep(*f.Kept)
 	}
+	if f.Fleet != nil {
+		p.Fleet(*f.Fleet)
+	}
 	return p.Run(ctx)
 }
--- /dev/null
+++ b/internal/fleet/limits.go
@@ -0,0 +1,285 @@
+package fleet
+
+import (
+	"math"
+	"strconv"
+	"sync"
+
+	"ravenlink/internal/links"
+	"ravenlink/internal/members"
+	"ravenlink/internal/post"
+	"ravenlink/internal/ranked"
+	"ravenlink/internal/routing"
+	"ravenlink/internal/shares"
+)
+
+const (
+	shards     = 8         // of the table of shares, by destination
+	retell     = 1_000_000 // µs after which an unchanged share is told again: the module forgets a destination that is not listed
+	shareNews  = 0.05      // a lesser change of a share is not told
+	needSpan   = 1_000_000 // µs over which arrivals are smoothed
+	needLeast  = 0.01      // messages a second; below it a destination is forgotten here
+	mostDemand = 4096      // destinations of one shard that messages are counted for
+	holdFor    = 40_000    // µs for which a destination is held back after its gate was shut
+)
+
+// limits has this sender's shares of destinations' limits, and tells the module of them.
+type limits struct {
+	r        *Runtime
+	declared map[int64]float64
+	shards   [shards]*shard
+}
+
+// shard is the part of the table that has some of the destinations.
+type shard struct {
+	l     *limits
+	key   uint64
+	mu    *ranked.Mutex
+	table *shares.Table
+	at    int64             // of the latest tick
+	needs map[int64]*demand // emptied as messages end and rates fade
+}
+
+// demand is what this sender wants of a destination.
+type demand struct {
+	waiting int     // messages held that are not under way
+	came    int     // since the latest tick
+	perSec  float64 // smoothed
+}
+
+func newLimits(r *Runtime) *limits {
+	l := &limits{r: r, declared: map[int64]float64{}}
+	for _, d := range r.table.Limits.Declared {
+		l.declared[d.Dst] = d.PerSec
+	}
+	for i := range l.shards {
+		name := "shares " + strconv.Itoa(i)
+		l.shards[i] = &shard{l: l, key: Key(name), mu: ranked.New(ranked.Shares, name), needs: map[int64]*demand{},
+			table: shares.New(r.table.Self, r.table.Listed(), timing(r.table))}
+	}
+	return l
+}
+
+// timing takes lease, beat and drift from the table; the rest goes along.
+func timing(t Table) shares.Timing {
+	u := shares.Usual()
+	lease := int64(t.Limits.Lease)
+	m := paced(members.Usual(len(t.Peers)+1), int64(t.Beat))
+	return shares.Timing{Lease: lease, Vote: lease * u.Vote / u.Lease, Renew: lease * u.Renew / u.Lease,
+		Detect: m.Doubt + 2*m.Beat, Drift: int64(t.DriftPPM)}
+}
+
+func name(dst int64) string { return strconv.FormatInt(dst, 10) }
+
+func (l *limits) shard(dst string) *shard { return l.shards[Key(dst)%shards] }
+
+func (l *limits) Kind() links.Kind { return links.Shares }
+
+func (l *limits) Hear(from string, f links.Frame) error {
+	m, err := decode[shares.Msg](f.Body)
+	if err != nil {
+		return err
+	}
+	s := l.shard(m.Dst)
+	l.r.pool.Do(s.key, func() {
+		s.turn(func(now int64) []post.Letter[shares.Msg] { return s.table.Heard(now, from, m) })
+	})
+	return nil
+}
+
+func (l *limits) Tick() {
+	for _, s := range l.shards {
+		l.r.pool.Do(s.key, s.tick)
+	}
+}
+
+func (s *shard) turn(event func(now int64) []post.Letter[shares.Msg]) {
+	s.mu.Lock()
+	letters := event(s.l.r.now())
+	s.mu.Unlock()
+	send(s.l.r, links.Shares, letters)
+}
+
+// tick lets time pass and tells the module what its shares are now.
+func (s *shard) tick() {
+	tell := map[int64]float64{}
+	s.turn(func(now int64) []post.Letter[shares.Msg] {
+		s.need(now)
+		letters := s.table.Tick(now)
+		for dst := range s.needs {
+			tell[dst], _ = s.table.Share(now, name(dst))
+		}
+		return letters
+	})
+	for dst, perSec := range tell {
+		s.l.r.share(dst, perSec)
+	}
+}
+
+// need tells the table what is wanted, and forgets what is no more.
+func (s *shard) need(now int64) {
+	span := now - s.at
+	s.at = now
+	for dst, d := range s.needs {
+		if span > 0 {
+			part := 1 - math.Exp(-float64(span)/needSpan)
+			d.perSec += (float64(d.came)*1e6/float64(span) - d.perSec) * part
+			d.came = 0
+		}
+		s.declare(now, dst)
+		s.table.Need(now, name(dst), d.perSec, d.waiting)
+		if d.waiting == 0 && d.perSec < needLeast {
+			s.table.Need(now, name(dst), 0, 0)
+			delete(s.needs, dst)
+			s.l.r.unshare(dst)
+		}
+	}
+}
+
+// declare says what the operator knows, which the table forgets when nobody calls for long.
+func (s *shard) declare(now int64, dst int64) {
+	if perSec, known := s.l.declared[dst]; known {
+		s.table.Limit(now, name(dst), perSec, shares.Declared)
+	}
+}
+
+// spend takes a call off the share. It waits for no link: the lock is held for turns of the table alone.
+func (l *limits) spend(dst int64) bool {
+	s := l.shard(name(dst))
+	s.mu.Lock()
+	now := l.r.now()
+	s.declare(now, dst)
+	may := s.table.Spend(now, name(dst))
+	s.mu.Unlock()
+	if may {
+		l.r.counts.spent.Inc()
+	}
+	return may
+}
+
+// count takes in that a message waits (1) or no longer does (-1); new says that it has just come.
+func (l *limits) count(dst int64, by int, new bool) {
+	s := l.shard(name(dst))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	d := s.needs[dst]
+	if d == nil {
+		if by < 0 || len(s.needs) >= mostDemand {
+			return
+		}
+		d = &demand{}
+		s.needs[dst] = d
+	}
+	if d.waiting = max(0, d.waiting+by); new {
+		d.came++
+	}
+}
+
+// refused takes in that a destination turned a call away.
+func (l *limits) refused(dst int64) {
+	s := l.shard(name(dst))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if t, able := any(s.table).(interface{ Refused(now int64, dst string) }); able {
+		t.Refused(l.r.now(), name(dst))
+	}
+}
+
+// saw takes in a limit that a destination told.
+func (l *limits) saw(v routing.Sight) {
+	if v.Kind != routing.SeenLimit {
+		return
+	}
+	s := l.shard(name(v.Dst))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.Limit(l.r.now(), name(v.Dst), v.PerSec, shares.Told)
+}
+
+func (l *limits) Seen(now int64, v members.View) {
+	floor := 0.0
+	for _, s := range l.shards {
+		s.mu.Lock()
+		s.table.View(now, v)
+		floor = s.table.Floor(0)
+		s.mu.Unlock()
+	}
+	l.r.module.Floor(floor)
+}
+
+// Leave gives back what was lent.
+func (l *limits) Leave(int64) {
+	for _, s := range l.shards {
+		s.turn(func(now int64) []post.Letter[shares.Msg] {
+			for dst := range s.needs {
+				s.table.Need(now, name(dst), 0, 0)
+			}
+			return s.table.Tick(now)
+		})
+	}
+}
+
+// told is what the module was last told of its shares.
+type told struct {
+	mu   sync.Mutex // a leaf: the module is told after it is let go
+	of   map[int64]said
+	held map[int64]int64 // destinations whose gate was shut, until when; emptied at the next tick that finds it past
+}
+
+type said struct {
+	perSec float64
+	at     int64
+}
+
+// share tells the module a share if it is news; an infinite one is none.
+func (r *Runtime) share(dst int64, perSec float64) {
+	if math.IsInf(perSec, 1) {
+		perSec = -1
+	}
+	now := r.now()
+	r.told.mu.Lock()
+	until, held := r.told.held[dst]
+	if held && now < until {
+		r.told.mu.Unlock()
+		return
+	}
+	delete(r.told.held, dst)
+	was, known := r.told.of[dst]
+	news := !known && perSec >= 0 || known && (was.perSec == 0) != (perSec == 0) || known && math.Abs(was.perSec-perSec) > shareNews*was.perSec ||
+		known && now-was.at > retell
+	if news {
+		r.told.of[dst] = said{perSec, now}
+	}
+	r.told.mu.Unlock()
+	if news {
+		r.module.Shared(dst, perSec)
+	}
+}
+
+// hold has the module wait a moment with a destination whose gate was shut: a call that is not let go costs it nothing, so it would come
+// again at once.
+func (r *Runtime) hold(dst int64) {
+	now := r.now()
+	r.told.mu.Lock()
+	news := len(r.told.held) < mostDemand
+	if news {
+		r.told.held[dst] = now + holdFor
+		r.told.of[dst] = said{0, now}
+	}
+	r.told.mu.Unlock()
+	if news {
+		r.module.Shared(dst, 0)
+	}
+}
+
+// unshare forgets a destination for which nothing waits.
+func (r *Runtime) unshare(dst int64) {
+	r.told.mu.Lock()
+	_, known := r.told.of[dst]
+	delete(r.told.of, dst)
+	delete(r.told.held, dst)
+	r.told.mu.Unlock()
+	if known {
+		r.module.Shared(dst, -1)
+	}
+}
--- a/internal/fleetlog/log.go
+++ b/internal/fleetlog/log.go
@@ -291,3 +291,14 @@
 	}
 	return fmt.Errorf("fleet log: %w", err)
 }
+
+// Raise has later starts count on from a number, where the fleet knows of later starts than this folder does.
+func (l *Log) Raise(incarnation uint64) error {
+	return l.write(func(tx *bbolt.Tx) error {
+		meta := tx.Bucket(metaBucket)
+		if number(meta.Get(incarnationKey)) >= incarnation {
+			return nil
+		}
+		return meta.Put(incarnationKey, binary.BigEndian.AppendUint64(nil, incarnation))
+	})
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -13,6 +13,7 @@
 	"github.com/pelletier/go-toml/v2"
 	"go.uber.org/zap/zapcore"
 
+	"ravenlink/internal/fleet"
 	"ravenlink/internal/keep"
 	"ravenlink/internal/strict"
 )
@@ -22,9 +23,10 @@
 
 // File is the operator's file.
 type File struct {
-	Version int         `toml:"version"`
-	Log     Log         `toml:"log"`
-	Kept    *keep.Table `toml:"kept"` // nil: nothing is kept
+	Version int          `toml:"version"`
+	Log     Log          `toml:"log"`
+	Kept    *keep.Table  `toml:"kept"`  // nil: nothing is kept
+	Fleet   *fleet.Table `toml:"fleet"` // nil: this sender decides alone
 }
 
 // Log says how much is logged: in all, and by part.
@@ -34,7 +36,7 @@
 }
 
 // Parts are those that may have a level of their own.
-var Parts = []string{"clients", "discovery", "kept", "messages", "module", "notices", "program"}
+var Parts = []string{"clients", "discovery", "fleet", "kept", "messages", "module", "notices", "program"}
 
 // Read decodes a file and checks it; all its faults come joined, in the order of the file.
 func Read(path string) (File, error) {
@@ -72,6 +74,10 @@
 			fault("kept."+setting, what)
 		})
 	}
+	if f.Fleet != nil {
+		f.Fleet.Fill()
+		f.Fleet.Check(func(setting, what string) { fault("fleet."+setting, what) })
+	}
 	return f, errors.Join(faults...)
 }
 
--- a/internal/ranked/ranked.go
+++ b/internal/ranked/ranked.go
@@ -111,3 +111,15 @@
 	g, _ := strconv.ParseUint(string(number), 10, 64)
 	return g
 }
+
+// Free panics, where the order is watched, if the calling goroutine holds any lock: no lock is held over what is done next.
+func Free(what string) {
+	if !watched.Load() {
+		return
+	}
+	heldMu.Lock()
+	defer heldMu.Unlock()
+	if held := held[goroutine()]; len(held) > 0 {
+		panic(fmt.Sprintf("%s while lock %s (%v) is held", what, held[0].name, held[0].rank))
+	}
+}
--- a/internal/relay/courier.go
+++ b/internal/relay/courier.go
@@ -25,6 +25,9 @@
 	// Delivered, where it is set, hears of messages that are over and not undelivered. It must not block for long.
 	Delivered func(id string)
 
+	// Watch, where it is set before Begin, hears what becomes of messages and legs. It must not block for long.
+	Watch Watcher
+
 	picking context.Context // ends when no leg may start any more
 	working context.Context // ends when those out are given up
 	out     atomic.Int64    // legs out, as many as the settings' slots at most
@@ -121,6 +124,9 @@
 	e.mu.Lock()
 	e.held[m.ID] = &carried{msg: m}
 	e.mu.Unlock()
+	if e.Watch != nil {
+		e.Watch.Came(m.Dst)
+	}
 	e.router.Carry(m.ID)
 }
 
@@ -134,6 +140,7 @@
 			return
 		}
 		c := e.carried(p)
+		e.watched(c.msg.Dst, p.Way)
 		switch p.Way {
 		case routing.Leg:
 			e.running.Go(func() { e.leg(c, p) })
@@ -148,6 +155,17 @@
 	}
 }
 
+// watched tells who watches that a leg begins, or that a message ends.
+func (e *Engine) watched(dst int64, way routing.Way) {
+	switch {
+	case e.Watch == nil:
+	case way == routing.Leg:
+		e.Watch.Began(dst)
+	default:
+		e.Watch.Ended(dst)
+	}
+}
+
 // carried finds the message of a decision; with its end it is let go.
 func (e *Engine) carried(p routing.Pick) *carried {
 	e.mu.Lock()
@@ -203,6 +221,12 @@
 	if e.working.Err() != nil && j.Result == routing.CalledOff {
 		return // the process ends: the leg may have run, and the record says so
 	}
+	if e.Watch != nil {
+		e.Watch.Paused(m.Dst)
+		if j.Result == routing.TurnedAway {
+			e.Watch.TurnedAway(m.Dst)
+		}
+	}
 	e.settle(m, p, j.Result, recorded)
 	took := e.clock.Now() - began
 	e.mu.Lock()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -44,6 +44,16 @@
 	Undelivered(u Undelivered)
 }
 
+// Watcher hears what becomes of messages, by destination: one was taken on, a leg of it begins, that leg is over and it waits again, a call
+// was turned away, it ended.
+type Watcher interface {
+	Came(dst int64)
+	Began(dst int64)
+	Paused(dst int64)
+	TurnedAway(dst int64)
+	Ended(dst int64)
+}
+
 // Leg is one to be carried.
 type Leg struct {
 	Msg      *spool.Message
