Small shares go to the module as single calls; the daemon with and without a fleet is tested

A share of single calls was told to the module as a rate of one a second, so that the last few messages of a burst waited for seconds though they might have gone at once. The module is told enough for them to go, and the gate is their pace; a shut gate holds a destination back until its share may allow a call.

--- a/internal/daemon/standin_test.go
+++ b/internal/daemon/standin_test.go
@@ -191,7 +191,12 @@
 	if w.operators != "" {
 		f, err := operator.Read(w.operators)
 		require.NoError(w.t, err)
-		p.Keep(*f.Kept)
+		if f.Kept != nil {
+			p.Keep(*f.Kept)
+		}
+		if f.Fleet != nil {
+			p.Fleet(*f.Fleet)
+		}
 	}
 	done := make(chan error, 1)
 	go func() { done <- p.Run(ctx) }()
--- a/internal/fleet/limits.go
+++ b/internal/fleet/limits.go
@@ -20,7 +20,10 @@
 	needSpan   = 1_000_000 // µs over which arrivals are smoothed
 	needLeast  = 0.01      // messages a second; below it a destination is forgotten here
 	mostDemand = 4096      // destinations of one shard that messages are counted for
-	holdFor    = 40_000    // µs for which a destination is held back after its gate was shut
+	holdLeast  = 40_000    // µs for which a destination is held back after its gate was shut: two ticks
+	holdMost   = 1_000_000
+	fewShare   = 6  // calls a second; a lesser share is single calls, lent to go at once, or a sender's own in doubt
+	fewTold    = 20 // what the module is told of those: the gate is their pace
 )
 
 // limits has this sender's shares of destinations' limits, and tells the module of them.
@@ -223,7 +226,14 @@
 type told struct {
 	mu   sync.Mutex // a leaf: the module is told after it is let go
 	of   map[int64]said
-	held map[int64]int64 // destinations whose gate was shut, until when; emptied at the next tick that finds it past
+	is   map[int64]float64  // the shares themselves
+	held map[int64]heldBack // destinations whose gate was shut; emptied at the next tick that finds it past
+}
+
+// heldBack says until when a destination waits, unless its share becomes greater than it was.
+type heldBack struct {
+	until int64
+	share float64
 }
 
 type said struct {
@@ -238,12 +248,15 @@
 	}
 	now := r.now()
 	r.told.mu.Lock()
-	until, held := r.told.held[dst]
-	if held && now < until {
+	if h, held := r.told.held[dst]; held && now < h.until && perSec <= h.share {
 		r.told.mu.Unlock()
 		return
 	}
 	delete(r.told.held, dst)
+	r.told.is[dst] = perSec
+	if perSec > 0 && perSec < fewShare {
+		perSec = fewTold
+	}
 	was, known := r.told.of[dst]
 	news := !known && perSec >= 0 || known && (was.perSec == 0) != (perSec == 0) || known && math.Abs(was.perSec-perSec) > shareNews*was.perSec ||
 		known && now-was.at > retell
@@ -263,7 +276,12 @@
 	r.told.mu.Lock()
 	news := len(r.told.held) < mostDemand
 	if news {
-		r.told.held[dst] = now + holdFor
+		is := r.told.is[dst]
+		wait := int64(holdLeast)
+		if is > 0 && is < fewShare {
+			wait = min(max(int64(1e6/is), holdLeast), holdMost)
+		}
+		r.told.held[dst] = heldBack{now + wait, is}
 		r.told.of[dst] = said{0, now}
 	}
 	r.told.mu.Unlock()
@@ -277,6 +295,7 @@
 	r.told.mu.Lock()
 	_, known := r.told.of[dst]
 	delete(r.told.of, dst)
+	delete(r.told.is, dst)
 	delete(r.told.held, dst)
 	r.told.mu.Unlock()
 	if known {
--- a/internal/fleet/runtime.go
+++ b/internal/fleet/runtime.go
@@ -58,7 +58,7 @@
 		return nil, err
 	}
 	r := &Runtime{log: log, table: t, module: module, clock: since(time.Now()), store: store, parts: map[links.Kind]Part{}, named: map[string]bool{},
-		told: told{of: map[int64]said{}, held: map[int64]int64{}}}
+		told: told{of: map[int64]said{}, is: map[int64]float64{}, held: map[int64]heldBack{}}}
 	if err := r.open(); err != nil {
 		_ = store.Close()
 		return nil, err
@@ -154,8 +154,8 @@
 	now := r.now()
 	var free []int64
 	r.told.mu.Lock()
-	for dst, until := range r.told.held {
-		if now >= until {
+	for dst, h := range r.told.held {
+		if now >= h.until {
 			free = append(free, dst)
 			delete(r.told.held, dst)
 			delete(r.told.of, dst)
