--- a/internal/daemon/standin_test.go
+++ b/internal/daemon/standin_test.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -39,7 +40,8 @@
 	list      chan string // lines for the watch at the newest platform
 	settings  string
 	diskMB    float64
-	operators string // the operator's file, empty for none
+	operators string        // the operator's file, empty for none
+	held      func() string // the first object of each watch
 	sender    *Program
 
 	mu      sync.Mutex
@@ -68,7 +70,7 @@
 	w.receiver = httptest.NewServer(http.HandlerFunc(w.receive))
 	w.move()
 	w.told = w.platform.Listener.Addr().String()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", ownHost())
 	require.NoError(t, err)
 	w.listen = l.Addr().String()
 	require.NoError(t, l.Close())
@@ -79,6 +81,15 @@
 	return w
 }
 
+var worlds atomic.Int64
+
+// ownHost is a loopback address that no other world uses: a sender's port is free while it is down, and side by side somebody
+// else would be given it.
+func ownHost() string {
+	p, n := os.Getpid(), worlds.Add(1)
+	return fmt.Sprintf("127.%d.%d.%d:0", 1+p%250, 1+p/250%250, 1+n%250)
+}
+
 // move opens discovery and platform at a new address. The old one stays as it is.
 func (w *world) move() {
 	w.mu.Lock()
@@ -150,6 +161,7 @@
 	}
 	w.mu.Unlock()
 	out.WriteHeader(200)
+	fmt.Fprintln(out, w.first(in))
 	for {
 		out.(http.Flusher).Flush()
 		select {
@@ -161,6 +173,14 @@
 	}
 }
 
+// first is a watch's first object: nothing has changed, where no test has it otherwise.
+func (w *world) first(in *http.Request) string {
+	if w.held != nil {
+		return w.held()
+	}
+	return fmt.Sprintf(`{"revision":%s,"complete":false,"members":[]}`, in.URL.Query().Get("from"))
+}
+
 // member is the receiver as discovery lists it.
 func (w *world) member(phase string) string {
 	return fmt.Sprintf(`{"revision":2,"complete":false,"members":[{"id":"s-1","host_port":"%s","locality":"z","flavor":"m",`+
@@ -186,7 +206,7 @@
 	w.writeConfig()
 	p, err := New(w.env, zap.NewNop(), nil)
 	require.NoError(w.t, err)
-	w.sender = p
+	w.sender, p.listWait = p, long
 	ctx, cancel := context.WithCancel(context.Background())
 	if w.operators != "" {
 		f, err := operator.Read(w.operators)
