Channels on the wire and in the engine: ch and pos, answers with positions, the host

Hand-ins could not name a channel. They carry ch and pos, kept in the spool; internal/ordered runs the decisions between front, engine, store and links.

--- a/internal/channels/line.go
+++ b/internal/channels/line.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -14,6 +15,7 @@
 	ID, Key string // Key orders messages under per-key; empty for none
 	Dst     int64
 	Until   int64 // µs; its deadline
+	Look    bool  // only told what would become of it: Taken means that it would be
 	Settle  int64 // µs for which a leg that may still run keeps the next message back
 }
 
@@ -48,7 +50,7 @@
 
 // HandIn decides on a message. It never waits: a channel that is not ours is asked for, and the client told when to come back.
 func (t *Table) HandIn(now int64, in In) (Verdict, Effects) {
-	if t.broken {
+	if t.broken || t.leaving {
 		return Verdict{Way: Busy, Pos: -1, Wait: noContract}, Effects{}
 	}
 	if !Name(in.Channel) || in.Pos < 1 || in.Pos > mostPos {
@@ -116,6 +118,9 @@
 	case c.mine.Doubt > at: // it may have run at an owner that vanished, or something before it may
 		return Verdict{Way: Busy, Pos: at, Wait: max(t.t.Answer, c.gapEnd-now)}
 	}
+	if in.Look && t.fits(c, k, in) {
+		return Verdict{Way: Taken, Pos: at}
+	}
 	if ahead := c.ahead(); in.Pos > at+1 && !ahead && (k.Wait == 0 || in.Pos > at+int64(k.Window)) && k.Gap != Wait {
 		return t.jump(now, c, k, in)
 	}
@@ -395,6 +400,18 @@
 	return there && c.entries[i].released && !c.entries[i].given
 }
 
+// Leave gives every channel back, for the sender is about to end; hand-ins are refused from now on.
+func (t *Table) Leave(now int64) Effects {
+	t.leaving = true
+	for _, name := range slices.Sorted(maps.Keys(t.chans)) {
+		if c := t.chans[name]; c.phase == Owning {
+			t.yield(now, c)
+			t.step(now, c)
+		}
+	}
+	return t.done(now)
+}
+
 // Gone says that the channel's client has left its connection: another sender's wish for the channel is heeded at once.
 func (t *Table) Gone(channel string) {
 	if c := t.chans[channel]; c != nil {
--- a/internal/channels/table.go
+++ b/internal/channels/table.go
@@ -54,6 +54,7 @@
 	local   []Msg // letters to oneself
 	out     Effects
 	broken  bool
+	leaving bool
 	bad     int    // letters that make no sense
 	odd     int    // steps between phases that are not in the plan; always 0
 	refused string // the last declaration that electors refused, and why
@@ -293,22 +294,28 @@
 
 func (t *Table) wakeAt(at int64, name string, seat bool) { heap.Push(&t.due, alarm{at, name, seat}) }
 
-// Restore brings back what rows of an earlier life say. Began tells whether a message, by its id, had a leg that may have run. Of messages
-// whose ids it returns the table takes care: they wait until this sender owns their channel again, or are given up.
-func (t *Table) Restore(now int64, rows []Row, began func(id string) bool) (ids []string, err error) {
+// Restored is a message that was held before a restart.
+type Restored struct {
+	ID, Channel string
+	Pos         int64
+}
+
+// Restore brings back what rows of an earlier life say. Began tells whether a message, by its id, had a leg that may have run. Of the
+// messages that it returns the table takes care: they wait until this sender owns their channel again, or are given up.
+func (t *Table) Restore(now int64, rows []Row, began func(id string) bool) (held []Restored, err error) {
 	slices.SortFunc(rows, func(a, b Row) int { return strings.Compare(a.Key, b.Key) })
 	for _, r := range rows {
-		if err := t.restore(now, r, began, &ids); err != nil {
+		if err := t.restore(now, r, began, &held); err != nil {
 			return nil, fmt.Errorf("channel row %q: %w", r.Key, err)
 		}
 	}
 	for _, name := range slices.Sorted(maps.Keys(t.chans)) {
 		t.touch(now, t.chans[name])
 	}
-	return ids, nil
+	return held, nil
 }
 
-func (t *Table) restore(now int64, r Row, began func(string) bool, ids *[]string) error {
+func (t *Table) restore(now int64, r Row, began func(string) bool, held *[]Restored) error {
 	if len(r.Key) < 3 {
 		return fmt.Errorf("no key of ours")
 	}
@@ -350,7 +357,7 @@
 		c := t.open(e.Channel)
 		c.insert(e)
 		t.held++
-		*ids = append(*ids, e.ID)
+		*held = append(*held, Restored{e.ID, e.Channel, e.Pos})
 	default:
 		return fmt.Errorf("no key of ours")
 	}
--- /dev/null
+++ b/internal/ordered/host.go
@@ -0,0 +1,406 @@
+// Package ordered runs the decisions of internal/channels: one lock, rows to a store in one durable step for many calls, letters to
+// other senders, messages to the engine when their turn has come.
+package ordered
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"ravenlink/internal/channels"
+	"ravenlink/internal/post"
+	"ravenlink/internal/relay"
+	"ravenlink/internal/spool"
+)
+
+// Store keeps rows. Write puts all of them or none on disk; a row without a value is deleted.
+type Store interface {
+	Write(rows []channels.Row) error
+	Rows() ([]channels.Row, error)
+}
+
+// Engine carries messages; relay.Engine is one.
+type Engine interface {
+	Now() int64
+	Holds(id string) bool
+	Keep(m *spool.Message) error
+	Over(m *spool.Message)
+	Resume(m *spool.Message)
+	GiveUp(m *spool.Message, advice int64)
+	Abandon(id string, advice int64)
+}
+
+const (
+	mostQueued = 4096                   // calls whose effects are not yet carried out; letters beyond are dropped, for they are repeated
+	aMoment    = int64(100_000)         // µs; for a client whose message another connection hands in right now
+	noStore    = int64(1_000_000)       // µs; for clients of a sender that cannot write
+	longest    = 500 * time.Millisecond // between looks at what is due
+	shortest   = time.Millisecond
+)
+
+var errBroken = errors.New("channels: their state cannot be written")
+
+// Host is one sender's part in channels. Its lock leads to no other and is held over no I/O.
+type Host struct {
+	log    *zap.Logger
+	engine Engine
+	store  Store
+	send   func(post.Letter[channels.Msg]) // must not block
+	settle int64                           // µs for which a leg that may still run keeps the next message back
+
+	mu      sync.Mutex
+	table   *channels.Table
+	held    map[string]*held // by id; emptied as messages end
+	queue   []*job           // effects not yet carried out, in the order of the calls
+	broken  bool
+	dropped int // letters
+
+	wake chan struct{}
+}
+
+// held is a message taken on here.
+type held struct {
+	m        *spool.Message
+	answered bool // its client has the answer, or surely never will
+	due      bool // its turn has come
+	going    bool // it is with the decisions
+}
+
+// job is what one call asks for.
+type job struct {
+	e    channels.Effects
+	done chan struct{} // closed once its rows are on disk, or cannot be
+	bad  bool
+}
+
+// New makes a host; Run sets it going.
+func New(log *zap.Logger, engine Engine, store Store, table *channels.Table, send func(post.Letter[channels.Msg]), settle int64) *Host {
+	return &Host{log: log, engine: engine, store: store, table: table, send: send, settle: settle, held: map[string]*held{},
+		wake: make(chan struct{}, 1)}
+}
+
+// Restore takes up what was owed for channels before a restart, and returns what is owed otherwise. It comes before Run.
+func (h *Host) Restore(owed []*spool.Message) (others []*spool.Message, err error) {
+	rows, err := h.store.Rows()
+	if err != nil {
+		return nil, err
+	}
+	byID := map[string]*spool.Message{}
+	for _, m := range owed {
+		if m.Channel != "" && !m.Ended {
+			byID[m.ID] = m
+		} else {
+			others = append(others, m)
+		}
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.engine.Now()
+	ids, err := h.table.Restore(now, rows, func(id string) bool { return byID[id] != nil && mayHaveRun(byID[id]) })
+	if err != nil {
+		return nil, err
+	}
+	for _, e := range ids {
+		if m := byID[e.ID]; m != nil && m.Channel == e.Channel && m.Pos == e.Pos {
+			h.held[m.ID] = &held{m: m, answered: true}
+			delete(byID, m.ID)
+		} else { // it had ended
+			h.add(h.table.Ended(now, e.Channel, e.Pos, true, true))
+		}
+	}
+	for _, m := range owed {
+		if byID[m.ID] != nil { // its client never heard that it was taken on
+			h.engine.Over(m)
+		}
+	}
+	return others, nil
+}
+
+func mayHaveRun(m *spool.Message) bool {
+	for _, l := range m.Legs {
+		if !l.NeverRan {
+			return true
+		}
+	}
+	return false
+}
+
+// Declare takes a contract on; without an error it is on this sender's disk.
+func (h *Host) Declare(k channels.Contract) error {
+	h.mu.Lock()
+	e, err := h.table.Declare(h.engine.Now(), k)
+	if err != nil {
+		h.mu.Unlock()
+		return err
+	}
+	return h.wait(h.add(e))
+}
+
+// Heard takes a letter in.
+func (h *Host) Heard(from string, m channels.Msg) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(h.queue) >= mostQueued {
+		h.dropped++
+		return
+	}
+	h.add(h.table.Heard(h.engine.Now(), from, m))
+}
+
+// HandIn decides on a message. It waits for this sender's disk and for no link.
+func (h *Host) HandIn(m *spool.Message, _ int) relay.Word {
+	in := channels.In{Channel: m.Channel, Pos: m.Pos, ID: m.ID, Key: m.OrderKey, Dst: m.Dst, Until: m.Expires, Settle: h.settle, Look: true}
+	h.mu.Lock()
+	v, e := h.table.HandIn(h.engine.Now(), in)
+	j := h.add(e)
+	if v.Way != channels.Taken {
+		if v.Way != channels.Doubled {
+			h.mu.Unlock()
+			return word(v)
+		}
+		if err := h.wait(j); err != nil { // the first one's rows come before
+			return relay.Word{Wait: noStore, Pos: -1}
+		}
+		return word(v)
+	}
+	if h.held[m.ID] != nil {
+		h.mu.Unlock()
+		return relay.Word{Wait: aMoment, Pos: v.Pos}
+	}
+	h.held[m.ID] = &held{m: m}
+	h.mu.Unlock()
+	return h.take(m, in)
+}
+
+// take writes a message down and then has it taken on.
+func (h *Host) take(m *spool.Message, in channels.In) relay.Word {
+	forget := func() {
+		h.mu.Lock()
+		delete(h.held, m.ID)
+		h.mu.Unlock()
+	}
+	if h.engine.Holds(m.ID) {
+		forget()
+		return relay.Word{Cause: "this id is taken on already", Pos: -1}
+	}
+	if err := h.engine.Keep(m); err != nil {
+		h.log.Warn("not taken on", zap.Error(err))
+		forget()
+		return relay.Word{Wait: noStore, Pos: -1}
+	}
+	in.Look = false
+	h.mu.Lock()
+	v, e := h.table.HandIn(h.engine.Now(), in)
+	j := h.add(e)
+	if v.Way != channels.Taken {
+		delete(h.held, m.ID)
+		h.mu.Unlock()
+		h.engine.Over(m)
+		return word(v)
+	}
+	if err := h.wait(j); err != nil {
+		forget()
+		h.engine.Over(m)
+		return relay.Word{Wait: noStore, Pos: -1}
+	}
+	w := word(v)
+	w.Then = func() { h.answered(m.ID) }
+	return w
+}
+
+func word(v channels.Verdict) relay.Word {
+	return relay.Word{OK: v.Way == channels.Taken || v.Way == channels.Doubled, Cause: v.Cause, Wait: v.Wait, Pos: v.Pos}
+}
+
+// Gone says that a connection that used a channel has ended.
+func (h *Host) Gone(channel string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.table.Gone(channel)
+}
+
+// MayBegin is asked right before a leg's first byte.
+func (h *Host) MayBegin(m *spool.Message) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.table.MayBegin(h.engine.Now(), m.Channel, m.Pos)
+}
+
+// Ended says that a message which was released is over.
+func (h *Host) Ended(m *spool.Message, delivered, mayRun bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.held, m.ID)
+	h.add(h.table.Ended(h.engine.Now(), m.Channel, m.Pos, delivered, mayRun))
+}
+
+// Leave has every channel handed over: the process is about to end.
+func (h *Host) Leave() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.add(h.table.Leave(h.engine.Now()))
+}
+
+// View is for an operator's eyes.
+func (h *Host) View() ([]channels.Seen, channels.Counts) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.table.View(), h.table.Count()
+}
+
+// answered lets a message go whose client has its answer.
+func (h *Host) answered(id string) {
+	h.mu.Lock()
+	x := h.held[id]
+	if x != nil {
+		x.answered = true
+	}
+	h.mu.Unlock()
+	h.goOn(id)
+}
+
+// goOn hands a message to the decisions, once its turn has come and its client is answered.
+func (h *Host) goOn(id string) {
+	h.mu.Lock()
+	x := h.held[id]
+	goes := x != nil && x.due && x.answered && !x.going
+	if goes {
+		x.going = true
+	}
+	h.mu.Unlock()
+	if goes {
+		h.engine.Resume(x.m)
+	}
+}
+
+// add queues a call's effects; mu is held.
+func (h *Host) add(e channels.Effects) *job {
+	j := &job{e: e, done: make(chan struct{})}
+	if h.broken {
+		h.fail([]*job{j})
+		return j
+	}
+	h.queue = append(h.queue, j)
+	select {
+	case h.wake <- struct{}{}:
+	default:
+	}
+	return j
+}
+
+// wait lets mu go and waits until a job's rows are on disk.
+func (h *Host) wait(j *job) error {
+	h.mu.Unlock()
+	<-j.done
+	if j.bad {
+		return errBroken
+	}
+	return nil
+}
+
+// Run carries effects out, in order, until ctx ends; what then waits is answered that it cannot be.
+func (h *Host) Run(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			h.stop()
+			return
+		case <-h.wake:
+		case <-timer.C:
+		}
+		h.mu.Lock()
+		now := h.engine.Now()
+		jobs := append(h.queue, &job{e: h.table.Tick(now), done: make(chan struct{})})
+		h.queue = nil
+		next := longest
+		if at := h.table.Next(); at > 0 {
+			next = max(shortest, min(longest, time.Duration(at-now)*time.Microsecond))
+		}
+		h.mu.Unlock()
+		h.carryOut(jobs)
+		timer.Reset(next)
+	}
+}
+
+func (h *Host) stop() {
+	h.mu.Lock()
+	jobs := h.queue
+	h.queue, h.broken = nil, true
+	h.table.Break()
+	h.mu.Unlock()
+	h.fail(jobs)
+}
+
+func (h *Host) fail(jobs []*job) {
+	for _, j := range jobs {
+		j.bad = true
+		close(j.done)
+	}
+}
+
+// carryOut writes the rows of many calls in one step, then does the rest.
+func (h *Host) carryOut(jobs []*job) {
+	var rows []channels.Row
+	for _, j := range jobs {
+		rows = append(rows, j.e.Rows...)
+	}
+	if len(rows) > 0 {
+		if err := h.store.Write(rows); err != nil {
+			h.log.Error("channels stop here until a restart: their state cannot be written", zap.Error(err))
+			h.mu.Lock()
+			h.broken = true
+			h.table.Break()
+			jobs = append(jobs, h.queue...)
+			h.queue = nil
+			h.mu.Unlock()
+			h.fail(jobs)
+			return
+		}
+	}
+	for _, j := range jobs {
+		close(j.done)
+		for _, l := range j.e.Letters {
+			h.send(l)
+		}
+		for _, id := range j.e.Release {
+			h.release(id)
+		}
+		for _, g := range j.e.GiveUp {
+			h.giveUp(g)
+		}
+	}
+}
+
+func (h *Host) release(id string) {
+	h.mu.Lock()
+	if x := h.held[id]; x != nil {
+		x.due = true
+	}
+	h.mu.Unlock()
+	h.goOn(id)
+}
+
+func (h *Host) giveUp(g channels.GivenUp) {
+	h.mu.Lock()
+	x := h.held[g.ID]
+	if x == nil {
+		h.mu.Unlock()
+		return
+	}
+	if x.going {
+		h.mu.Unlock()
+		h.engine.Abandon(g.ID, g.Advice)
+		return
+	}
+	delete(h.held, g.ID)
+	if x.due { // the table thinks it with the decisions
+		h.add(h.table.Ended(h.engine.Now(), x.m.Channel, x.m.Pos, false, false))
+	}
+	h.mu.Unlock()
+	h.engine.GiveUp(x.m, g.Advice)
+}
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -22,6 +22,9 @@
 	log    *zap.Logger
 	engine *relay.Engine
 
+	// Channels takes in what names a channel; nil where channels are off. It is set before any client comes.
+	Channels relay.Channels
+
 	Busy, Refused atomic.Int64 // hand-ins pushed back at once, and in error
 }
 
@@ -30,6 +33,8 @@
 
 // Serve answers one client's commands until its connection ends.
 func (f *Front) Serve(c *transport.Client) {
+	var used channels
+	defer used.leave(f.Channels)
 	for c.Await() {
 		args, err := protocol.ReadCommand(c.R)
 		if protocol.IsMalformed(err) {
@@ -42,14 +47,14 @@
 			c.Late(err)
 			return
 		}
-		if !f.command(c, args) {
+		if !f.command(c, args, &used) {
 			return
 		}
 	}
 }
 
 // command answers one command and tells whether the connection stays.
-func (f *Front) command(c *transport.Client, args [][]byte) bool {
+func (f *Front) command(c *transport.Client, args [][]byte, used *channels) bool {
 	name := ""
 	if len(args) > 0 {
 		name = strings.ToUpper(string(args[0]))
@@ -58,7 +63,7 @@
 	case "PING":
 		_ = protocol.WritePong(c.W)
 	case "ENQUEUE":
-		return f.enqueue(c, args)
+		return f.enqueue(c, args, used)
 	default:
 		f.Refused.Add(1)
 		_ = protocol.WriteError(c.W, "unknown command")
@@ -68,14 +73,21 @@
 
 // enqueue takes one message on: the module first, which may end it on the spot, then the record, then the
 // answer, then the first leg.
-func (f *Front) enqueue(c *transport.Client, args [][]byte) bool {
+func (f *Front) enqueue(c *transport.Client, args [][]byte, used *channels) bool {
 	m, lane, err := f.parse(args)
+	if err == nil && m.Channel != "" && f.Channels == nil {
+		err = errChannelsOff
+	}
 	if err != nil {
 		f.Refused.Add(1)
 		_ = protocol.WriteError(c.W, err.Error())
 		return c.Answer() == nil
 	}
 	c.Served()
+	if m.Channel != "" {
+		used.note(m.Channel)
+		return f.ordered(c, m, lane)
+	}
 	way, advice := f.engine.Take(m, lane)
 	f.log.Debug("handed in", zap.String("id", m.ID), zap.Int64("dst", m.Dst), zap.Uint8("way", uint8(way)))
 	f.answer(c, way, advice)
@@ -98,7 +110,7 @@
 	if !known {
 		return nil, 0, errors.New("unknown lane")
 	}
-	return &spool.Message{ID: h.ID, Lane: h.Lane, Key: h.Key, OrderKey: h.OrderKey, Dst: h.Dst, Body: h.Body,
+	return &spool.Message{ID: h.ID, Lane: h.Lane, Key: h.Key, OrderKey: h.OrderKey, Dst: h.Dst, Body: h.Body, Channel: h.Channel, Pos: h.Pos,
 		Expires: f.engine.Now() + h.LeftMillis*microsInMilli}, lane, nil
 }
 
--- a/internal/protocol/handin.go
+++ b/internal/protocol/handin.go
@@ -15,6 +15,8 @@
 	Key        string
 	Dst        int64
 	Body       []byte
+	Channel    string // empty for none
+	Pos        int64  // in the channel, from 1
 }
 
 const (
@@ -34,7 +36,7 @@
 	if !plain(h.ID) || h.ID == "" || len(h.OrderKey) > mostID {
 		return h, malformed("the id is 1 to %d plain characters", mostID)
 	}
-	dst := ""
+	dst, pos := "", ""
 	for _, field := range strings.Split(string(args[3]), ",") {
 		name, value, _ := strings.Cut(field, "=")
 		switch name {
@@ -48,6 +50,10 @@
 			h.Key = value
 		case "dest":
 			dst = value
+		case "ch":
+			h.Channel = value
+		case "pos":
+			pos = value
 		}
 	}
 	if h.Dst, err = strconv.ParseInt(dst, 10, 64); err != nil {
@@ -59,7 +65,21 @@
 	if !plain(h.Key) {
 		return h, malformed("the key is at most %d plain characters", mostID)
 	}
-	return h, nil
+	return h, h.position(pos)
+}
+
+// position reads where a message stands in its channel: it has both or neither.
+func (h *HandIn) position(pos string) (err error) {
+	if h.Channel == "" && pos == "" {
+		return nil
+	}
+	if h.Channel == "" || !plain(h.Channel) || strings.Contains(h.Channel, "=") {
+		return malformed("ch is 1 to %d plain characters", mostID)
+	}
+	if h.Pos, err = strconv.ParseInt(pos, 10, 64); err != nil || h.Pos < 1 {
+		return malformed("pos is no whole number from 1")
+	}
+	return nil
 }
 
 // plain tells whether a text may stand in a header field.
--- a/internal/protocol/resp.go
+++ b/internal/protocol/resp.go
@@ -127,6 +127,28 @@
 	return write(w, "-BUSY "+strconv.FormatInt(afterMillis, 10)+"\r\n")
 }
 
+// The answers to hand-ins of a channel tell the position last taken on, where it is known here: 0 or more.
+
+// WriteOKAt says that a message is taken on, or was before.
+func WriteOKAt(w *bufio.Writer, pos int64) error { return write(w, "+OK"+at(pos)+"\r\n") }
+
+// WriteBusyAt pushes a message back.
+func WriteBusyAt(w *bufio.Writer, afterMillis, pos int64) error {
+	return write(w, "-BUSY "+strconv.FormatInt(max(1, afterMillis), 10)+at(pos)+"\r\n")
+}
+
+// WriteErrorAt fails a hand-in.
+func WriteErrorAt(w *bufio.Writer, what string, pos int64) error {
+	return write(w, "-ERR "+what+at(pos)+"\r\n")
+}
+
+func at(pos int64) string {
+	if pos < 0 {
+		return ""
+	}
+	return " pos=" + strconv.FormatInt(pos, 10)
+}
+
 // WriteError fails a command.
 func WriteError(w *bufio.Writer, what string) error { return write(w, "-ERR "+what+"\r\n") }
 
--- /dev/null
+++ b/internal/relay/channels.go
@@ -0,0 +1,151 @@
+package relay
+
+import (
+	"go.uber.org/zap"
+
+	"ravenlink/internal/routing"
+	"ravenlink/internal/spool"
+)
+
+// Channels takes in messages that name a channel, in the place of Take and Carry, and says when their turn has come.
+type Channels interface {
+	// HandIn decides on a message. What it takes on is on record when it returns, and no leg of it starts before Then.
+	HandIn(m *spool.Message, lane int) Word
+	// Gone says that a connection that used a channel has ended.
+	Gone(channel string)
+	Turns
+}
+
+// Word answers a hand-in of a channel: OK, else an error with its cause, else the client is to come back.
+type Word struct {
+	OK    bool
+	Cause string
+	Wait  int64  // µs
+	Pos   int64  // last taken on; below 0 for not known here
+	Then  func() // to be called once the client has its answer or surely never will; may be nil
+}
+
+// Turns is what an engine asks about messages of channels, and tells of them.
+type Turns interface {
+	// MayBegin is asked right before a leg's first byte.
+	MayBegin(m *spool.Message) bool
+	// Ended comes once for a message that Release set going, when it is over and no leg of it is out. MayRun: a leg may still
+	// run at its receiver.
+	Ended(m *spool.Message, delivered, mayRun bool)
+}
+
+// Order names who is asked about messages of channels. It comes before any message.
+func (e *Engine) Order(t Turns) { e.turns = t }
+
+// Keep writes a message down whose turn has not come: its end is owed from then on. Nothing is sent before Resume.
+func (e *Engine) Keep(m *spool.Message) error {
+	if err := e.spool.Take(m); err != nil {
+		return err
+	}
+	e.Tally.Taken.Add(1)
+	return nil
+}
+
+// Holds tells whether a message is with the decisions.
+func (e *Engine) Holds(id string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.held[id] != nil
+}
+
+// GiveUp ends a message that was kept and not resumed: pushed back if no leg of it can have run, else failed.
+func (e *Engine) GiveUp(m *spool.Message, advice int64) {
+	e.tell(&carried{msg: m}, !mayHaveRun(m), advice)
+}
+
+// Abandon ends a message that is with the decisions, once no leg of it is out. If that leg delivers, it is delivered.
+func (e *Engine) Abandon(id string, advice int64) {
+	e.mu.Lock()
+	c := e.held[id]
+	now := c != nil && c.out == 0
+	if c != nil {
+		c.given, c.advice = true, advice
+	}
+	e.mu.Unlock()
+	if now {
+		e.router.Withdraw(id)
+	}
+}
+
+func mayHaveRun(m *spool.Message) bool {
+	for _, l := range m.Legs {
+		if !l.NeverRan {
+			return true
+		}
+	}
+	return false
+}
+
+// over takes a message's end without a notice from the decisions: delivered, or given up.
+func (e *Engine) over(c *carried) {
+	e.mu.Lock()
+	given, advice := c.given && !c.delivered, c.advice
+	e.mu.Unlock()
+	if given {
+		e.undelivered(c, !mayHaveRun(c.msg), advice)
+		return
+	}
+	e.Over(c.msg)
+	if e.Delivered != nil {
+		e.Delivered(c.msg.ID)
+	}
+	e.endTurn(c, true)
+}
+
+// endTurn tells the channel of a message that it is over, now or after the leg that is out.
+func (e *Engine) endTurn(c *carried, delivered bool) {
+	if e.turns == nil || c.msg.Channel == "" {
+		return
+	}
+	e.mu.Lock()
+	c.ended = true
+	out := c.out
+	e.mu.Unlock()
+	if out == 0 {
+		e.turns.Ended(c.msg, delivered, e.mayRun(c))
+	}
+}
+
+// outcome notes what a leg came to, before the decisions hear of it.
+func (e *Engine) outcome(c *carried, res routing.Result) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	c.delivered = c.delivered || res == routing.Delivered || res == routing.GoneThere
+	c.running = c.running || res > routing.Errored
+}
+
+// legOver counts a leg in, and ends what waited for it.
+func (e *Engine) legOver(c *carried) {
+	e.mu.Lock()
+	c.out--
+	ended, given, out := c.ended, c.given && !c.delivered, c.out
+	e.mu.Unlock()
+	switch {
+	case out > 0:
+	case ended && e.turns != nil && c.msg.Channel != "":
+		e.turns.Ended(c.msg, c.delivered, e.mayRun(c))
+	case given:
+		e.router.Withdraw(c.msg.ID)
+	}
+}
+
+// mayRun tells whether a leg may still run at its receiver: one that had no outcome, here or before a restart.
+func (e *Engine) mayRun(c *carried) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return c.running
+}
+
+// begins is asked right before a leg's first byte.
+func (e *Engine) begins(m *spool.Message) bool {
+	if e.turns == nil || m.Channel == "" || e.turns.MayBegin(m) {
+		return true
+	}
+	e.log.Debug("not its turn", zap.String("id", m.ID), zap.String("channel", m.Channel))
+	return false
+}
--- a/internal/relay/courier.go
+++ b/internal/relay/courier.go
@@ -21,6 +21,7 @@
 	ends    Ends
 
 	Tally *Tally
+	turns Turns // nil where channels are off
 
 	// Delivered, where it is set, hears of messages that are over and not undelivered. It must not block for long.
 	Delivered func(id string)
@@ -38,6 +39,14 @@
 type carried struct {
 	msg   *spool.Message
 	story []Told // as many as legs
+
+	// Of messages of channels.
+	out       int  // legs
+	running   bool // one had no outcome, and may still run
+	delivered bool
+	ended     bool // its channel is to hear once no leg is out
+	given     bool // up, by its channel
+	advice    int64
 }
 
 // Tally counts what happened since the start.
@@ -119,7 +128,7 @@
 // Carry takes a message to its end.
 func (e *Engine) Carry(m *spool.Message) {
 	e.mu.Lock()
-	e.held[m.ID] = &carried{msg: m}
+	e.held[m.ID] = &carried{msg: m, running: mayHaveRun(m)}
 	e.mu.Unlock()
 	e.router.Carry(m.ID)
 }
@@ -138,10 +147,7 @@
 		case routing.Leg:
 			e.running.Go(func() { e.leg(c, p) })
 		case routing.Over:
-			e.Over(c.msg)
-			if e.Delivered != nil {
-				e.Delivered(c.msg.ID)
-			}
+			e.over(c)
 		default:
 			e.undelivered(c, p.Way == routing.PushedBack, p.Advice)
 		}
@@ -153,7 +159,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	c := e.held[p.ID]
-	if p.Way != routing.Leg {
+	if p.Way == routing.Leg {
+		c.out++
+	} else {
 		delete(e.held, p.ID)
 	}
 	return c
@@ -167,6 +175,12 @@
 }
 
 func (e *Engine) undelivered(c *carried, pushedBack bool, advice int64) {
+	e.tell(c, pushedBack, advice)
+	e.endTurn(c, false)
+}
+
+// tell puts an end on record and has it told.
+func (e *Engine) tell(c *carried, pushedBack bool, advice int64) {
 	if pushedBack {
 		e.Tally.PushedBack.Add(1)
 	} else {
@@ -194,7 +208,7 @@
 	recorded := false
 	j := e.carrier.Carry(ctx, Leg{Msg: m, To: p.Receiver, Patience: p.Patience, Until: began + p.Patience.Microseconds(),
 		Ready: func() bool {
-			if !e.router.Stands(p) {
+			if !e.router.Stands(p) || !e.begins(m) {
 				return false
 			}
 			recorded = e.record(m, p, false)
@@ -211,7 +225,9 @@
 	e.log.Debug("leg", zap.String("id", m.ID), zap.Int64("dst", m.Dst), zap.String("receiver", p.Receiver.ID), zap.Int("number", p.Number),
 		zap.Uint8("stage", j.Stage), zap.Int("status", j.Status), zap.Int64("took_us", took),
 		zap.Duration("patience", p.Patience), zap.Int64("wait_us", j.Wait))
+	e.outcome(c, j.Result)
 	e.router.Report(p, j.Result, j.Wait, j.Load)
+	e.legOver(c)
 }
 
 // settle counts a leg and puts on record that it never ran, where that is sure.
--- a/internal/spool/spool.go
+++ b/internal/spool/spool.go
@@ -38,6 +38,8 @@
 	Dst                     int64
 	Expires                 int64 // µs since 1970
 	Body                    []byte
+	Channel                 string // that orders it; empty for none
+	Pos                     int64  // in the channel
 	Legs                    []Leg
 	Ended                   bool // undelivered, and only the notice is owed
 	PushedBack              bool
@@ -183,6 +185,9 @@
 		m.Legs = append(m.Legs, readLeg(d))
 	}
 	m.Body = slices.Clone(d.text())
+	if len(d.left) > 0 { // only messages of channels have more
+		m.Channel, m.Pos = string(d.text()), d.number()
+	}
 	return m
 }
 
@@ -208,7 +213,10 @@
 	for _, l := range m.Legs {
 		e = e.leg(l)
 	}
-	return e.text(m.Body).seal()
+	if e = e.text(m.Body); m.Channel != "" {
+		e = e.text([]byte(m.Channel)).number(m.Pos)
+	}
+	return e.seal()
 }
 
 // Owed lists what is owed, those that end first first.
