Tests of the engine's turns and of channels on the wire

internal/relay had no test; messages of channels may be given up with a leg out. A leg asks for its turn, a delivery beats a give-up, and bad ch and pos are named.

--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -76,6 +76,26 @@
 	assert.ErrorContains(t, err, "4 arguments")
 }
 
+func TestChannelsOnTheWire(t *testing.T) {
+	parse := func(list string) (HandIn, error) {
+		return ParseHandIn([][]byte{nil, []byte("00"), []byte("ab"), []byte(list), nil})
+	}
+	h, err := parse("c=n,d=9,dest=1,ch=m-17,pos=3")
+	require.NoError(t, err)
+	assert.Equal(t, HandIn{ID: "ab", Lane: "n", LeftMillis: 9, Dst: 1, Channel: "m-17", Pos: 3}, h)
+	for list, what := range map[string]string{
+		"ch=x": "pos is no whole number", "pos=1": "ch is", "ch=x,pos=0": "pos is", "ch=x,pos=1.5": "pos is", "ch=a=b,pos=1": "ch is",
+		"ch=a b,pos=1": "ch is", "ch=x,pos=99999999999999999999": "pos is",
+	} {
+		_, err := parse("c=n,d=9,dest=1," + list)
+		assert.ErrorContains(t, err, what, list)
+	}
+	var b bytes.Buffer
+	w := bufio.NewWriter(&b)
+	require.NoError(t, errors.Join(WriteOKAt(w, 4), WriteBusyAt(w, 0, 0), WriteBusyAt(w, 30, -1), WriteErrorAt(w, "closed", 4), w.Flush()))
+	assert.Equal(t, "+OK pos=4\r\n-BUSY 1 pos=0\r\n-BUSY 30\r\n-ERR closed pos=4\r\n", b.String())
+}
+
 func TestAnswersAreReadWhole(t *testing.T) {
 	for in, want := range map[string]Answer{
 		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Pressure: x0=0.4,x1=25\r\n\r\nok": {Status: 200, length: 2, Load: []byte("x0=0.4,x1=25"), Body: []byte("ok")},
--- /dev/null
+++ b/internal/relay/channels_test.go
@@ -0,0 +1,142 @@
+package relay
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/tidwall/gjson"
+	"go.uber.org/goleak"
+	"go.uber.org/zap"
+
+	"ravenlink/internal/routing"
+	"ravenlink/internal/spool"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const settings = `{"balancers":1,"machine_types":["m"],"zones":["z"],"classes":[{"name":"n","aim":2000,"deadline":8000,"group":"all",` +
+	`"importance":1,"late_worth":0.5,"repeat":"by_key","window":15000}],"family_info":{"max_calls":20},"limits":{"most_held":40,"send_cap":6},` +
+	`"rules":{"start_capacity":0.2,"warm_within":1000,"overload_factor":2}}`
+
+// turns is a channel: messages in it may begin while open, and it hears of ends.
+type turns struct {
+	open  chan bool
+	ended chan [2]bool // delivered, may run
+}
+
+func (x *turns) MayBegin(*spool.Message) bool { return <-x.open }
+
+func (x *turns) Ended(_ *spool.Message, delivered, mayRun bool) {
+	x.ended <- [2]bool{delivered, mayRun}
+}
+
+// road carries legs: it says when one is out, and how it goes is told to it.
+type road struct {
+	gone chan *spool.Message
+	how  chan routing.Result
+}
+
+func (r *road) Carry(_ context.Context, l Leg) Journey {
+	if !l.Ready() {
+		return Journey{Result: routing.NotSent}
+	}
+	r.gone <- l.Msg
+	return Journey{Result: <-r.how}
+}
+
+type ends chan Undelivered
+
+func (e ends) Undelivered(u Undelivered) { e <- u }
+
+type rig struct {
+	*Engine
+	*turns
+	*road
+	ends
+}
+
+func begin(t *testing.T) *rig {
+	s, _, err := spool.Open(t.TempDir(), 1<<20)
+	require.NoError(t, err)
+	r := &rig{turns: &turns{make(chan bool, 9), make(chan [2]bool, 9)}, road: &road{make(chan *spool.Message, 9), make(chan routing.Result, 9)}, ends: make(ends, 9)}
+	clock := NewClock()
+	router := routing.New(1, gjson.Parse(settings), clock.Now, func(string) {}, func(string) {})
+	router.List([]routing.Listing{{ID: "s", Addr: "h:1", Dst: 7, Kind: "m", Zone: "z", Listed: true}}, true, true)
+	r.Engine = New(zap.NewNop(), clock, router, s, r.road)
+	r.Tell(r.ends)
+	r.Order(r.turns)
+	ctx, cancel := context.WithCancel(context.Background())
+	ticked := make(chan struct{})
+	go func() { router.Tick(ctx); close(ticked) }()
+	r.Begin(ctx, ctx)
+	r.Run()
+	t.Cleanup(func() {
+		cancel()
+		close(r.how)
+		close(r.open)
+		r.Wait()
+		<-ticked
+		require.NoError(t, s.Close())
+	})
+	return r
+}
+
+func (r *rig) message(id string) *spool.Message {
+	return &spool.Message{ID: id, Lane: "n", Key: id, Dst: 7, Expires: r.Now() + 8e6, Channel: "x", Pos: 1}
+}
+
+func TestALegAsksForItsTurn(t *testing.T) {
+	r := begin(t)
+	m := r.message("a")
+	require.NoError(t, r.Keep(m))
+	require.False(t, r.Holds("a"), "it is on disk, and not with the decisions")
+	r.open <- false
+	r.open <- true
+	r.Resume(m)
+	require.Same(t, m, <-r.gone)
+	require.True(t, r.Holds("a"))
+	require.Empty(t, r.ended)
+	r.how <- routing.Delivered
+	require.Equal(t, [2]bool{true, false}, <-r.ended)
+	require.Empty(t, r.ends)
+}
+
+func TestGivenUpWithALegOut(t *testing.T) {
+	for how, want := range map[routing.Result][2]bool{routing.Delivered: {true, false}, routing.TimedOut: {false, true}, routing.Errored: {false, false}} {
+		r := begin(t)
+		m := r.message("a")
+		require.NoError(t, r.Keep(m))
+		r.open <- true
+		r.Resume(m)
+		<-r.gone
+		r.Abandon("a", 5)
+		require.Empty(t, r.ended, "its leg is out")
+		r.how <- how
+		require.Equal(t, want, <-r.ended, how)
+		if how != routing.Delivered {
+			require.False(t, (<-r.ends).PushedBack, "it may have run")
+		}
+		require.Empty(t, r.ends)
+	}
+}
+
+func TestGivenUpBeforeItsTurn(t *testing.T) {
+	r := begin(t)
+	kept, resumed := r.message("a"), r.message("b")
+	require.NoError(t, r.Keep(kept))
+	r.GiveUp(kept, 5)
+	u := <-r.ends
+	require.True(t, u.PushedBack)
+	require.Equal(t, int64(5), u.Advice)
+	require.Empty(t, r.ended, "its channel knows already")
+	require.NoError(t, r.Keep(resumed))
+	r.open <- false
+	r.Resume(resumed)
+	require.Eventually(t, func() bool { return len(r.open) == 0 }, 10*time.Second, time.Millisecond)
+	r.Abandon("b", 7)
+	r.open <- false // a further leg may have been picked meanwhile
+	require.True(t, (<-r.ends).PushedBack)
+	require.Equal(t, [2]bool{false, false}, <-r.ended)
+}
