Channels run in the fleet's runtime: [fleet.channels], rows in the fleet's log, legs bounded

The host had no place in the process. It is a part beside limits and verdicts; legs of channels are out for no longer than a later owner waits; a sender whose folder is an older copy stops its channels. Off unless named.

--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -1,12 +1,14 @@
 package daemon
 
 import (
+	"context"
 	"fmt"
 
 	"go.uber.org/zap"
 
 	"ravenlink/internal/fleet"
 	"ravenlink/internal/routing"
+	"ravenlink/internal/startup"
 )
 
 // Fleet has this sender take part in its fleet. It comes before Run. Where the fleet cannot be had, one line says why and the sender serves
@@ -21,6 +23,36 @@
 	p.fleet = r
 	p.router.Gate = r.May
 	p.engine.Watch = r
+	p.order(r)
+}
+
+// order has this sender take part in channels, where the table says so.
+func (p *Program) order(r *fleet.Runtime) {
+	settle := startup.KeyQuiet(p.settings)
+	host, most, err := r.Order(p.engine, settle)
+	if err != nil {
+		part(p.log, "fleet").Error("channels are off", zap.Error(err))
+	}
+	if host != nil {
+		p.ordered, p.front.Channels = host, host
+		p.engine.Order(host, most)
+	}
+}
+
+// recover takes up what is owed: messages of channels wait there for their turn.
+func (p *Program) recover(picking context.Context) {
+	owed := p.spool.Owed()
+	if p.ordered != nil {
+		others, err := p.ordered.Restore(owed)
+		if err != nil {
+			part(p.log, "fleet").Error("channels stop here: what was written cannot be read", zap.Error(err))
+		}
+		owed = others
+		p.goWork(func() { p.ordered.Run(picking) })
+	}
+	for _, m := range owed {
+		p.engine.Resume(m)
+	}
 }
 
 // openFleet counts the fleet's log against the part of the disk that the spool leaves.
--- a/internal/daemon/program.go
+++ b/internal/daemon/program.go
@@ -17,6 +17,7 @@
 	"ravenlink/internal/fleet"
 	"ravenlink/internal/keep"
 	"ravenlink/internal/kept"
+	"ravenlink/internal/ordered"
 	"ravenlink/internal/platform"
 	"ravenlink/internal/relay"
 	"ravenlink/internal/routing"
@@ -64,6 +65,7 @@
 	opFile   string
 	keeper   *keep.Keeper   // nil where nothing is kept
 	fleet    *fleet.Runtime // nil where this sender decides alone
+	ordered  *ordered.Host  // nil where there are no channels
 	phase    phase          // changes in enter only
 	clock    relay.Clock
 	state    string // the folder that lasts
@@ -156,9 +158,7 @@
 	}
 	p.start(working)
 	p.discovery.Heard(p.listWait)
-	for _, m := range p.spool.Owed() {
-		p.engine.Resume(m)
-	}
+	p.recover(picking)
 	p.engine.Run()
 	if p.keeper != nil {
 		p.goWork(func() { p.keeper.Run(picking) })
@@ -206,6 +206,9 @@
 // drain keeps on for a while, then lets go of the clients, then starts no more legs, then waits for those out.
 func (p *Program) drain(stopPicking context.CancelFunc) {
 	begun := time.Now()
+	if p.ordered != nil {
+		p.ordered.Leave()
+	}
 	p.until(begun.Add(doorsOpen), func() bool { return false })
 	var gone atomic.Bool // the clients
 	p.goWork(func() {
--- /dev/null
+++ b/internal/fleet/channels.go
@@ -0,0 +1,153 @@
+package fleet
+
+import (
+	"cmp"
+	"fmt"
+	"time"
+
+	"ravenlink/internal/channels"
+	"ravenlink/internal/fleetlog"
+	"ravenlink/internal/links"
+	"ravenlink/internal/members"
+	"ravenlink/internal/ordered"
+	"ravenlink/internal/post"
+	"ravenlink/internal/strict"
+)
+
+// Channels turns on ordering contracts. Spans left out are the usual ones.
+type Channels struct {
+	Most  int         `toml:"most"`  // channels known at once; left out: as many as the fleet's log holds
+	Held  int         `toml:"held"`  // messages held over all channels
+	Lease strict.Span `toml:"lease"` // for which an owner goes on without a majority of a channel's electors
+	Leg   strict.Span `toml:"leg"`   // the longest that a leg is out, with the settle time after it
+	Live  strict.Span `toml:"live"`  // after its last hand-in, for which a client keeps other senders off
+	Drain strict.Span `toml:"drain"` // for which an owner that gives a channel up goes on with what has not begun
+	Idle  strict.Span `toml:"idle"`  // after which an unused channel is given back
+}
+
+const (
+	channelBytes = 2 << 10 // of the fleet's log for a channel: an elector's row, an owner's and some messages, at the usual window
+	usualHeld    = 1000
+	mostChannels = 1_000_000
+	channelForm  = 1 // of a row
+)
+
+// room is how many channels the fleet's log holds.
+func (t Table) room() int { return int(max(1, fleetlog.Room(t.Bytes())/channelBytes)) }
+
+func (c *Channels) fill(t *Table) {
+	u := channels.Usual
+	c.Most, c.Held = cmp.Or(c.Most, t.room()), cmp.Or(c.Held, usualHeld)
+	c.Lease, c.Leg, c.Live = cmp.Or(c.Lease, strict.Span(u.Lease)), cmp.Or(c.Leg, strict.Span(u.Leg)), cmp.Or(c.Live, strict.Span(u.Live))
+	c.Drain, c.Idle = cmp.Or(c.Drain, strict.Span(u.Drain)), cmp.Or(c.Idle, strict.Span(u.Idle))
+}
+
+func (c Channels) timing(t Table) channels.Timing {
+	u := channels.Usual
+	return channels.Timing{Lease: int64(c.Lease), Drift: int64(t.DriftPPM), Answer: min(u.Answer, int64(c.Lease)/6), Leg: int64(c.Leg), Live: int64(c.Live),
+		Drain: int64(c.Drain), Idle: int64(c.Idle), Forget: u.Forget}
+}
+
+func (c Channels) check(t Table, fault func(setting, what string)) {
+	if c.Most < 1 || c.Most > mostChannels {
+		fault("most", fmt.Sprintf("1 to %d channels", mostChannels))
+	} else if c.Most > t.room() {
+		fault("most", fmt.Sprintf("the fleet's log holds %d channels; most_mb says more room", t.room()))
+	}
+	if c.Held < 1 || c.Held > mostChannels {
+		fault("held", fmt.Sprintf("1 to %d messages", mostChannels))
+	}
+	if err := c.timing(t).Check(); err != nil {
+		fault("lease", err.Error())
+	}
+}
+
+// ordering gives channels' letters to their host, which has a lock and a goroutine of its own.
+type ordering struct {
+	r    *Runtime
+	host *ordered.Host
+}
+
+// Order has this sender take part in channels, where its table says so; nil where it does not. It comes before Run, and the host's Run has
+// to end before the runtime's does. Settle is the time, in µs, for which a leg that may still run keeps the next message back; a leg of a
+// channel may be out for legMost, so that with its settle time it ends within what a later owner waits.
+func (r *Runtime) Order(engine ordered.Engine, settle int64) (h *ordered.Host, legMost time.Duration, err error) {
+	c := r.table.Channels
+	if c == nil {
+		return nil, 0, nil
+	}
+	if legMost = time.Duration(int64(c.Leg)-settle) * time.Microsecond; legMost <= 0 {
+		return nil, 0, fmt.Errorf("fleet.channels.leg of %v is not above the settle time of %v", c.Leg, strict.Span(settle))
+	}
+	table := channels.New(r.table.Self, r.id.Incarnation, r.table.Listed(), c.timing(r.table), channels.Room{Channels: c.Most, Held: c.Held})
+	post := func(l post.Letter[channels.Msg]) { send(r, links.Channels, []post.Letter[channels.Msg]{l}) }
+	o := &ordering{r: r, host: ordered.New(r.log, engine, rows{r.store}, table, post, settle)}
+	r.add(o)
+	return o.host, legMost, nil
+}
+
+func (o *ordering) Kind() links.Kind { return links.Channels }
+
+func (o *ordering) Hear(from string, f links.Frame) error {
+	m, err := decode[channels.Msg](f.Body)
+	if err == nil {
+		o.host.Heard(from, m)
+	}
+	return err
+}
+
+// Tick has nothing to do: the host has a timer of its own.
+func (o *ordering) Tick() {}
+
+// Seen stops channels where the fleet has seen a later start of this folder.
+func (o *ordering) Seen(_ int64, v members.View) {
+	if me, _ := v.Member(v.Self); me.Incarnation > o.r.id.Incarnation {
+		o.host.Older()
+	}
+}
+
+// Leave waits for the host's last rows.
+func (o *ordering) Leave(int64) { o.host.Wait() }
+
+// rows keeps channels' rows in the fleet's log.
+type rows struct{ log *fleetlog.Log }
+
+// Write puts the newest value of each key down in one step; what is no more goes after that, for to know too much of it does no harm.
+func (s rows) Write(all []channels.Row) error {
+	last := map[string]int{}
+	for i, r := range all {
+		last[r.Key] = i
+	}
+	var put []fleetlog.Record
+	var gone []string
+	for i, r := range all {
+		switch {
+		case last[r.Key] != i:
+		case r.Value == nil:
+			gone = append(gone, r.Key)
+		default:
+			put = append(put, fleetlog.Record{Bucket: fleetlog.Channels, Key: r.Key, Version: channelForm, Value: r.Value})
+		}
+	}
+	if len(put) > 0 {
+		if err := s.log.Put(put...); err != nil {
+			return err
+		}
+	}
+	if len(gone) == 0 {
+		return nil
+	}
+	return s.log.Delete(fleetlog.Channels, gone...)
+}
+
+// Rows reads all that there are; one of a form that is not known is an error.
+func (s rows) Rows() (all []channels.Row, err error) {
+	err = s.log.Each(fleetlog.Channels, func(r fleetlog.Record) error {
+		if r.Version != channelForm {
+			return fmt.Errorf("channel row %q is of form %d", r.Key, r.Version)
+		}
+		all = append(all, channels.Row{Key: r.Key, Value: r.Value})
+		return nil
+	})
+	return all, err
+}
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -26,6 +26,7 @@
 	Tenants  []Tenant          `toml:"tenant"`
 	Limits   *Limits           `toml:"limits"`   // nil: each sender keeps to limits alone
 	Verdicts *Verdicts         `toml:"verdicts"` // nil: each sender goes by its own sight
+	Channels *Channels         `toml:"channels"` // nil: no channels
 }
 
 // Tenant says what is one tenant's. Each of its three ways of naming adds to the others.
@@ -74,6 +75,9 @@
 	if t.Limits != nil {
 		t.Limits.Lease = cmp.Or(t.Limits.Lease, strict.Span(shares.Usual().Lease))
 	}
+	if t.Channels != nil {
+		t.Channels.fill(t)
+	}
 	if t.Verdicts != nil {
 		_, room := verdicts.Usual()
 		t.Verdicts.BytesPerSec = cmp.Or(t.Verdicts.BytesPerSec, room.Rate)
@@ -114,6 +118,9 @@
 	if t.Limits != nil {
 		t.Limits.check(func(setting, what string) { fault("limits."+setting, what) })
 	}
+	if t.Channels != nil {
+		t.Channels.check(t, func(setting, what string) { fault("channels."+setting, what) })
+	}
 	if t.Verdicts != nil && t.Verdicts.BytesPerSec < leastRate {
 		fault("verdicts.bytes_per_sec", fmt.Sprintf("fewer than %d carry nothing", leastRate))
 	}
--- a/internal/fleetlog/record.go
+++ b/internal/fleetlog/record.go
@@ -94,8 +94,10 @@
 	})
 }
 
-// room is how many bytes of records there may be.
-func (l *Log) room() int64 { return (l.most - 2*base) / livePart }
+// Room is how many bytes of records a log of so many bytes may hold.
+func Room(most int64) int64 { return (most - 2*base) / livePart }
+
+func (l *Log) room() int64 { return Room(l.most) }
 
 // Get finds a record.
 func (l *Log) Get(b Bucket, key string) (r Record, found bool, err error) {
--- a/internal/ordered/host.go
+++ b/internal/ordered/host.go
@@ -5,13 +5,15 @@
 import (
 	"context"
 	"errors"
-	"sync"
+	"maps"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
 	"ravenlink/internal/channels"
 	"ravenlink/internal/post"
+	"ravenlink/internal/ranked"
 	"ravenlink/internal/relay"
 	"ravenlink/internal/spool"
 )
@@ -51,7 +53,7 @@
 	send   func(post.Letter[channels.Msg]) // must not block
 	settle int64                           // µs for which a leg that may still run keeps the next message back
 
-	mu      sync.Mutex
+	mu      *ranked.Mutex
 	table   *channels.Table
 	held    map[string]*held // by id; emptied as messages end
 	queue   []*job           // effects not yet carried out, in the order of the calls
@@ -59,6 +61,7 @@
 	dropped int // letters
 
 	wake chan struct{}
+	over chan struct{} // closed when Run has ended
 }
 
 // held is a message taken on here.
@@ -79,15 +82,12 @@
 // New makes a host; Run sets it going.
 func New(log *zap.Logger, engine Engine, store Store, table *channels.Table, send func(post.Letter[channels.Msg]), settle int64) *Host {
 	return &Host{log: log, engine: engine, store: store, table: table, send: send, settle: settle, held: map[string]*held{},
-		wake: make(chan struct{}, 1)}
+		mu: ranked.New(ranked.Channels, "channels"), wake: make(chan struct{}, 1), over: make(chan struct{})}
 }
 
-// Restore takes up what was owed for channels before a restart, and returns what is owed otherwise. It comes before Run.
+// Restore takes up what was owed for channels before a restart, and returns what is owed otherwise. It comes before Run. Where what was
+// written cannot be read, all of it ends at once, and no channel is served until a restart.
 func (h *Host) Restore(owed []*spool.Message) (others []*spool.Message, err error) {
-	rows, err := h.store.Rows()
-	if err != nil {
-		return nil, err
-	}
 	byID := map[string]*spool.Message{}
 	for _, m := range owed {
 		if m.Channel != "" && !m.Ended {
@@ -96,12 +96,41 @@
 			others = append(others, m)
 		}
 	}
+	rows, err := h.store.Rows()
+	if err == nil {
+		err = h.restore(rows, byID)
+	}
+	if err != nil {
+		h.give(byID)
+		return others, err
+	}
+	for _, m := range owed {
+		if byID[m.ID] != nil { // its client never heard that it was taken on
+			h.engine.Over(m)
+		}
+	}
+	return others, nil
+}
+
+// give ends all messages of channels and stops channels.
+func (h *Host) give(byID map[string]*spool.Message) {
+	h.mu.Lock()
+	h.broken = true
+	h.table.Break()
+	h.mu.Unlock()
+	for _, id := range slices.Sorted(maps.Keys(byID)) {
+		h.engine.GiveUp(byID[id], noStore)
+	}
+}
+
+// restore takes out of byID what is held.
+func (h *Host) restore(rows []channels.Row, byID map[string]*spool.Message) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.engine.Now()
 	ids, err := h.table.Restore(now, rows, func(id string) bool { return byID[id] != nil && mayHaveRun(byID[id]) })
 	if err != nil {
-		return nil, err
+		return err
 	}
 	for _, e := range ids {
 		if m := byID[e.ID]; m != nil && m.Channel == e.Channel && m.Pos == e.Pos {
@@ -111,12 +140,7 @@
 			h.add(h.table.Ended(now, e.Channel, e.Pos, true, true))
 		}
 	}
-	for _, m := range owed {
-		if byID[m.ID] != nil { // its client never heard that it was taken on
-			h.engine.Over(m)
-		}
-	}
-	return others, nil
+	return nil
 }
 
 func mayHaveRun(m *spool.Message) bool {
@@ -244,6 +268,20 @@
 	h.add(h.table.Leave(h.engine.Now()))
 }
 
+// Wait waits until Run has ended.
+func (h *Host) Wait() { <-h.over }
+
+// Older says that this sender's folder is an older copy: what it knows of promises and positions is not to be trusted.
+func (h *Host) Older() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.broken {
+		h.broken = true
+		h.table.Break()
+		h.log.Error("channels stop here: the folder is an older copy; start with the newest one, or without its fleet log")
+	}
+}
+
 // View is for an operator's eyes.
 func (h *Host) View() ([]channels.Seen, channels.Counts) {
 	h.mu.Lock()
@@ -303,6 +341,7 @@
 
 // Run carries effects out, in order, until ctx ends; what then waits is answered that it cannot be.
 func (h *Host) Run(ctx context.Context) {
+	defer close(h.over)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
--- a/internal/relay/channels.go
+++ b/internal/relay/channels.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"time"
+
 	"go.uber.org/zap"
 
 	"ravenlink/internal/routing"
@@ -34,8 +36,16 @@
 	Ended(m *spool.Message, delivered, mayRun bool)
 }
 
-// Order names who is asked about messages of channels. It comes before any message.
-func (e *Engine) Order(t Turns) { e.turns = t }
+// Order names who is asked about messages of channels, and the longest that a leg of one may be out. It comes before any message.
+func (e *Engine) Order(t Turns, most time.Duration) { e.turns, e.legMost = t, most }
+
+// patience is that of a leg: a later owner of a channel waits no longer than for the longest one.
+func (e *Engine) patience(m *spool.Message, p routing.Pick) time.Duration {
+	if e.turns == nil || m.Channel == "" {
+		return p.Patience
+	}
+	return min(p.Patience, e.legMost)
+}
 
 // Keep writes a message down whose turn has not come: its end is owed from then on. Nothing is sent before Resume.
 func (e *Engine) Keep(m *spool.Message) error {
--- a/internal/relay/channels_test.go
+++ b/internal/relay/channels_test.go
@@ -66,7 +66,7 @@
 	router.List([]routing.Listing{{ID: "s", Addr: "h:1", Dst: 7, Kind: "m", Zone: "z", Listed: true}}, true, true)
 	r.Engine = New(zap.NewNop(), clock, router, s, r.road)
 	r.Tell(r.ends)
-	r.Order(r.turns)
+	r.Order(r.turns, time.Second)
 	ctx, cancel := context.WithCancel(context.Background())
 	ticked := make(chan struct{})
 	go func() { router.Tick(ctx); close(ticked) }()
--- a/internal/relay/courier.go
+++ b/internal/relay/courier.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -21,7 +22,9 @@
 	ends    Ends
 
 	Tally *Tally
-	turns Turns // nil where channels are off
+
+	turns   Turns // nil where channels are off
+	legMost time.Duration
 
 	// Delivered, where it is set, hears of messages that are over and not undelivered. It must not block for long.
 	Delivered func(id string)
@@ -224,7 +227,8 @@
 	defer context.AfterFunc(e.working, cancel)()
 	began := e.clock.Now()
 	recorded := false
-	j := e.carrier.Carry(ctx, Leg{Msg: m, To: p.Receiver, Patience: p.Patience, Until: began + p.Patience.Microseconds(),
+	patience := e.patience(m, p)
+	j := e.carrier.Carry(ctx, Leg{Msg: m, To: p.Receiver, Patience: patience, Until: began + patience.Microseconds(),
 		Ready: func() bool {
 			if !e.router.Stands(p) || !e.begins(m) {
 				return false
@@ -248,7 +252,7 @@
 	e.mu.Unlock()
 	e.log.Debug("leg", zap.String("id", m.ID), zap.Int64("dst", m.Dst), zap.String("receiver", p.Receiver.ID), zap.Int("number", p.Number),
 		zap.Uint8("stage", j.Stage), zap.Int("status", j.Status), zap.Int64("took_us", took),
-		zap.Duration("patience", p.Patience), zap.Int64("wait_us", j.Wait))
+		zap.Duration("patience", patience), zap.Int64("wait_us", j.Wait))
 	e.outcome(c, j.Result)
 	e.router.Report(p, j.Result, j.Wait, j.Load)
 	e.legOver(c)
--- a/internal/startup/startup.go
+++ b/internal/startup/startup.go
@@ -135,3 +135,6 @@
 	}
 	return ns
 }
+
+// KeyQuiet is for how long, in µs, a leg that may still run keeps the next message of its key back.
+func KeyQuiet(c gjson.Result) int64 { return Micros(c.Get("rules.key_quiet")) }
