--- a/internal/purge/lead.go
+++ b/internal/purge/lead.go
@@ -123,7 +123,7 @@
 			n = max(n, l.Epoch.N)
 		}
 	}
-	return Epoch{n + 1, p.me.Name}
+	return Epoch{n + 1, p.me.mark()}
 }
 
 func (p *Machine) open() (n int) {
@@ -185,6 +185,10 @@
 	l.asks = max(l.asks, p.me.Incarnation<<askBits)
 	p.out.Save = true
 	p.note("purge %s: coordinated here, term %d", l.Order.Key(), l.Term)
+	if low := p.join(&l.Case); low.N > 0 { // an older copy of a folder may not know its own part
+		p.raise(l, low)
+		p.join(&l.Case)
+	}
 	p.report(p.jobs[l.Order.Key()])
 }
 
@@ -222,10 +226,11 @@
 		if l.Owner == p.me.Name && l.Order != c.Order {
 			p.tellOther(l, c)
 		}
+		led := l.Owner == p.me.Name && l.State == Running
 		l.Case, l.peers = *c.copied(), nil
 		p.adopted(l)
-		if l.Owner == p.me.Name && l.State == Running { // our own, from before a restart with an older folder
-			p.takeOver(l)
+		if led && l.State == Complete { // the order was handed in again where it was forgotten
+			p.tell(l, complete, 0)
 		}
 	case wins(&l.Case, c):
 		mine := l.copied()
@@ -243,6 +248,9 @@
 func (p *Machine) adopted(l *lead) {
 	l.Ask = 0
 	p.out.Save = true
+	if l.Owner == p.me.Name && l.State == Running { // our own, from before a restart with an older folder, or with a new one
+		p.takeOver(l)
+	}
 	if l.State != Running {
 		p.ended(l)
 	}
@@ -377,7 +385,7 @@
 	if over.Less(l.Epoch) {
 		return // raised already
 	}
-	l.Epoch = Epoch{max(over.N, p.above(l.Order).N-1) + 1, p.me.Name}
+	l.Epoch = Epoch{max(over.N, p.above(l.Order).N-1) + 1, p.me.mark()}
 	l.Version++
 	p.out.Save = true
 	if j := p.jobs[l.Order.Key()]; j != nil {
--- a/internal/purge/letter.go
+++ b/internal/purge/letter.go
@@ -5,7 +5,7 @@
 	"slices"
 )
 
-// Epoch numbers fences of a tenant: N grows, and By keeps two senders' apart.
+// Epoch numbers fences of a tenant: N grows, and By, one life of a sender, keeps all apart.
 type Epoch struct {
 	N  uint64 `json:"n" cbor:"1,keyasint"`
 	By string `json:"by" cbor:"2,keyasint"`
--- a/internal/purge/machine.go
+++ b/internal/purge/machine.go
@@ -83,6 +83,9 @@
 	Incarnation uint64
 }
 
+// mark names one life of a sender: on a new folder, or an older copy of one, it does not know what epochs it gave before.
+func (m Me) mark() string { return fmt.Sprintf("%s/%x/%d", m.Name, m.Folder, m.Incarnation) }
+
 // Machine is one sender's part: it takes part in all orders, and coordinates some.
 type Machine struct {
 	me      Me
