Spool and kept store erase a tenant's messages so that no byte is left in the folder

Ended messages stood in segments until those were the oldest, and dropped records in free pages of the kept file until they were reused. A purge now rewrites all segments up to the newest that holds a matching record, and puts a compacted kept file in the place of the old one, which is overwritten. Every message has a count of when it was taken on, which grows over restarts, so a fence is one number. Ended messages whose notice is owed lose body and keys.

--- a/internal/keep/keeper.go
+++ b/internal/keep/keeper.go
@@ -152,9 +152,16 @@
 	for _, u := range us {
 		before := k.before(u.Msg.ID)
 		m := u.Msg
-		rs = append(rs, kept.New(m.ID, m.Lane, m.Dst, m.Key, m.OrderKey, m.Body, now, u.PushedBack, u.Advice, legs(u), before))
+		if u.Bare {
+			continue
+		}
+		r := kept.New(m.ID, m.Lane, m.Dst, m.Key, m.OrderKey, m.Body, now, u.PushedBack, u.Advice, legs(u), before)
+		if r.Taken == 0 {
+			r.Taken = m.Taken
+		}
+		rs = append(rs, r)
 	}
-	gaveWay, err := k.store.Keep(rs, now)
+	gaveWay, err := k.store.Keep(rs, now) // what a purge has fenced off is not kept
 	if err != nil {
 		k.log.Error("ends not kept", zap.Int("count", len(rs)), zap.Error(err))
 		return
@@ -355,7 +362,7 @@
 	}
 	lane, known := k.engine.Lane(r.Lane)
 	until, _ := kept.MaySend(&r, k.lanes(r.Lane))
-	m := &spool.Message{ID: r.SentAs, Lane: r.Lane, Key: r.Key, OrderKey: r.OrderKey, Dst: r.Dst, Body: r.Body,
+	m := &spool.Message{ID: r.SentAs, Lane: r.Lane, Key: r.Key, OrderKey: r.OrderKey, Dst: r.Dst, Body: r.Body, Taken: r.Taken,
 		Expires: min(k.engine.Now()+v.Deadline, until)}
 	k.mu.Lock()
 	k.sentAs[r.SentAs] = id
--- a/internal/keep/store.go
+++ b/internal/keep/store.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"sync"
 	"time"
 
 	"go.etcd.io/bbolt"
@@ -42,14 +43,21 @@
 
 // Store keeps records.
 type Store struct {
-	db   *bbolt.DB
+	path string
 	most int64 // bytes of records; 0 for no bound
 	age  int64 // µs after which a record gives way; 0 for none
+
+	mu     sync.RWMutex // for db, which a purge puts another file in the place of; held over the file's own I/O, as bbolt's lock is
+	db     *bbolt.DB
+	fenced func(*kept.Record) bool // older than a purge; nil: none is
 }
 
 // Open opens the store of a folder, or begins it.
 func Open(dir string, most, age int64) (*Store, error) {
 	path := filepath.Join(dir, fileName)
+	if err := os.Remove(path + besides); err != nil && !os.IsNotExist(err) { // of a purge that a crash cut short
+		return nil, fmt.Errorf("kept messages: %w", err)
+	}
 	db, err := bbolt.Open(path, 0o600, &bbolt.Options{Timeout: lockFor, FreelistType: bbolt.FreelistMapType})
 	if errors.Is(err, bbolt.ErrTimeout) {
 		return nil, ErrBusy
@@ -57,7 +65,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("kept messages: %s: %w", path, err)
 	}
-	s := &Store{db: db, most: most, age: age}
+	s := &Store{path: path, db: db, most: most, age: age}
 	if err := db.Update(s.begin); err != nil {
 		_ = db.Close()
 		return nil, fmt.Errorf("kept messages: %s: %w", path, err)
@@ -89,6 +97,8 @@
 
 // Close lets go of the file.
 func (s *Store) Close() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if err := s.db.Close(); err != nil {
 		return fmt.Errorf("kept messages: %w", err)
 	}
@@ -98,9 +108,12 @@
 // Keep writes records down in one step, on disk when it returns. One that is there already stays as it is, so that the
 // same end told again after a crash is no second record. Old ones give way for want of room; how many is told.
 func (s *Store) Keep(records []*kept.Record, now int64) (gaveWay int, err error) {
-	err = s.db.Update(func(tx *bbolt.Tx) error {
+	err = s.update(func(tx *bbolt.Tx) error {
 		gaveWay = 0
 		for _, r := range records {
+			if s.fenced != nil && s.fenced(r) {
+				continue
+			}
 			if tx.Bucket(recordsBucket).Get([]byte(r.ID)) != nil {
 				continue
 			}
@@ -217,9 +230,21 @@
 	return r, json.Unmarshal(text, r)
 }
 
+func (s *Store) update(f func(tx *bbolt.Tx) error) error {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.db.Update(f)
+}
+
+func (s *Store) view(f func(tx *bbolt.Tx) error) error {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.db.View(f)
+}
+
 // Get finds a record.
 func (s *Store) Get(id string) (r *kept.Record, err error) {
-	err = s.db.View(func(tx *bbolt.Tx) error {
+	err = s.view(func(tx *bbolt.Tx) error {
 		r, err = get(tx, id)
 		return err
 	})
@@ -228,7 +253,7 @@
 
 // Change has a record changed and written down, on disk when it returns. An error of change leaves it as it was.
 func (s *Store) Change(id string, change func(*kept.Record) error) error {
-	return wrap(s.db.Update(func(tx *bbolt.Tx) error {
+	return wrap(s.update(func(tx *bbolt.Tx) error {
 		r, err := get(tx, id)
 		if err != nil {
 			return err
@@ -246,7 +271,7 @@
 
 // Drop forgets a record for good.
 func (s *Store) Drop(id string) error {
-	return wrap(s.db.Update(func(tx *bbolt.Tx) error {
+	return wrap(s.update(func(tx *bbolt.Tx) error {
 		r, err := get(tx, id)
 		if err != nil {
 			return err
@@ -258,7 +283,7 @@
 // Page lists records, those kept first first, that a filter wants. It looks at so many at most in one read of the file, so
 // that a long list does not hold back writers, and gives the place to go on from, empty at the end.
 func (s *Store) Page(from []byte, want func(*kept.Record) bool) (rs []*kept.Record, next []byte, err error) {
-	err = s.db.View(func(tx *bbolt.Tx) error {
+	err = s.view(func(tx *bbolt.Tx) error {
 		c := tx.Bucket(ageBucket).Cursor()
 		k, _ := c.First()
 		if len(from) > 0 {
@@ -291,7 +316,7 @@
 
 // Stats counts.
 func (s *Store) Stats() (st Stats, err error) {
-	err = s.db.View(func(tx *bbolt.Tx) error {
+	err = s.view(func(tx *bbolt.Tx) error {
 		meta := tx.Bucket(metaBucket)
 		st = Stats{tx.Bucket(ageBucket).Stats().KeyN, number(meta, bytesKey), number(meta, gaveWayKey)}
 		return nil
--- a/internal/kept/record.go
+++ b/internal/kept/record.go
@@ -70,6 +70,7 @@
 	Before     string `json:"before,omitempty"`  // the id that it was sent again from
 	SentAs     string `json:"sent_as,omitempty"` // the id that it was sent again under
 	Cleared    bool   `json:"cleared,omitempty"` // a person has said that it may go again though it may have run
+	Taken      int64  `json:"taken,omitempty"`   // the sender's count when its first generation was taken on; of use in its folder alone
 	FirstRun   int64  `json:"first_run_us"`      // when the first leg that may have run went out, over all generations; 0 for none
 }
 
@@ -117,6 +118,9 @@
 		if r.First == "" {
 			r.First = before.ID
 		}
+		if before.Taken > 0 {
+			r.Taken = before.Taken // a purge that was before the first is before all
+		}
 		if before.FirstRun > 0 {
 			r.FirstRun = before.FirstRun // an effect of an earlier generation is one of this message
 		}
--- a/internal/relay/courier.go
+++ b/internal/relay/courier.go
@@ -101,7 +101,7 @@
 // Resume takes up a message that the sender owed before its restart.
 func (e *Engine) Resume(m *spool.Message) {
 	if m.Ended {
-		e.ends.Undelivered(Undelivered{Msg: m, PushedBack: m.PushedBack, Advice: m.Advice})
+		e.ends.Undelivered(Undelivered{Msg: m, PushedBack: m.PushedBack, Advice: m.Advice, Bare: e.spool.Stripped(m)})
 		return
 	}
 	way, advice := routing.Failed, int64(0)
--- a/internal/spool/spool.go
+++ b/internal/spool/spool.go
@@ -42,6 +42,8 @@
 	Ended                   bool // undelivered, and only the notice is owed
 	PushedBack              bool
 	Advice                  int64 // µs
+	Taken                   int64 // by the sender's own count, which grows also over restarts; 0 until taken, or of an older version
+	Bare                    bool  // ended, and its body and keys were erased on a purge's order
 
 	segment *segment // that holds its newest record of all it needs
 	length  int64    // of that record
@@ -66,7 +68,10 @@
 	live    int64               // bytes of their records
 	order   []*segment          // oldest first, the last is written to; bounded by room
 	last    int64               // highest number in use
+	count   int64               // of messages taken on in this process
+	fenced  func(*Message) bool // older than a fence; nil: none is
 	foreign int64               // bytes of files that are not ours to read
+	strange []string            // their names
 	file    *os.File
 	broken  error
 }
@@ -98,6 +103,7 @@
 	seg := &segment{}
 	data, err := os.ReadFile(name)
 	if err != nil {
+		s.strange = append(s.strange, filepath.Base(name))
 		return "left alone, not readable: " + err.Error()
 	}
 	seg.size = int64(len(data))
@@ -106,6 +112,7 @@
 	left, known := strings.CutPrefix(string(data), magic)
 	if err != nil || !known && seg.size >= int64(len(magic)) {
 		s.foreign += seg.blocks()
+		s.strange = append(s.strange, filepath.Base(name))
 		return "left alone, of an unknown version: " + filepath.Base(name)
 	}
 	s.order = append(s.order, seg)
@@ -183,6 +190,9 @@
 		m.Legs = append(m.Legs, readLeg(d))
 	}
 	m.Body = slices.Clone(d.text())
+	if len(d.left) > 0 { // older versions wrote no more
+		m.Taken, m.Bare = d.number(), d.number() != 0
+	}
 	return m
 }
 
@@ -202,13 +212,17 @@
 }
 
 func (m *Message) record() []byte {
-	e := begin(recTaken, m.ID).text([]byte(m.Lane)).text([]byte(m.Key)).text([]byte(m.OrderKey)).number(m.Dst)
+	key, orderKey, body := m.Key, m.OrderKey, m.Body
+	if m.Bare {
+		key, orderKey, body = "", "", nil
+	}
+	e := begin(recTaken, m.ID).text([]byte(m.Lane)).text([]byte(key)).text([]byte(orderKey)).number(m.Dst)
 	e = e.number(m.Expires).number(flag(m.Ended)).number(flag(m.PushedBack)).number(m.Advice)
 	e = e.number(int64(len(m.Legs)))
 	for _, l := range m.Legs {
 		e = e.leg(l)
 	}
-	return e.text(m.Body).seal()
+	return e.text(body).number(m.Taken).number(flag(m.Bare)).seal()
 }
 
 // Owed lists what is owed, those that end first first.
--- a/internal/spool/write.go
+++ b/internal/spool/write.go
@@ -118,6 +118,12 @@
 func (s *Spool) Take(m *Message) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if m.Taken == 0 {
+		s.count++
+		m.Taken = s.mark()
+	} else if s.fenced != nil && s.fenced(m) { // sent again, from before a purge
+		return ErrFenced
+	}
 	record := m.record()
 	within := s.room - s.room/reserve
 	n := int64(len(record))
