--- a/internal/spool/spool.go
+++ b/internal/spool/spool.go
@@ -38,6 +38,8 @@
 	Dst                     int64
 	Expires                 int64 // µs since 1970
 	Body                    []byte
+	Channel                 string // that orders it; empty for none
+	Pos                     int64  // in the channel
 	Legs                    []Leg
 	Ended                   bool // undelivered, and only the notice is owed
 	PushedBack              bool
@@ -191,6 +193,7 @@
 	}
 	m.Body = slices.Clone(d.text())
 	if len(d.left) > 0 { // older versions wrote no more
+		m.Channel, m.Pos = string(d.text()), d.number()
 		m.Taken, m.Bare = d.number(), d.number() != 0
 	}
 	return m
@@ -212,9 +215,9 @@
 }
 
 func (m *Message) record() []byte {
-	key, orderKey, body := m.Key, m.OrderKey, m.Body
+	key, orderKey, channel, body := m.Key, m.OrderKey, m.Channel, m.Body
 	if m.Bare {
-		key, orderKey, body = "", "", nil
+		key, orderKey, channel, body = "", "", "", nil
 	}
 	e := begin(recTaken, m.ID).text([]byte(m.Lane)).text([]byte(key)).text([]byte(orderKey)).number(m.Dst)
 	e = e.number(m.Expires).number(flag(m.Ended)).number(flag(m.PushedBack)).number(m.Advice)
@@ -222,7 +225,7 @@
 	for _, l := range m.Legs {
 		e = e.leg(l)
 	}
-	return e.text(body).number(m.Taken).number(flag(m.Bare)).seal()
+	return e.text(body).text([]byte(channel)).number(m.Pos).number(m.Taken).number(flag(m.Bare)).seal()
 }
 
 // Owed lists what is owed, those that end first first.
