Shared limits: small needs go first, refusals cut the budget, whole even shares for a large part cut off

Found in the laboratory (virtual): a sender with one message starved 28 s beside two with backlogs; a dead sender's lease was prolonged by each call-back, so a third of a limit stayed unused; a fleet at exactly the limit was never let in again after a moment over it. A quarter of the limit goes first to small needs, a lease ends by when its ask was heard, and a refusal cuts what is given out for a second.

--- a/internal/lab/fleet/scenario.go
+++ b/internal/lab/fleet/scenario.go
@@ -30,6 +30,7 @@
 	deadline = 8 * second  // and none after it
 	lateLeft = 0.3         // of the value is left just before the deadline
 	detect   = 3 * second  // until views doubt who is cut off, killed or stopped
+	back     = second      // until views see that it is back
 	burst    = 0.25        // s of the limit that a destination takes at once
 	debtMost = 1.0         // s of the limit that refused calls may use up ahead
 	frame    = 24          // bytes a letter costs beside its own
--- a/internal/shares/bound.go
+++ b/internal/shares/bound.go
@@ -90,7 +90,9 @@
 }
 
 // Starving is the time within which a sender that waits for one call gets it, while it hears an owner and so many senders wait: a turn of each
-// of the others, a round trip of its ask and the turn of its own timers. In calls a second, count and µs.
+// of the others out of the part of the limit that goes to such first, at least a call a second, and what standing rates take to be called
+// back. In calls a second, count and µs.
 func (t Timing) Starving(limit float64, waiting int) int64 {
-	return int64(float64(waiting*turnMost+int(aheadOf(limit)))/limit*1e6) + t.Renew
+	calls := float64(waiting*turnMost) + aheadOf(limit)
+	return int64(calls/(thinMost*limit)*1e6) + drainTime*1_000_000 + 2*t.Renew
 }
--- a/internal/shares/hold.go
+++ b/internal/shares/hold.go
@@ -32,6 +32,8 @@
 	askedAt            int64 // last ask; 0 for never
 	unanswered         int64 // first ask since the last answer; 0 for none
 	asks               int   // since then
+	answered           int64 // the latest ask that a grant answered
+	refused            int64 // last refusal by the destination; 0 for none
 	told               report
 	phaseAt            float64 // where this sender's bucket begins in doubt, so that all do not call at once
 	drawn              bool    // it has begun there since the last lease
@@ -58,9 +60,11 @@
 	switch {
 	case answered:
 		next = leased
+	case t.cutOff(now, p):
+		next = doubting
 	case !needs:
 		next = resting
-	case h.phase == doubting:
+	case h.phase == doubting && h.unanswered > 0:
 	case h.unanswered > 0 && now-h.unanswered >= t.t.doubtAfter() && h.asks >= 4:
 		next = doubting
 	default:
@@ -70,7 +74,7 @@
 		return
 	}
 	if h.phase == leased {
-		h.earn(h.until, h.rate, true)
+		h.earn(h.until, h.rate)
 		h.level = 0
 		if needs {
 			t.counts.Lapsed++
@@ -87,27 +91,31 @@
 	}
 }
 
+// cutOff tells whether this sender's part of the fleet has surely no owner for a destination, and all have seen so.
+func (t *Table) cutOff(now int64, p *place) bool { return p.unled > 0 && now-p.unled >= t.t.cutSeen() }
+
 // rate at which the bucket of a destination fills.
-func (t *Table) rate(p *place) float64 {
+func (t *Table) rate(now int64, p *place) float64 {
 	switch p.hold.phase {
 	case leased:
 		return p.hold.rate
 	case doubting:
-		return p.limit.perSec * doubtShare / float64(max(1, len(t.listed)))
+		even := p.limit.perSec / float64(max(1, len(t.listed)))
+		if t.cutOff(now, p) && 1-t.missing > wholeFrom {
+			return even
+		}
+		return doubtShare * even
 	default:
 		return 0
 	}
 }
 
-// earn fills the bucket up to now. In doubt it fills only while something waits, so that idle senders save up nothing.
-func (h *holding) earn(now int64, rate float64, wanted bool) {
-	if now <= h.levelAt {
-		return
-	}
-	if h.phase == leased || wanted {
+// earn fills the bucket up to now.
+func (h *holding) earn(now int64, rate float64) {
+	if now > h.levelAt {
 		h.level = math.Min(depthOf(rate), h.level+rate*float64(now-h.levelAt)/1e6)
+		h.levelAt = now
 	}
-	h.levelAt = now
 }
 
 // ask tells the owner what this sender needs, when it is due: at every renewal while there is a need, sooner when the need has changed.
@@ -119,24 +127,26 @@
 	if !t.askDue(now, p) {
 		return
 	}
-	to := t.askWhom(now, p)
 	if h.unanswered == 0 || now-h.askedAt > 2*t.t.doubtAfter() { // a row of asks long ago says nothing of the links now
 		h.unanswered, h.asks = now, 0
 	}
+	to := t.askWhom(now, p)
 	h.asks++
 	h.askedAt = now
 	h.told = report{p.need, p.waiting, h.done, h.told.limit}
 	m := Msg{Kind: Ask, Life: t.life, Stamp: now, Term: h.term, Seat: h.seat, Serial: h.serial, Need: milli(p.need),
-		Waiting: uint64(p.waiting), Count: h.done}
+		Waiting: uint64(p.waiting), Count: h.done, Doubt: h.phase == doubting, Refused: h.refused > h.answered}
 	if h.told.limit != p.limit || h.asks > 1 || h.phase != leased { // told when new, and until an owner answers
 		t.withLimit(now, p, &m)
 	}
 	h.told.limit = p.limit
-	if to == t.self {
-		t.asked(now, p, to, m)
-		return
+	for _, name := range to {
+		if name == t.self {
+			t.asked(now, p, name, m)
+		} else {
+			t.send(name, "ask ", p, m)
+		}
 	}
-	t.send(to, "ask ", p, m)
 }
 
 func (t *Table) askDue(now int64, p *place) bool {
@@ -149,6 +159,9 @@
 		if !needs && (h.rate > 0 || h.done != h.told.done) {
 			return true // give back
 		}
+		if !needs && h.answered < h.askedAt && now-h.askedAt >= t.t.Renew/2 {
+			return true // what was given back may not have come
+		}
 		short := p.waiting > int(h.given-h.done) && h.rate < quantum
 		if short && p.waiting > h.told.waiting || h.done != h.told.done && now-h.askedAt >= 2*askGap {
 			return true
@@ -160,31 +173,33 @@
 	return needs && (h.askedAt == 0 || h.phase == asking && h.unanswered == 0 || now-h.askedAt >= t.t.Renew)
 }
 
-// askWhom goes from elector to elector while no owner answers, past those that the view takes for gone.
-func (t *Table) askWhom(now int64, p *place) string {
+// askWhom names the owner where it is known. While none answers it goes from elector to elector, past those that the view misses, and now
+// and then to all of them, so that they know at one time that an owner is wanted.
+func (t *Table) askWhom(now int64, p *place) []string {
 	h := &p.hold
-	if p.seat.phase == granting {
+	switch {
+	case p.seat.phase == granting:
 		h.owner = t.self
-	} else if h.owner == t.self {
+	case h.owner == t.self || h.asks >= 2:
 		h.owner = ""
 	}
-	if h.owner != "" && h.asks >= 2 {
-		h.owner = ""
+	if h.owner == "" && h.asks < 2 && p.vote.until > now && p.vote.to != t.self {
+		h.owner = p.vote.to
 	}
 	if h.owner != "" {
-		return h.owner
+		return []string{h.owner}
 	}
-	if p.vote.until > now && p.vote.to != t.self && h.asks < 2 {
-		return p.vote.to
+	if h.asks%askAll == 2 {
+		return p.electors
 	}
 	for range p.electors {
 		e := p.electors[h.try%len(p.electors)]
 		h.try++
 		if m, ok := t.view.Member(e); !ok || m.State == members.Alive || m.State == members.Doubted {
-			return e
+			return []string{e}
 		}
 	}
-	return p.electors[h.try%len(p.electors)]
+	return nil
 }
 
 func (t *Table) withLimit(now int64, p *place, m *Msg) {
@@ -205,13 +220,13 @@
 		m.Term == h.term && m.Seat == h.seat && m.Serial <= h.serial {
 		return
 	}
-	h.earn(now, t.rate(p), p.waiting > 0)
+	h.earn(now, t.rate(now, p))
 	if m.Term != h.term || m.Seat != h.seat {
 		h.given, h.done, h.told.done, h.until = 0, 0, 0, 0
 	}
 	h.owner, h.term, h.seat, h.serial = from, m.Term, m.Seat, m.Serial
 	h.rate, h.given, h.until = unit(m.Rate), max(h.given, m.Count), max(h.until, until)
-	h.unanswered, h.asks = 0, 0
+	h.unanswered, h.asks, h.answered = 0, 0, max(h.answered, m.Stamp)
 	t.move(now, p)
 	h.level = math.Min(h.level, depthOf(h.rate))
 }
--- a/internal/shares/msg.go
+++ b/internal/shares/msg.go
@@ -43,6 +43,8 @@
 	Limit   uint64 `cbor:"13,keyasint,omitempty"`
 	How     How    `cbor:"14,keyasint,omitempty"`
 	Age     int64  `cbor:"15,keyasint,omitempty"` // of the limit, µs
+	Doubt   bool   `cbor:"17,keyasint,omitempty"` // ask: the asker goes on with a share of its own until it is answered
+	Refused bool   `cbor:"18,keyasint,omitempty"` // ask: a call was refused since the last ask that was answered
 	List    uint32 `cbor:"16,keyasint,omitempty"` // digest of the listed names: lists that differ vote apart
 }
 
--- a/internal/shares/own.go
+++ b/internal/shares/own.go
@@ -22,7 +22,7 @@
 	to    string
 	term  uint64
 	until int64 // own clock
-	freed int64 // when the last one ended or a first ask came; an elector further back stands later
+	freed int64 // of the first ask since the last promise ended; an elector further back stands later
 }
 
 // owning is the owner's side of a destination.
@@ -39,6 +39,8 @@
 	poolAt   int64
 	seats    map[string]*seat
 	nextSeat uint64
+	refused  int64   // last refusal heard of that cut the budget
+	doubts   float64 // share of the listed fleet that asks, but was not answered yet
 }
 
 // seat is a holder as its owner knows it.
@@ -49,6 +51,7 @@
 	need        float64
 	waiting     int
 	heard       int64
+	doubt       bool
 	rate        float64 // last granted
 	rateUntil   int64
 	old         float64 // greatest of earlier rates that the holder may still go by
@@ -195,7 +198,7 @@
 	if p.rank < 0 {
 		return
 	}
-	if o.wanted == 0 || now-o.wanted > 2*t.t.Lease {
+	if o.wanted < p.vote.until && now >= p.vote.until || now-o.wanted > 2*t.t.Lease {
 		p.vote.freed = now
 	}
 	o.wanted = now
@@ -218,6 +221,11 @@
 		s.lost, s.lostUntil = s.lost+s.given-s.done, s.until
 		s.id, s.given, s.done = o.nextSeat, 0, 0
 	}
+	s.until = now + t.t.long(t.t.Lease) // a lease runs from the ask, which was sent before it was heard: later grants do not make it longer
+	s.doubt = m.Doubt
+	if m.Refused && (o.refused == 0 || now-o.refused >= refusedFor) {
+		o.refused = now
+	}
 	s.life, s.stamp, s.need, s.waiting, s.heard = m.Life, m.Stamp, unit(m.Need), int(min(m.Waiting, 1<<20)), now
 	if m.Term == o.term && m.Seat == s.id {
 		s.done = min(max(s.done, m.Count), s.given)
@@ -231,11 +239,16 @@
 // budget is what the owner may give out: the limit, less what senders in doubt may take by themselves: those that the view misses, and any
 // until a new owner has been asked by all that need it.
 func (t *Table) budget(now int64, p *place) float64 {
-	missing := t.missing
+	limit, missing := p.limit.perSec, t.missing
+	if p.seat.refused > 0 && now-p.seat.refused < refusedFor {
+		limit *= refusedCut
+	}
 	if now-p.seat.since < t.t.long(2*t.t.Renew) {
 		missing = 1
+	} else if missing > wholeFrom {
+		return limit * (1 - missing)
 	}
-	return p.limit.perSec * (1 - doubtShare*missing)
+	return limit * (1 - doubtShare*math.Min(1, missing+p.seat.doubts))
 }
 
 // serve divides the limit anew and tells the one who asked, and those whose share changed much.
@@ -258,11 +271,7 @@
 			t.setRate(now, p, s, target)
 		}
 		s.serial++
-		s.until = now + t.t.long(t.t.Lease)
 		m := Msg{Kind: Grant, Life: s.life, Stamp: s.stamp, Term: o.term, Seat: s.id, Serial: s.serial, Rate: milli(s.rate), Count: s.given}
-		if s.rate > 0 {
-			s.rateUntil = s.until
-		}
 		if name == t.self {
 			t.granted(now, p, name, m)
 			continue
@@ -279,9 +288,9 @@
 func (t *Table) refill(now int64, p *place) []string {
 	o := &p.seat
 	names := make([]string, 0, len(o.seats))
-	out, held := 0.0, 0.0
+	out, held, doubts := 0.0, 0.0, 0
 	for name, s := range o.seats {
-		if s.until <= now && s.heard+t.t.Lease <= now {
+		if s.until <= now {
 			delete(o.seats, name)
 			continue
 		}
@@ -295,25 +304,34 @@
 			s.lost = 0
 		}
 		out += float64(s.given - s.done + s.lost)
+		if s.doubt {
+			doubts++
+		}
 	}
+	o.doubts = float64(doubts) / float64(max(1, len(t.listed)))
 	o.pool += (t.budget(now, p) - held) * float64(now-o.poolAt) / 1e6
-	o.pool = math.Max(math.Min(o.pool, aheadOf(p.limit.perSec)-out), -p.limit.perSec)
+	o.pool = math.Max(min(o.pool, savedOf(p.limit.perSec), aheadOf(p.limit.perSec)-out), -p.limit.perSec)
 	o.poolAt = now
 	return names
 }
 
-// targets are the standing rates: in step with need, none below the quantum.
+// targets are the standing rates: in step with need, none below the quantum, after what those with less need of it.
 func (t *Table) targets(now int64, p *place, names []string) map[string]float64 {
 	o := &p.seat
-	sum := 0.0
+	sum, thin := 0.0, 0.0
 	for _, name := range names {
-		sum += o.seats[name].wants()
+		w := o.seats[name].wants()
+		sum += w
+		if w < quantum {
+			thin += w
+		}
 	}
 	targets := map[string]float64{}
-	if sum == 0 {
+	if sum == thin {
 		return targets
 	}
-	scale := math.Min(headroom, t.budget(now, p)/sum)
+	budget := t.budget(now, p)
+	scale := math.Min(headroom, math.Min(budget/sum, (budget-math.Min(thin, thinMost*budget))/(sum-thin)))
 	for _, name := range names {
 		s := o.seats[name]
 		least := quantum
@@ -342,7 +360,7 @@
 		s.old, s.oldUntil = c, max(s.oldUntil, s.rateUntil)
 	}
 	s.rate = r
-	s.rateUntil = now + t.t.long(t.t.Lease)
+	s.rateUntil = s.until
 }
 
 // turns gives out single calls, to those first who had none for longest. It tells who got some.
@@ -353,15 +371,25 @@
 	}
 	var queue []string
 	for _, name := range names {
-		if s := o.seats[name]; targets[name] == 0 && s.wantsCalls(now, t.t.Lease) > 0 {
+		if o.seats[name].wantsCalls(now, t.t) > 0 {
 			queue = append(queue, name)
 		}
 	}
-	sort.SliceStable(queue, func(i, j int) bool { return o.seats[queue[i]].served < o.seats[queue[j]].served })
+	sort.SliceStable(queue, func(i, j int) bool {
+		a, b := queue[i], queue[j]
+		if sa, sb := targets[a] > 0, targets[b] > 0; sa != sb {
+			return sb // what leases leave over goes to those with leases last
+		}
+		return o.seats[a].served < o.seats[b].served
+	})
 	got := map[string]bool{}
 	for _, name := range queue {
 		s := o.seats[name]
-		k := min(max(1, s.waiting/4), turnMost, s.wantsCalls(now, t.t.Lease), int(o.pool))
+		most := turnMost
+		if targets[name] > 0 {
+			most = int(max(turnMost, targets[name]/4))
+		}
+		k := min(max(1, s.waiting/4), most, s.wantsCalls(now, t.t), int(o.pool))
 		if k < 1 {
 			break
 		}
@@ -373,10 +401,10 @@
 	return got
 }
 
-// wantsCalls counts the single calls that a sender could use; none once its ask is too old for an answer to reach it in time.
-func (s *seat) wantsCalls(now, lease int64) int {
-	if now-s.heard > lease/2 {
+// wantsCalls counts the single calls that a sender could use beside its rate; none once its ask is too old for an answer to come in time.
+func (s *seat) wantsCalls(now int64, t Timing) int {
+	if now-s.heard > t.Lease/2 {
 		return 0
 	}
-	return s.waiting - int(s.given-s.done)
+	return s.waiting - int(s.given-s.done) - int(s.rate*float64(t.Renew)/1e6)
 }
--- a/internal/shares/table.go
+++ b/internal/shares/table.go
@@ -53,6 +53,7 @@
 	need     float64 // messages a second
 	waiting  int
 	used     int64 // last time that anything was asked of it
+	unled    int64 // since when the view misses a majority of the electors; 0 while it does not
 	hold     holding
 	vote     promise
 	seat     owning
@@ -94,6 +95,25 @@
 		}
 	}
 	t.missing = min(t.missing, 1)
+	for _, dst := range t.order {
+		t.see(now, t.places[dst])
+	}
+}
+
+// see takes in whether the view misses a majority of a destination's electors.
+func (t *Table) see(now int64, p *place) {
+	n := 0
+	for _, e := range p.electors {
+		if m, ok := t.view.Member(e); ok && (m.State == members.Doubted || m.State == members.Gone) {
+			n++
+		}
+	}
+	switch {
+	case n <= len(p.electors)/2:
+		p.unled = 0
+	case p.unled == 0:
+		p.unled = now
+	}
 }
 
 // lifeOf draws a mark from what differs between any two lives of a sender.
@@ -129,7 +149,7 @@
 	if perSec > 0 || waiting > 0 {
 		p.used = now
 	}
-	p.hold.earn(now, t.rate(p), p.waiting > 0)
+	p.hold.earn(now, t.rate(now, p))
 	p.need, p.waiting = math.Min(math.Max(perSec, 0), limitMost), max(waiting, 0)
 }
 
@@ -143,7 +163,7 @@
 	}
 	t.move(now, p)
 	h := &p.hold
-	perSec = t.rate(p)
+	perSec = t.rate(now, p)
 	if h.phase != leased {
 		return perSec, now + t.t.Renew
 	}
@@ -163,7 +183,7 @@
 	t.move(now, p)
 	p.used = now
 	h := &p.hold
-	h.earn(now, t.rate(p), true)
+	h.earn(now, t.rate(now, p))
 	switch {
 	case h.phase == leased && h.given > h.done:
 		h.done++
@@ -175,6 +195,15 @@
 	return true
 }
 
+// Refused takes in that a destination refused a call for its limit. Refused calls may use it up, and a fleet that goes on at the very limit
+// would never be let in again: the owner gives out less for a moment.
+func (t *Table) Refused(now int64, dst string) {
+	t.begin(now)
+	if p := t.places[dst]; p != nil {
+		p.hold.refused = now
+	}
+}
+
 // Floor is this sender's part of the floor of a destination's retry budget, in repeats a second: the design's, shared by all that may be
 // alive, but at least one repeat in the time for which credits live.
 func (t *Table) Floor(int64) float64 {
@@ -276,6 +305,7 @@
 	p := &place{dst: dst, electors: Electors(t.listed, dst), used: now}
 	p.rank = slices.Index(p.electors, t.self)
 	p.hold.start(now, xxhash.Sum64String(t.self+"\n"+dst))
+	t.see(now, p)
 	t.places[dst] = p
 	i, _ := slices.BinarySearch(t.order, dst)
 	t.order = slices.Insert(t.order, i, dst)
