Laboratory: how fast a fleet hears, in virtual time, and an explorer of event orders

The figures of members and verdicts were made by test code of each. internal/lab/hearsay measures both through what they export and draws a plot; internal/lab/explore tries every order of events on any world of decision modules.

--- /dev/null
+++ b/internal/lab/hearsay/plot.go
@@ -0,0 +1,43 @@
+package hearsay
+
+import (
+	"fmt"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+// Curve is one fleet's share that knows, over time.
+type Curve struct {
+	Name string
+	Spreading
+}
+
+// Plot draws curves over the first second into a file whose ending says its form.
+func Plot(file string, curves []Curve) error {
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = "Who knows of a new fact (virtual time)", "ms since it was seen", "share of senders"
+	p.Legend.Left, p.Legend.Top = false, false
+	p.Y.Min, p.Y.Max = 0, 1
+	p.Add(plotter.NewGrid())
+	for i, c := range curves {
+		var xys plotter.XYs
+		for ms := 0.0; ms <= 300; ms++ {
+			xys = append(xys, plotter.XY{X: ms, Y: c.Within(ms)})
+		}
+		l, err := plotter.NewLine(xys)
+		if err != nil {
+			return fmt.Errorf("plot %s: %w", c.Name, err)
+		}
+		l.Color, l.Width = plotutil.Color(i), vg.Points(1.3)
+		l.Dashes = plotutil.Dashes(i / 3)
+		p.Add(l)
+		p.Legend.Add(c.Name, l)
+	}
+	if err := p.Save(24*vg.Centimeter, 9*vg.Centimeter, file); err != nil {
+		return fmt.Errorf("plot: %w", err)
+	}
+	return nil
+}
--- a/internal/verdicts/explore_test.go
+++ b/internal/verdicts/explore_test.go
@@ -1,6 +1,7 @@
 package verdicts
 
 import (
+	"flag"
 	"fmt"
 	"hash/fnv"
 	"maps"
@@ -11,9 +12,12 @@
 
 	"github.com/stretchr/testify/require"
 
+	"ravenlink/internal/lab/explore"
 	"ravenlink/internal/post"
 )
 
+var deep = flag.Bool("deep", false, "explore deeper and walk more ways (minutes)")
+
 // world is three senders with clocks of their own, one place, and every directed link a line of letters. Its truth is when each version was
 // seen, and which versions each sender knows to be over.
 type world struct {
@@ -144,7 +148,7 @@
 var allLinks = [][2]int{{0, 1}, {0, 2}, {1, 0}, {1, 2}, {2, 0}, {2, 1}}
 
 // events that can happen now.
-func (w *world) events() []string {
+func (w *world) Events() []string {
 	var es []string
 	for _, e := range []string{"down", "back", "withdraw", "crash", "cut", "heal", "later"} {
 		ok := w.left[e] > 0
@@ -169,7 +173,7 @@
 	return es
 }
 
-func (w *world) do(e string) {
+func (w *world) Do(e string) {
 	w.left[e]--
 	switch e {
 	case "down":
@@ -217,7 +221,7 @@
 }
 
 // wrong names what must never be.
-func (w *world) wrong() string {
+func (w *world) Wrong() string {
 	for i, t := range w.ts {
 		for _, h := range t.subjects[place] {
 			if !h.counts(w.clock(i)) {
@@ -235,10 +239,10 @@
 	return ""
 }
 
-func (w *world) disagree() string {
+func (w *world) End() string {
 	w.cut, w.bare = false, false
 	w.settle(3e6)
-	if bad := w.wrong(); bad != "" {
+	if bad := w.Wrong(); bad != "" {
 		return bad
 	}
 	for i := range w.ts {
@@ -261,7 +265,7 @@
 }
 
 // print of a state: two that print alike go on alike.
-func (w *world) print() uint64 {
+func (w *world) Print() uint64 {
 	h := fnv.New64a()
 	fmt.Fprint(h, w.now, w.cut, w.left["down"], w.left["back"], w.left["withdraw"], w.left["crash"], w.left["heal"], w.left["cut"], w.left["again"])
 	for i, t := range w.ts {
@@ -279,7 +283,7 @@
 }
 
 // copied so that two futures of it do not touch.
-func (w *world) copied() *world {
+func (w *world) Copied() *world {
 	c := *w
 	c.ts, c.links, c.late = nil, map[[2]int][]post.Letter[Msg]{}, maps.Clone(w.late)
 	c.left, c.seen, c.over = maps.Clone(w.left), maps.Clone(w.seen), nil
@@ -316,74 +320,25 @@
 	return &c
 }
 
-// explorer tries every order of events up to a depth.
-type explorer struct {
-	known map[uint64]int // by print: how deep it was looked into
-	most  int            // states
-	way   []string
-}
-
-func (x *explorer) explore(w *world, depth int) string {
-	for _, e := range w.events() {
-		next := w.copied()
-		next.do(e)
-		p := next.print()
-		if deep, ok := x.known[p]; ok && deep >= depth {
-			continue
-		}
-		_, again := x.known[p]
-		x.known[p] = depth
-		x.way = append(x.way, e)
-		bad := next.wrong()
-		if bad == "" && !again && w.left["down"] == 0 && p%8 == 0 {
-			bad = next.copied().disagree()
-		}
-		if bad == "" && depth > 1 {
-			bad = x.explore(next, depth-1)
-		}
-		if bad != "" || len(x.known) >= x.most {
-			return bad
-		}
-		x.way = x.way[:len(x.way)-1]
-	}
-	return ""
-}
-
 func TestEveryOrderOfEvents(t *testing.T) {
 	depth := 5
-	if *measure {
+	if *deep {
 		depth = 8
 	}
-	x := explorer{known: map[uint64]int{}, most: 1 << 30}
-	bad := x.explore(newWorld(faults{}), depth)
-	t.Log(len(x.known), "states,", depth, "events deep")
-	require.Empty(t, bad, x.way)
-	require.Greater(t, len(x.known), 300)
-}
-
-// walk is one long way, drawn.
-func walk(f faults, seed uint64) string {
-	w, rng := newWorld(f), rand.New(rand.NewPCG(seed, 9))
-	for range 18 {
-		es := w.events()
-		if len(es) == 0 {
-			break
-		}
-		w.do(es[rng.IntN(len(es))])
-		if bad := w.wrong(); bad != "" {
-			return bad
-		}
-	}
-	return w.disagree()
+	x := explore.Explorer[*world]{Ends: 8}
+	bad := x.All(newWorld(faults{}), depth)
+	t.Log(x.States(), "states,", depth, "events deep")
+	require.Empty(t, bad, x.Way)
+	require.Greater(t, x.States(), 300)
 }
 
 func TestLongWays(t *testing.T) {
-	n := uint64(1000)
-	if *measure {
+	n := uint64(500)
+	if *deep {
 		n = 100_000
 	}
 	for seed := range n {
-		require.Empty(t, walk(faults{}, seed), seed)
+		require.Empty(t, explore.Walk(newWorld(faults{}), seed, 18), seed)
 	}
 }
 
@@ -403,7 +358,7 @@
 	} {
 		found := map[string]uint64{}
 		for seed := uint64(1); seed <= 1000 && found[c.found] == 0; seed++ {
-			found[walk(c.faults, seed)] = seed
+			found[explore.Walk(newWorld(c.faults), seed, 18)] = seed
 		}
 		require.NotZero(t, found[c.found], "%s: %v", c.name, found)
 		t.Logf("%s: found on way %d", c.name, found[c.found])
