Verdicts: answers keep to the rate; a better date of a fact is news

With ten places seen down by a third of 300 senders at once, one sender answered at 7.0 KB/s of 2: now it answers nothing while a second in debt. A fact that came by a slow letter did not count and, once dated better, was not told on: it is news now. Both have tests.

--- a/internal/verdicts/hard_test.go
+++ b/internal/verdicts/hard_test.go
@@ -244,3 +244,29 @@
 	}
 	require.InEpsilon(t, carried, counted, 0.05)
 }
+
+func TestABetterDateMakesAFactCount(t *testing.T) {
+	x := alone(t, 1)
+	vague := seenBy("c", Down, 1)
+	vague.Slack = uint32(GreatestDown / 1000)
+	news := tell(x, 2e6, vague)
+	require.Len(t, news, 1)
+	require.Empty(t, x.Of(2e6, place), "it may be too old")
+	require.Len(t, tell(x, 2e6, seenBy("c", Down, 1)), 1)
+	require.Len(t, x.Of(2e6, place), 1)
+	require.Empty(t, tell(x, 2e6, vague, seenBy("c", Down, 1)), "no news")
+}
+
+func TestAnswersKeepToTheRate(t *testing.T) {
+	x := alone(t, 1)
+	for i := range 40 {
+		w := seenBy("c", Limit, uint64(i+1))
+		w.Dst = int64(i)
+		tell(x, 2e6, w)
+	}
+	before := x.Counts().Bytes
+	for i := range int64(10_000) { // one that asks for all, a thousand times a second
+		x.Heard(2e6+i*1000, "b", Msg{Incarnation: 1, Stamp: 6000 + i, Want: math.MaxUint32})
+	}
+	require.LessOrEqual(t, x.Counts().Bytes-before, uint64((burst+1+10)*x.room.Rate+answers*x.room.Letter))
+}
--- a/internal/verdicts/hear.go
+++ b/internal/verdicts/hear.go
@@ -90,6 +90,8 @@
 		t.learnt[p.name] = true
 	}
 	switch {
+	case t.tokens < -float64(t.room.Rate): // a second in debt already: whoever asks will ask again, and another one
+		return nil
 	case m.Flags&flagAgain != 0:
 		return t.again(now, p)
 	case len(m.Digest) == 1:
--- a/internal/verdicts/table.go
+++ b/internal/verdicts/table.go
@@ -280,7 +280,8 @@
 	return 0
 }
 
-// put is the only place where an entry comes into the table or changes. It returns nil for what changes no version or has no room.
+// put is the only place where an entry comes into the table or changes. It returns nil for what has no
+// room and for what was known; a fact that now counts by a better date of it is news.
 func (t *Table) put(now int64, e entry) *held {
 	if e.over(now) {
 		return nil
@@ -291,7 +292,7 @@
 		h := t.subjects[k.Subject][i]
 		was := h.entry
 		h.entry = merge(was, e)
-		if newer(h.Fact, was.Fact) == 0 {
+		if newer(h.Fact, was.Fact) == 0 && (was.counts(now) || !h.counts(now)) {
 			return nil
 		}
 		t.heat(h)
