--- a/internal/daemon/program.go
+++ b/internal/daemon/program.go
@@ -14,8 +14,10 @@
 	"github.com/tidwall/gjson"
 	"go.uber.org/zap"
 
+	"ravenlink/internal/fleet"
 	"ravenlink/internal/keep"
 	"ravenlink/internal/kept"
+	"ravenlink/internal/ordered"
 	"ravenlink/internal/platform"
 	"ravenlink/internal/relay"
 	"ravenlink/internal/routing"
@@ -61,10 +63,13 @@
 	agent    *platform.Agent
 	levels   *levels // nil without an operator's file
 	opFile   string
-	keeper   *keep.Keeper // nil where nothing is kept
-	phase    phase        // changes in enter only
+	keeper   *keep.Keeper   // nil where nothing is kept
+	fleet    *fleet.Runtime // nil where this sender decides alone
+	ordered  *ordered.Host  // nil where there are no channels
+	phase    phase          // changes in enter only
 	clock    relay.Clock
 	state    string // the folder that lasts
+	disk     int64  // bytes that it may hold
 	settings gjson.Result
 	spool    *spool.Spool
 	router   *routing.Router
@@ -105,7 +110,7 @@
 		return nil, err
 	}
 	settings := startup.Module(c)
-	p.settings, p.state = settings, startup.StateDir(env)
+	p.settings, p.state, p.disk = settings, startup.StateDir(env), startup.Disk(c)
 	up, idle := startup.Connections(settings)
 	p.pool = transport.NewPool(up, time.Duration(idleShare*float64(idle)), startup.Sockets(c)/callPart)
 	module := part(p.log, "module")
@@ -148,11 +153,12 @@
 	defer stopPicking()
 	p.engine.Begin(picking, working)
 	p.enter(recovering)
+	if p.fleet != nil {
+		p.goWork(func() { p.fleet.Run(picking) }) // it gives back what was lent as soon as no leg may begin
+	}
 	p.start(working)
 	p.discovery.Heard(p.listWait)
-	for _, m := range p.spool.Owed() {
-		p.engine.Resume(m)
-	}
+	p.recover(picking)
 	p.engine.Run()
 	if p.keeper != nil {
 		p.goWork(func() { p.keeper.Run(picking) })
@@ -200,6 +206,9 @@
 // drain keeps on for a while, then lets go of the clients, then starts no more legs, then waits for those out.
 func (p *Program) drain(stopPicking context.CancelFunc) {
 	begun := time.Now()
+	if p.ordered != nil {
+		p.ordered.Leave()
+	}
 	p.until(begun.Add(doorsOpen), func() bool { return false })
 	var gone atomic.Bool // the clients
 	p.goWork(func() {
