The test on kept messages hands all in before the first refusal

Cause: the module pushes back at the door what cannot go before its last chance. The test's destination refused from the first leg on, so with a deadline of 1.5 s the later hand-ins got -BUSY 2000 where +OK was expected. The receiver now answers once all are handed in; what the test judges is unchanged.

--- a/internal/daemon/kept_test.go
+++ b/internal/daemon/kept_test.go
@@ -43,7 +43,9 @@
 func TestWhatFailedIsKeptSentAgainOnceAndItsStoryTold(t *testing.T) {
 	t.Parallel()
 	var well atomic.Bool
+	handedIn := make(chan struct{}) // refused earlier, the destination would be shut and the rest pushed back at the door
 	w := newWorld(t, func(id string, _ int, out http.ResponseWriter) {
+		<-handedIn
 		if !well.Load() && id != "probe" {
 			out.WriteHeader(503)
 		}
@@ -88,7 +90,9 @@
 func TestKilledAtDrawnMomentsEachKeptMessageIsSentAgainAtMostOnce(t *testing.T) {
 	t.Parallel()
 	var well atomic.Bool
+	handedIn := make(chan struct{}) // refused earlier, the destination would be shut and the rest pushed back at the door
 	w := newWorld(t, func(id string, _ int, out http.ResponseWriter) {
+		<-handedIn
 		if !well.Load() && id != "probe" {
 			out.WriteHeader(503)
 		}
@@ -103,6 +107,7 @@
 	for i := range messages {
 		require.Equal(t, "+OK", c.say(handIn(fmt.Sprintf("m%d", i), "c=once,d=1500,dest=7", fmt.Sprint(i))))
 	}
+	close(handedIn)
 	w.soon(func() bool { return len(w.notices) == messages })
 	well.Store(true)
 	for range 8 {
