Two legs in a row lost on idle connections end the trust in them

Loss on the way was told from an outage only by a later answer of the same receiver; a sender of a large fleet comes there once a minute, so it never learned and lost one message after another. Legs on connections that had stood idle are now counted by themselves, over all destinations; an answer on one ends the row.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -79,6 +79,7 @@
 	lossStep       = 0.03        // weight of the newest leg in the share of lost ones
 	usualLoss      = 0.05        // share of lost legs up to which a row of them counts in full
 	distrustFor    = 60 * second // µs: none trusted, where loss is common; new ones cost less
+	staleRow       = 2           // legs lost in a row on idle connections from which none is trusted
 	staleIdle      = second / 5  // µs without a call from which a connection counts as idle
 	scarceFor      = 60 * second // µs after a failed connect for which no connection is kept idle there
 	backEvery      = 2 * second  // µs between two notes of one receiver's return
@@ -512,6 +513,7 @@
 	}
 	c.open--
 	c.r.usedAt = s.now
+	s.countStale(c, o)
 	if s.now < c.r.scarceTill {
 		s.spare = append(s.spare, c.r)
 	}
@@ -563,6 +565,20 @@
 	}
 }
 
+// countStale sees connections that die while idle: a row of legs lost on such. Danger: a thin sender sees a
+// receiver too seldom to tell loss on the way by answers that come later.
+func (s *Sender) countStale(c *call, o Outcome) {
+	switch {
+	case !c.onIdle:
+	case o == Delivered:
+		s.stale = 0
+	case o == TimedOut || o == Reset || o == Cancelled:
+		if s.stale++; s.stale >= staleRow {
+			s.distrust = s.now + distrustFor
+		}
+	}
+}
+
 // repeat is the design's mechanism: budget, told wait plus full jitter, deadline.
 func (s *Sender) repeat(m *msg, o Outcome, wait int64) {
 	d := m.dst
@@ -1117,7 +1133,7 @@
 	d := m.dst
 	r := s.draw(m, s.usable(d))
 	s.refresh(r)
-	c := &call{r: r, sentAt: s.now}
+	c := &call{r: r, sentAt: s.now, onIdle: s.hasIdle(r) && s.now-r.usedAt > staleIdle}
 	s.calls, r.calls = s.calls+1, r.calls+1
 	d.calls, d.calledAt = append(d.calls, c), s.now
 	s.keepBusy(d)
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -536,3 +536,20 @@
 	assert.Less(t, failed, 20, "of 100, half of them by chance alone")
 	assert.Greater(t, others, 20)
 }
+
+func TestTwoLegsInARowLostOnIdleConnectionsEndTheTrustInThem(t *testing.T) {
+	f := begin(t, oneWay, 40, 1, aLot, Kind{Batch: 1})
+	f.room.Idle = 10 * second
+	idle := func(m string, o Outcome) {
+		f.take(m)
+		f.after(0)
+		f.ends(m, o, 0)
+		f.after(second)
+	}
+	for _, o := range []Outcome{Delivered, TimedOut, Delivered, TimedOut} {
+		idle(fmt.Sprint("m", f.now), o)
+	}
+	assert.Zero(t, f.distrust, "others passed")
+	idle("again", Reset)
+	assert.Greater(t, f.distrust, f.now)
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -26,6 +26,7 @@
 	sentAt int64
 	open   int  // legs in it without an outcome
 	off    bool // called off
+	onIdle bool // it went on a connection that had stood idle
 	msgs   []*msg
 }
 
@@ -261,6 +262,7 @@
 	askAt     int64   // when to subscribe, never while subscribed
 	askedAt   int64   // when it last did
 	misses    int     // lookups failed in a row
+	stale     int     // legs lost in a row on connections that had stood idle
 	floor     float64 // repeats a second always allowed at a destination
 }
 
