Fleet of processes: fifteen schedules on shared limits, seven on told waits, each with its planted fault

The limits and verdicts of the fleet are now seen on processes: whatever happens to links and senders, the sum of calls stays within the limit, the bound of the event and the burst, and a wait told to one is heeded by all. The same schedules without a fleet break both.

--- /dev/null
+++ b/internal/fleettest/fleet_test.go
@@ -0,0 +1,185 @@
+package fleettest
+
+import (
+	"fmt"
+	"math"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"ravenlink/internal/shares"
+)
+
+const (
+	declared = 10.0 // calls a second to destination 7, for all senders together
+	lease    = 500 * time.Millisecond
+)
+
+// inFleet is an operator's file with one limit shared and verdicts told.
+func inFleet(s *Sender) string {
+	return "version = 1\n" + s.LinksTOML("fleet") + fmt.Sprintf("[fleet.verdicts]\n[fleet.limits]\nlease = %q\n"+
+		"[[fleet.limits.declared]]\ndst = 7\nper_sec = %g\n", lease, declared)
+}
+
+// busy is a schedule of two messages for each that the limit lets through, most of them at one sender, and some steps in between.
+func busy(seed uint64, senders int, steps ...Step) Schedule {
+	s := Schedule{Seed: seed, Senders: senders, Clients: senders, Dsts: []int64{7, 8}}
+	for i := range 50 {
+		m := Message{ID: fmt.Sprint("m", i), Lane: "again", Dst: 7, Within: 3 * time.Second}
+		s.Steps = append(s.Steps, Step{At: time.Duration(i) * 40 * time.Millisecond, Do: DoHandIn, Client: []int{0, 0, 0, 1, senders - 1}[i%5], Message: &m})
+	}
+	s.Steps = append(s.Steps, steps...)
+	s.sort()
+	return s
+}
+
+func all(senders int, f Faults, at time.Duration) (steps []Step) {
+	for i := range senders {
+		for j := range senders {
+			if i != j {
+				steps = append(steps, Step{At: at, Do: DoLink, A: string(rune('a' + i)), B: string(rune('a' + j)), Faults: &f})
+			}
+		}
+	}
+	return steps
+}
+
+func between(one, other string, f Faults, at time.Duration) (steps []Step) {
+	for _, a := range one {
+		for _, b := range other {
+			steps = append(steps, Step{At: at, Do: DoLink, A: string(a), B: string(b), Faults: &f})
+		}
+	}
+	return steps
+}
+
+func both(one, other string, f Faults, at time.Duration) []Step {
+	return append(between(one, other, f, at), between(other, one, f, at)...)
+}
+
+// TestLimitsOfTheFleetHoldInEachEvent plays fixed schedules: whatever the links and processes do, the sum over all senders stays within
+// the limit, what the event's bound allows on top, and the burst; and the six rules hold.
+func TestLimitsOfTheFleetHoldInEachEvent(t *testing.T) {
+	t.Parallel()
+	const at, back = 500 * time.Millisecond, 1700 * time.Millisecond
+	cut := Faults{Cut: true}
+	one := func(at time.Duration, do What, who string) Step { return Step{At: at, Do: do, A: who} }
+	for name, c := range map[string]struct {
+		event   shares.Event
+		apart   float64
+		senders int
+		late    string // starts within the schedule
+		steps   []Step
+	}{
+		"calm":              {shares.Calm, 0, 3, "", nil},
+		"slow links":        {shares.LinkSlow, 0, 3, "", all(3, Faults{Delay: 150 * time.Millisecond}, 0)},
+		"loss":              {shares.LinkSlow, 0, 3, "", all(3, Faults{Loss: 0.3}, 0)},
+		"doubles, disorder": {shares.Calm, 0, 3, "", all(3, Faults{Doubles: 0.4, Disorder: 0.4, ReplayWait: 300 * time.Millisecond}, 0)},
+		"cut one way":       {shares.CutOneWay, 1. / 3, 3, "", between("a", "bc", cut, at)},
+		"cut both ways":     {shares.CutBothWays, 1. / 3, 3, "", append(both("a", "bc", cut, at), Step{At: back, Do: DoHeal})},
+		"halves":            {shares.EvenHalves, 0.5, 4, "", append(both("ab", "cd", cut, at), Step{At: back, Do: DoHeal})},
+		"half-open":         {shares.CutBothWays, 1. / 3, 3, "", both("b", "ac", Faults{HalfOpen: true}, at)},
+		"a killed":          {shares.OwnerKilled, 1. / 3, 3, "", []Step{one(at, DoKill, "a"), one(back, DoStart, "a")}},
+		"b killed":          {shares.OwnerKilled, 1. / 3, 3, "", []Step{one(at, DoKill, "b"), one(back, DoStart, "b")}},
+		"c killed":          {shares.OwnerKilled, 1. / 3, 3, "", []Step{one(at, DoKill, "c"), one(back, DoStart, "c")}},
+		"a paused":          {shares.OwnerPaused, 1. / 3, 3, "", []Step{one(at, DoStop, "a"), one(back, DoCont, "a")}},
+		"b paused":          {shares.OwnerPaused, 1. / 3, 3, "", []Step{one(at, DoStop, "b"), one(back, DoCont, "b")}},
+		"c joins":           {shares.MemberJoins, 1. / 3, 3, "c", []Step{one(at, DoStart, "c")}},
+		"c leaves":          {shares.MemberDies, 1. / 3, 3, "", []Step{one(at, DoTerm, "c")}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := busy(7, c.senders, c.steps...)
+			setup := s.Setup()
+			setup.Operator = inFleet
+			r := New(t, setup)
+			r.Start(c.late)
+			r.Play(s)
+			r.UntilEnded()
+			bound := shares.Usual().Bound(shares.Case{Event: c.event, Apart: c.apart})
+			over := int(math.Ceil(shares.Burst(declared) + bound.Over*declared))
+			r.Judge(WithinLimit(7, int(declared), time.Second, over))
+			t.Log("over its limit by", r.Record().Over(7, int(declared), time.Second), "allowed", over, "delivered", r.Record().Delivered())
+			require.Greater(t, r.Record().Delivered(), 8, "a fleet that calls nobody is within any limit")
+		})
+	}
+}
+
+func TestWithoutSharesTheSameScheduleBreaksTheLimit(t *testing.T) {
+	t.Parallel()
+	s := busy(7, 3)
+	for i := range s.Steps {
+		s.Steps[i].At = 0
+	}
+	r := New(t, s.Setup())
+	r.Start()
+	r.Play(s)
+	r.UntilEnded()
+	require.NotEmpty(t, WithinLimit(7, int(declared), time.Second, int(shares.Burst(declared)))(r.Record()))
+}
+
+const (
+	settled = 1500 * time.Millisecond // when senders that started with the schedule have learned what the others know
+	heeded  = 2 * time.Second         // after a wait was told to one all heed it, on a machine that is busy as well
+)
+
+// shut is busy, once all have settled, with a destination that lets two calls in five seconds through and tells the others to wait for four.
+// For more than two seconds only a knows that.
+func shut(steps ...Step) (Schedule, Setup) {
+	s := busy(7, 3)
+	for i := range s.Steps {
+		if s.Steps[i].At *= 2; s.Steps[i].At < heeded+400*time.Millisecond {
+			s.Steps[i].Client = 0
+		} else {
+			s.Steps[i].Client = i % 3
+		}
+		s.Steps[i].Message.Dst = 8
+		s.Steps[i].At += settled
+	}
+	conduct := Step{Do: DoConduct, Dst: 8, Conduct: &Conduct{Limit: 2, Window: 5 * time.Second, Wait: 4 * time.Second}}
+	s.Steps = append(append(s.Steps, steps...), conduct)
+	s.sort()
+	setup := s.Setup()
+	setup.Settings = strings.Replace(Settings, `"max_retry_after":2000`, `"max_retry_after":4000`, 1)
+	return s, setup
+}
+
+// TestAWaitToldToOneIsHeededByAll: while links pass at all.
+func TestAWaitToldToOneIsHeededByAll(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		late  string
+		steps []Step
+	}{
+		"calm":              {"", nil},
+		"slow links":        {"", all(3, Faults{Delay: 150 * time.Millisecond}, 0)},
+		"loss":              {"", all(3, Faults{Loss: 0.1}, 0)},
+		"doubles, disorder": {"", all(3, Faults{Doubles: 0.4, Disorder: 0.4, ReplayWait: 300 * time.Millisecond}, 0)},
+		"b killed":          {"", []Step{{At: settled + 700*time.Millisecond, Do: DoKill, A: "b"}}},
+		"one link cut":      {"", between("a", "b", Faults{Cut: true}, 0)},
+		"c joins":           {"c", []Step{{At: settled + 100*time.Millisecond, Do: DoStart, A: "c"}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s, setup := shut(c.steps...)
+			setup.Operator = inFleet
+			r := New(t, setup)
+			r.Start(c.late)
+			r.Play(s)
+			r.UntilEnded()
+			r.Judge(WaitsOfAll(heeded))
+		})
+	}
+}
+
+func TestWithoutVerdictsOthersCallIntoTheWait(t *testing.T) {
+	t.Parallel()
+	s, setup := shut()
+	r := New(t, setup)
+	r.Start()
+	r.Play(s)
+	r.UntilEnded()
+	require.NotEmpty(t, WaitsOfAll(heeded)(r.Record()))
+}
--- a/internal/fleettest/receiver.go
+++ b/internal/fleettest/receiver.go
@@ -73,6 +73,10 @@
 		out.WriteHeader(status)
 		return
 	}
+	if in.Header.Get("X-Txn") == "" { // of a program that had peers at this port before
+		out.WriteHeader(http.StatusNotFound)
+		return
+	}
 	number := 0
 	d.r.rec.write(func(rec *Record) {
 		number = len(rec.Calls)
--- a/internal/fleettest/record.go
+++ b/internal/fleettest/record.go
@@ -130,6 +130,17 @@
 		slices.ContainsFunc(r.Notices, func(n Notice) bool { return n.ID == id })
 }
 
+// Delivered counts the messages that a receiver answered 200.
+func (r Record) Delivered() int {
+	ids := map[string]bool{}
+	for _, c := range r.Calls {
+		if c.Status == 200 {
+			ids[c.ID] = true
+		}
+	}
+	return len(ids)
+}
+
 // Owed are the messages taken on that have not ended.
 func (r Record) Owed() (ids []string) {
 	for _, h := range r.HandIns {
--- a/internal/fleettest/rig.go
+++ b/internal/fleettest/rig.go
@@ -7,6 +7,8 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -90,17 +92,30 @@
 	return r
 }
 
-// freePorts finds addresses on which nobody listens, below those that the kernel gives to connections. They are all held until
-// the last one is found.
+var given struct {
+	sync.Mutex
+	ports map[int]bool // by this test program: never twice, since a sender may be down for a while
+}
+
+// freePorts finds addresses on which nobody listens, below those that the kernel gives to connections.
 func freePorts(t testing.TB, n int) (addrs []string) {
+	given.Lock()
+	defer given.Unlock()
+	if given.ports == nil {
+		given.ports = map[int]bool{}
+	}
 	for tries := 0; len(addrs) < n; tries++ {
 		require.Less(t, tries, 1000, "no free ports")
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", lowPort+rand.IntN(highPort-lowPort)))
+		port := lowPort + rand.IntN(highPort-lowPort)
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err != nil {
 			continue
 		}
-		defer func() { _ = l.Close() }()
-		addrs = append(addrs, l.Addr().String())
+		_ = l.Close()
+		if !given.ports[port] {
+			given.ports[port] = true
+			addrs = append(addrs, l.Addr().String())
+		}
 	}
 	return addrs
 }
@@ -127,14 +142,18 @@
 	_ = os.RemoveAll(root)
 }
 
-// Start starts all senders and waits until they answer.
-func (r *Rig) Start() {
+// Start starts all senders but these, and waits until they answer.
+func (r *Rig) Start(but ...string) {
 	r.t.Helper()
 	for _, s := range r.senders {
-		s.Spawn()
+		if !slices.Contains(but, s.Name) {
+			s.Spawn()
+		}
 	}
 	for _, s := range r.senders {
-		r.Until(s.Name+" answers", func(Record) bool { return s.ping() })
+		if s.Running() {
+			r.Until(s.Name+" answers", func(Record) bool { return s.ping() })
+		}
 	}
 }
 
--- a/internal/fleettest/schedule.go
+++ b/internal/fleettest/schedule.go
@@ -171,10 +171,14 @@
 		at := i * every
 		s.Steps = append(s.Steps, d.trouble(s.Steps[min(at, messages-1)].At))
 	}
-	slices.SortStableFunc(s.Steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
+	s.sort()
 	return s
 }
 
+func (s *Schedule) sort() {
+	slices.SortStableFunc(s.Steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
+}
+
 // drawn keeps who is away while a schedule is drawn.
 type drawn struct {
 	rng     *rand.Rand
--- a/internal/links/hear.go
+++ b/internal/links/hear.go
@@ -120,6 +120,7 @@
 
 // take hears a fitting post's frames, if they were not too long on their way.
 func (h *hearing) take(out http.ResponseWriter, p post) {
+	h.l.peers[p.Name].showed()
 	onWay, ok := p.onWay(h.l.boot, h.l.now())
 	switch {
 	case len(p.Frames) == 0:
--- a/internal/links/links_test.go
+++ b/internal/links/links_test.go
@@ -144,6 +144,23 @@
 	require.Eventually(t, again.has("d", "2"), long, glimpse)
 }
 
+func TestARestEndsWhenThePeerShowsUp(t *testing.T) {
+	t.Parallel()
+	p := newPeer(open(t, zap.NewNop(), "a", "127.0.0.1:0").Links, Peer{"b", "127.0.0.1:1"})
+	done := make(chan bool)
+	go func() { done <- p.rest(context.Background(), time.Hour) }()
+	require.Eventually(t, func() bool {
+		p.showed()
+		select {
+		case up := <-done:
+			return up
+		default:
+			return false
+		}
+	}, long, glimpse)
+	require.NoError(t, p.l.listener.Close())
+}
+
 // say posts a body and tells the status.
 func say(t *testing.T, e *ear, body []byte) int {
 	t.Helper()
--- a/internal/links/peer.go
+++ b/internal/links/peer.go
@@ -43,6 +43,7 @@
 	Peer
 	l      *Links
 	client *http.Client
+	shows  chan struct{} // holds one token since the peer was heard: it is up, so a long rest ends
 
 	// Of the link's goroutine alone.
 	phase phase
@@ -53,7 +54,7 @@
 
 func newPeer(l *Links, p Peer) *peer {
 	dial := net.Dialer{Timeout: postWithin, KeepAlive: -1}
-	return &peer{queue: newQueue(&l.tally), Peer: p, l: l, client: &http.Client{Transport: &http.Transport{
+	return &peer{queue: newQueue(&l.tally), Peer: p, l: l, shows: make(chan struct{}, 1), client: &http.Client{Transport: &http.Transport{
 		DialContext: dial.DialContext, DisableCompression: true, MaxConnsPerHost: 1, MaxIdleConnsPerHost: 1,
 		IdleConnTimeout: idleAfter * 4 / 5, MaxResponseHeaderBytes: headBytes, WriteBufferSize: 2 << 10, ReadBufferSize: 1 << 10}}}
 }
@@ -69,7 +70,7 @@
 		if len(batch) == 0 {
 			continue
 		}
-		if rest := p.step(p.deliver(last, batch)); !p.pause(ctx, nil, rest) {
+		if !p.rest(ctx, p.step(p.deliver(last, batch))) {
 			break
 		}
 	}
@@ -98,6 +99,35 @@
 	return true
 }
 
+// rest waits after a failure, the least time in any case, and longer unless the peer shows up meanwhile.
+func (p *peer) rest(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-p.shows:
+	default:
+	}
+	if !p.pause(ctx, nil, min(d, restLeast)) {
+		return false
+	}
+	if d <= restLeast {
+		return true
+	}
+	long, cancel := context.WithTimeout(ctx, d-restLeast)
+	defer cancel()
+	select {
+	case <-long.Done():
+	case <-p.shows:
+	}
+	return ctx.Err() == nil
+}
+
+// showed takes in that the peer was heard.
+func (p *peer) showed() {
+	select {
+	case p.shows <- struct{}{}:
+	default:
+	}
+}
+
 // step changes the link's state after a batch, and says how long to rest.
 func (p *peer) step(o outcome) time.Duration {
 	switch o {
