The rig waits until receivers know of a kill

A receiver that was told to answer right after a kill could note an answer that reached nobody, and a test took the message for delivered (seen once in some twenty runs). Kill now waits until no call of that sender is open.

--- a/internal/fleettest/process.go
+++ b/internal/fleettest/process.go
@@ -103,12 +103,13 @@
 // Running tells whether there is a process, stopped or not.
 func (s *Sender) Running() bool { return s.cmd != nil }
 
-// Kill ends the process at once, by SIGKILL.
+// Kill ends the process at once, by SIGKILL, and waits until the receivers know: what they answer from now on reaches nobody.
 func (s *Sender) Kill() {
 	s.r.t.Helper()
 	s.signal("kill", syscall.SIGKILL)
 	<-s.ended
 	s.cmd = nil
+	s.r.Until("receivers know that "+s.Name+" is gone", func(Record) bool { return s.r.rec.held(s.Name) == 0 })
 }
 
 // Term has the process drain, and waits for its end, which must be a good one.
--- a/internal/fleettest/receiver.go
+++ b/internal/fleettest/receiver.go
@@ -58,6 +58,8 @@
 }
 
 func (d *destination) receive(sender string, out http.ResponseWriter, in *http.Request) {
+	d.r.rec.hold(sender, 1)
+	defer d.r.rec.hold(sender, -1)
 	text, err := httputil.DumpRequest(in, true)
 	if err != nil {
 		return
--- a/internal/fleettest/record.go
+++ b/internal/fleettest/record.go
@@ -81,10 +81,13 @@
 	start time.Time
 	mu    sync.Mutex // a leaf
 	rec   Record
-	news  chan struct{} // closed and renewed with each entry
+	open  map[string]int // calls that a receiver has not done with, by sender
+	news  chan struct{}  // closed and renewed with each entry
 }
 
-func newRecorder() *recorder { return &recorder{start: time.Now(), news: make(chan struct{})} }
+func newRecorder() *recorder {
+	return &recorder{start: time.Now(), open: map[string]int{}, news: make(chan struct{})}
+}
 
 func (r *recorder) now() time.Duration { return time.Since(r.start) }
 
@@ -97,6 +100,19 @@
 	r.news = make(chan struct{})
 }
 
+// hold counts a sender's open calls, by 1 or -1.
+func (r *recorder) hold(sender string, by int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.open[sender] += by
+}
+
+func (r *recorder) held(sender string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.open[sender]
+}
+
 // post writes one post down. It wakes nobody: there are many, and conditions are looked at now and then anyway.
 func (r *recorder) post(p Post) {
 	r.mu.Lock()
