Clients that push a channel's positions and go where they are told, and the judge of a channel's order

Schedules on ordering contracts need clients that follow the positions in answers and go on at another sender with the same id, and a judge over whoever took a position on. A planted message out of its channel's order is found.

--- a/internal/fleettest/client.go
+++ b/internal/fleettest/client.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -18,11 +19,15 @@
 	OrderKey string        // empty for none
 	Within   time.Duration // its deadline; 8 s if 0
 	Body     string
-	Fields   string // more names and values, such as "ch=x,pos=3"
+	Channel  string // empty for none
+	Pos      int64  // in the channel, from 1
+	Fields   string // more names and values, such as "x=1,y=2"
 }
 
 const clientPatience = 2 * time.Second // for an answer; senders answer at once, stopped ones never
 
+const mostBack = 500 // ms that a stream waits when it was told to come back
+
 // Client hands messages in at one sender, and goes on at the next when it loses that one. Its methods may be called from one goroutine at a time.
 type Client struct {
 	r      *Rig
@@ -108,6 +113,55 @@
 	return strings.TrimSpace(line)
 }
 
+// Stream hands the positions of one channel in, one after the other, and goes on where senders say.
+type Stream struct {
+	Channel, Lane string
+	Dst           int64
+	c             *Client
+	next          int64
+}
+
+// Stream begins one at position 1.
+func (c *Client) Stream(channel, lane string, dst int64) *Stream {
+	return &Stream{Channel: channel, Lane: lane, Dst: dst, c: c, next: 1}
+}
+
+// Position is the next one to hand in.
+func (s *Stream) Position() int64 { return s.next }
+
+// Push hands in until so many positions were taken on, or one was refused for good, and gives the last answer. Told to come back it does so,
+// at another sender if it lost that one; the same position is always handed in with the same id.
+func (s *Stream) Push(positions int64) (answer string) {
+	limit := time.Now().Add(2 * long)
+	for last := s.next + positions; s.next < last && time.Now().Before(limit); {
+		answer = s.c.HandIn(Message{ID: fmt.Sprintf("%s-%d", s.Channel, s.next), Lane: s.Lane, Dst: s.Dst, Channel: s.Channel, Pos: s.next})
+		if !s.follow(answer) {
+			break
+		}
+	}
+	return answer
+}
+
+// follow goes where an answer says, and is false for one that ends the stream.
+func (s *Stream) follow(answer string) bool {
+	word, rest, _ := strings.Cut(answer, " ")
+	_, pos, told := strings.Cut(" "+rest, " pos=")
+	taken, err := strconv.ParseInt(pos, 10, 64)
+	if told = told && err == nil; told {
+		s.next = taken + 1
+	}
+	switch word {
+	case "+OK", "":
+		return told || answer == ""
+	case "-BUSY":
+		after, _, _ := strings.Cut(rest, " ")
+		ms, err := strconv.Atoi(after)
+		time.Sleep(time.Duration(min(ms, mostBack)) * time.Millisecond) // as a client would; decides nothing
+		return err == nil
+	}
+	return false
+}
+
 func (s *Sender) ping() bool {
 	conn, err := net.DialTimeout("tcp", s.Listen, clientPatience)
 	if err != nil {
@@ -127,6 +181,9 @@
 
 func fields(m Message) string {
 	f := fmt.Sprintf("c=%s,d=%d,k=%s,dest=%d", m.Lane, m.Within.Milliseconds(), m.Key, m.Dst)
+	if m.Channel != "" {
+		f += fmt.Sprintf(",ch=%s,pos=%d", m.Channel, m.Pos)
+	}
 	if m.Fields != "" {
 		f += "," + m.Fields
 	}
--- a/internal/fleettest/fleettest_test.go
+++ b/internal/fleettest/fleettest_test.go
@@ -178,6 +178,14 @@
 			f.call("a", 7, "n")
 			f.call("a", 7, "m")
 		}},
+		"channel": {Order(ByChannel), `n of "channel x" ran before m`, func(f *faulty) {
+			m, n := msg("m", "again"), msg("n", "again")
+			m.Channel, m.Pos, n.Channel, n.Pos = "x", 1, "x", 2
+			f.take(n)
+			f.take(m)
+			f.call("b", 7, "n")
+			f.call("a", 7, "m")
+		}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := &faulty{T: t, Rig: New(t, Setup{Senders: 3})}
@@ -335,3 +343,16 @@
 	require.Len(t, file.Fleet.List(), 8)
 	require.Equal(t, r.Link("c", "a").Addr(), file.Fleet.List()[0].Addr)
 }
+
+func TestAStreamGoesWhereItIsTold(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		answer string
+		next   int64
+		on     bool
+	}{{"+OK pos=3", 4, true}, {"-BUSY 1 pos=1", 2, true}, {"-BUSY 1", 3, true}, {"", 3, true}, {"-ERR closed pos=9", 10, false}, {"+OK", 3, false}} {
+		s := Stream{next: 3}
+		require.Equal(t, c.on, s.follow(c.answer), c.answer)
+		require.Equal(t, c.next, s.next, c.answer)
+	}
+}
--- a/internal/fleettest/judge.go
+++ b/internal/fleettest/judge.go
@@ -272,6 +272,14 @@
 	return h.Sender + " " + h.OrderKey, int64(h.At)
 }
 
+// ByChannel is the order of channels whose messages all wait for each other: of those taken on, whoever took them on.
+func ByChannel(h HandIn) (string, int64) {
+	if h.Channel == "" || !h.Taken() {
+		return "", 0
+	}
+	return "channel " + h.Channel, h.Pos
+}
+
 // Judge has the judges read what has passed: the named ones and, always, one end, repeats, waits, drains and order by key.
 func (r *Rig) Judge(more ...Judge) {
 	r.t.Helper()
--- a/internal/fleettest/record.go
+++ b/internal/fleettest/record.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -29,7 +30,7 @@
 }
 
 // Taken tells whether the sender took the message on.
-func (h HandIn) Taken() bool { return h.Answer == "+OK" }
+func (h HandIn) Taken() bool { return h.Answer == "+OK" || strings.HasPrefix(h.Answer, "+OK ") }
 
 // Call is one leg as a receiver saw it.
 type Call struct {
