--- a/internal/fleettest/fleettest_test.go
+++ b/internal/fleettest/fleettest_test.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"ravenlink/internal/links"
+	"ravenlink/internal/shares"
 )
 
 func TestMain(m *testing.M) { Main(m) }
@@ -71,11 +72,16 @@
 			require.NoError(t, s.Keep(path))
 			s, err := ReadSchedule(path)
 			require.NoError(t, err)
-			r := New(t, s.Setup())
+			setup, more := s.Setup(), []Judge{}
+			if seed%2 == 1 { // with a fleet: whoever is cut off from whom, nobody goes on with more than half of an even share
+				setup.Operator = inFleet
+				more = append(more, WithinLimit(7, int(declared), time.Second, int(shares.Burst(declared)+declared/2)))
+			}
+			r := New(t, setup)
 			r.Start()
 			r.Play(s)
 			r.UntilEnded()
-			r.Judge()
+			r.Judge(more...)
 		})
 	}
 }
