--- a/internal/fleettest/receiver.go
+++ b/internal/fleettest/receiver.go
@@ -58,6 +58,8 @@
 }
 
 func (d *destination) receive(sender string, out http.ResponseWriter, in *http.Request) {
+	d.r.rec.hold(sender, 1)
+	defer d.r.rec.hold(sender, -1)
 	text, err := httputil.DumpRequest(in, true)
 	if err != nil {
 		return
@@ -73,6 +75,10 @@
 		out.WriteHeader(status)
 		return
 	}
+	if in.Header.Get("X-Txn") == "" { // of a program that had peers at this port before
+		out.WriteHeader(http.StatusNotFound)
+		return
+	}
 	number := 0
 	d.r.rec.write(func(rec *Record) {
 		number = len(rec.Calls)
--- a/internal/fleettest/record.go
+++ b/internal/fleettest/record.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -29,7 +30,7 @@
 }
 
 // Taken tells whether the sender took the message on.
-func (h HandIn) Taken() bool { return h.Answer == "+OK" }
+func (h HandIn) Taken() bool { return h.Answer == "+OK" || strings.HasPrefix(h.Answer, "+OK ") }
 
 // Call is one leg as a receiver saw it.
 type Call struct {
@@ -81,10 +82,13 @@
 	start time.Time
 	mu    sync.Mutex // a leaf
 	rec   Record
-	news  chan struct{} // closed and renewed with each entry
+	open  map[string]int // calls that a receiver has not done with, by sender
+	news  chan struct{}  // closed and renewed with each entry
 }
 
-func newRecorder() *recorder { return &recorder{start: time.Now(), news: make(chan struct{})} }
+func newRecorder() *recorder {
+	return &recorder{start: time.Now(), open: map[string]int{}, news: make(chan struct{})}
+}
 
 func (r *recorder) now() time.Duration { return time.Since(r.start) }
 
@@ -97,6 +101,19 @@
 	r.news = make(chan struct{})
 }
 
+// hold counts a sender's open calls, by 1 or -1.
+func (r *recorder) hold(sender string, by int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.open[sender] += by
+}
+
+func (r *recorder) held(sender string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.open[sender]
+}
+
 // post writes one post down. It wakes nobody: there are many, and conditions are looked at now and then anyway.
 func (r *recorder) post(p Post) {
 	r.mu.Lock()
@@ -130,6 +147,17 @@
 		slices.ContainsFunc(r.Notices, func(n Notice) bool { return n.ID == id })
 }
 
+// Delivered counts the messages that a receiver answered 200.
+func (r Record) Delivered() int {
+	ids := map[string]bool{}
+	for _, c := range r.Calls {
+		if c.Status == 200 {
+			ids[c.ID] = true
+		}
+	}
+	return len(ids)
+}
+
 // Owed are the messages taken on that have not ended.
 func (r Record) Owed() (ids []string) {
 	for _, h := range r.HandIns {
