--- a/internal/fleet/limits.go
+++ b/internal/fleet/limits.go
@@ -183,9 +183,7 @@
 	s := l.shard(name(dst))
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if t, able := any(s.table).(interface{ Refused(now int64, dst string) }); able {
-		t.Refused(l.r.now(), name(dst))
-	}
+	s.table.Refused(l.r.now(), name(dst))
 }
 
 // saw takes in a limit that a destination told.
