--- a/internal/fleettest/limits_test.go
+++ b/internal/fleettest/limits_test.go
@@ -99,6 +99,7 @@
 			passed(r, perSec/4)
 			r.Heal()
 			r.UntilEnded()
+			t.Logf("%+d calls in the worst second, of %+d allowed", r.Record().Over(limited, perSec, time.Second), overMost)
 			r.Judge(WithinLimit(limited, perSec, time.Second, overMost))
 		})
 	}
