--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"ravenlink/internal/fleet"
+	"ravenlink/internal/platform"
 	"ravenlink/internal/routing"
 )
 
@@ -18,6 +19,16 @@
 		log.Error("this sender goes without the fleet", zap.Error(err))
 		return
 	}
+	if t.Orders != nil {
+		e := &eraser{p: p}
+		e.cuts.Store(new([]fleet.Cuts))
+		if err := r.TakeOrders(e); err != nil {
+			log.Error("this sender takes no orders", zap.Error(err))
+		} else {
+			p.eraser = e
+			p.front.Orders = &platform.Orders{Dst: *t.Orders, Take: r.Order, Busy: fleet.ErrBusy}
+		}
+	}
 	p.fleet = r
 	p.router.Gate = r.May
 	p.engine.Watch = r
--- a/internal/daemon/program.go
+++ b/internal/daemon/program.go
@@ -64,6 +64,7 @@
 	opFile   string
 	keeper   *keep.Keeper   // nil where nothing is kept
 	fleet    *fleet.Runtime // nil where this sender decides alone
+	eraser   *eraser        // nil where it takes no orders
 	phase    phase          // changes in enter only
 	clock    relay.Clock
 	state    string // the folder that lasts
@@ -159,6 +160,9 @@
 	for _, m := range p.spool.Owed() {
 		p.engine.Resume(m)
 	}
+	if p.eraser != nil {
+		p.eraser.await()
+	}
 	p.engine.Run()
 	if p.keeper != nil {
 		p.goWork(func() { p.keeper.Run(picking) })
--- /dev/null
+++ b/internal/daemon/purge.go
@@ -0,0 +1,166 @@
+package daemon
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"ravenlink/internal/fleet"
+	"ravenlink/internal/keep"
+	"ravenlink/internal/kept"
+	"ravenlink/internal/purge"
+	"ravenlink/internal/routing"
+	"ravenlink/internal/spool"
+)
+
+const (
+	noticeFor   = int64(3600_000_000) // µs for which a message to a customer may be delivered
+	recallFor   = time.Second         // for recalled messages to end before the recall is reported as not over
+	readyWithin = 2 * time.Second     // a start waits no longer for the fleet's fences
+)
+
+// eraser does on this sender what a purge asks for.
+type eraser struct {
+	p    *Program
+	cuts atomic.Pointer[[]fleet.Cuts]
+}
+
+// Mark is above all that was taken on so far.
+func (e *eraser) Mark() int64 { return e.p.spool.Fence(e.oldMessage) }
+
+// Refuse has what is older than a fence refused from now on.
+func (e *eraser) Refuse(all []fleet.Cuts) {
+	e.cuts.Store(&all)
+	e.p.spool.Fence(e.oldMessage)
+	if e.p.keeper != nil {
+		e.p.keeper.Store().Fence(e.oldRecord)
+	}
+}
+
+func (e *eraser) oldMessage(m *spool.Message) bool {
+	return slices.ContainsFunc(*e.cuts.Load(), func(c fleet.Cuts) bool { return m.Taken <= c.Held && c.Tenant.Owns(m.Dst, m.Lane, m.OrderKey) })
+}
+
+func (e *eraser) oldRecord(r *kept.Record) bool {
+	return slices.ContainsFunc(*e.cuts.Load(), func(c fleet.Cuts) bool { return r.Taken <= c.Kept && c.Tenant.Owns(r.Dst, r.Lane, r.OrderKey) })
+}
+
+// recallOld has what was resumed and is older than a fence end, before any leg may start.
+func (e *eraser) recallOld() {
+	open, _ := e.p.spool.Owing(e.oldMessage)
+	for _, id := range open {
+		e.p.router.Recall(id)
+	}
+}
+
+func owned(t fleet.Tenant, cut int64) func(*spool.Message) bool {
+	return func(m *spool.Message) bool { return m.Taken <= cut && t.Owns(m.Dst, m.Lane, m.OrderKey) }
+}
+
+// Recall has messages end that are not under way, and waits a while for those that are.
+func (e *eraser) Recall(t fleet.Tenant, cut int64) (ended, open int64) {
+	match := owned(t, cut)
+	first, _ := e.p.spool.Owing(match)
+	for _, id := range first {
+		e.p.router.Recall(id)
+	}
+	look := time.NewTicker(glance)
+	defer look.Stop()
+	left := first
+	for until := time.Now().Add(recallFor); len(left) > 0 && time.Now().Before(until); left, _ = e.p.spool.Owing(match) {
+		<-look.C
+	}
+	return int64(len(first) - len(left)), int64(len(left))
+}
+
+// spent is what a purge of some kinds finds in the spool: with messages that stay under way left alone, where those are not meant.
+func (e *eraser) spent(t fleet.Tenant, k purge.Kinds, cut int64) func(*spool.Message) bool {
+	match := owned(t, cut)
+	if k&purge.Held != 0 {
+		return match
+	}
+	open, _ := e.p.spool.Owing(match)
+	return func(m *spool.Message) bool {
+		_, stays := slices.BinarySearch(open, m.ID)
+		return !stays && match(m)
+	}
+}
+
+func records(t fleet.Tenant, cut int64) func(*kept.Record) bool {
+	return func(r *kept.Record) bool { return r.Taken <= cut && t.Owns(r.Dst, r.Lane, r.OrderKey) }
+}
+
+// Erase has all up to the cut durably gone.
+func (e *eraser) Erase(t fleet.Tenant, k purge.Kinds, cut int64) (c purge.Counts, err error) {
+	if k&(purge.Held|purge.Kept) == 0 {
+		return c, nil
+	}
+	p, err := e.p.spool.Purge(e.spent(t, k, cut))
+	c.Segments, c.Bytes = int64(p.Segments), p.Copied
+	if err != nil || k&purge.Kept == 0 {
+		return c, err
+	}
+	err = e.withStore(func(s *keep.Store) error {
+		dropped, rewritten, err := s.Purge(records(t, cut))
+		c.Kept, c.Bytes = int64(dropped), c.Bytes+rewritten
+		return err
+	})
+	return c, err
+}
+
+// Holds reads the files back.
+func (e *eraser) Holds(t fleet.Tenant, k purge.Kinds, cut int64) (n int64, err error) {
+	if k&(purge.Held|purge.Kept) == 0 {
+		return 0, nil
+	}
+	some, err := e.p.spool.Holds(e.spent(t, k, cut))
+	if err != nil || k&purge.Kept == 0 {
+		return int64(some), err
+	}
+	err = e.withStore(func(s *keep.Store) error {
+		more, err := s.Holds(records(t, cut))
+		some += more
+		return err
+	})
+	return int64(some), err
+}
+
+// withStore works on the store of kept messages, also one from a time when some were kept. It is opened for the work alone then.
+func (e *eraser) withStore(f func(*keep.Store) error) error {
+	if e.p.keeper != nil {
+		return f(e.p.keeper.Store())
+	}
+	if !keep.Exists(e.p.state) {
+		return nil
+	}
+	s, err := keep.Open(e.p.state, 0, 0)
+	if err != nil {
+		return err
+	}
+	return errors.Join(f(s), s.Close())
+}
+
+// Post hands a message to a customer in, as a client does. One that is with the sender already is no second one.
+func (e *eraser) Post(n purge.Notice) error {
+	lane, known := e.p.engine.Lane(n.Lane)
+	if !known {
+		return fmt.Errorf("no lane %q", n.Lane)
+	}
+	m := &spool.Message{ID: n.ID, Lane: n.Lane, Key: n.ID, Dst: n.Dst, Body: n.Body, Expires: e.p.engine.Now() + noticeFor}
+	switch way, _ := e.p.engine.Take(m, lane); way {
+	case routing.Held:
+		e.p.engine.Carry(m)
+	case routing.Twice:
+	default:
+		return errors.New("not taken on just now")
+	}
+	return nil
+}
+
+// await waits until the fleet's fences are known, or for so long.
+func (e *eraser) await() {
+	e.p.until(time.Now().Add(readyWithin), e.p.fleet.Ready)
+	e.recallOld()
+}
--- a/internal/fleet/hearsay.go
+++ b/internal/fleet/hearsay.go
@@ -212,3 +212,20 @@
 		h.r.log.Warn("verdicts of an earlier start", zap.Error(err))
 	}
 }
+
+// forget has nothing left of destinations whose data was purged, in the folder neither.
+func (h *hearsay) forget(dsts []int64) (n int64, err error) {
+	h.mu.Lock()
+	now := h.r.now()
+	n = int64(h.table.Forget(now, dsts...))
+	h.mu.Unlock()
+	var keys []string
+	err = h.r.store.Each(fleetlog.Verdicts, func(r fleetlog.Record) error {
+		keys = append(keys, r.Key)
+		return nil
+	})
+	if err == nil {
+		err = h.r.store.Wipe(fleetlog.Verdicts, keys...) // written anew at the next snapshot
+	}
+	return n, err
+}
--- a/internal/fleet/runtime.go
+++ b/internal/fleet/runtime.go
@@ -39,6 +39,7 @@
 	watch   *watch
 	limits  *limits  // nil where each sender keeps to limits alone
 	hearsay *hearsay // nil where each sender goes by its own sight
+	purging *purging // nil where no orders are taken
 	parts   map[links.Kind]Part
 	order   []Part // the same, in the order in which they tick
 
@@ -116,6 +117,9 @@
 	})
 	r.log.Info("fleet", zap.String("name", r.table.Name), zap.String("self", r.table.Self), zap.Uint64("incarnation", r.id.Incarnation),
 		zap.String("folder", fmt.Sprintf("%016x", r.id.Folder)), zap.Int("peers", len(r.table.Peers)))
+	if r.purging != nil {
+		linked.Go(func() { r.purging.run(linking) })
+	}
 	r.tick(ctx)
 	r.leave()
 	unlink()
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"slices"
+	"strconv"
 
 	"ravenlink/internal/fleetlog"
 	"ravenlink/internal/links"
@@ -24,8 +25,11 @@
 	DriftPPM int               `toml:"drift_ppm"` // by which any clock may run fast or slow
 	Orders   *int64            `toml:"orders_dst"`
 	Tenants  []Tenant          `toml:"tenant"`
-	Limits   *Limits           `toml:"limits"`   // nil: each sender keeps to limits alone
-	Verdicts *Verdicts         `toml:"verdicts"` // nil: each sender goes by its own sight
+
+	// Destroyed is the operator's word that folders are gone, with all that was in them.
+	Destroyed []Destroyed `toml:"destroyed"`
+	Limits    *Limits     `toml:"limits"`   // nil: each sender keeps to limits alone
+	Verdicts  *Verdicts   `toml:"verdicts"` // nil: each sender goes by its own sight
 }
 
 // Tenant says what is one tenant's. Each of its three ways of naming adds to the others.
@@ -36,6 +40,17 @@
 	KeyPrefix string   `toml:"key_prefix"` // of ordering keys
 }
 
+// Destroyed is one folder. It may come to the light of day all the same: then the word counts no more.
+type Destroyed struct {
+	Sender string `toml:"sender"`
+	Folder string `toml:"folder"` // as messages on purges and the log name it; 0 for a sender that was never heard of
+}
+
+func (d Destroyed) number() uint64 {
+	n, _ := strconv.ParseUint(d.Folder, 16, 64) // checked
+	return n
+}
+
 // Limits turns on leases on destinations' limits.
 type Limits struct {
 	Lease    strict.Span `toml:"lease"`
@@ -111,6 +126,11 @@
 		fault("orders_dst", "a destination is never below 0")
 	}
 	t.checkTenants(fault)
+	for i, d := range t.Destroyed {
+		if _, err := strconv.ParseUint(d.Folder, 16, 64); err != nil || d.Sender == "" {
+			fault(fmt.Sprintf("destroyed.%d.folder", i), "a sender and the number of its folder, in hexadecimal digits, are wanted")
+		}
+	}
 	if t.Limits != nil {
 		t.Limits.check(func(setting, what string) { fault("limits."+setting, what) })
 	}
--- a/internal/keep/keeper.go
+++ b/internal/keep/keeper.go
@@ -260,6 +260,9 @@
 	}
 }
 
+// Store gives the store.
+func (k *Keeper) Store() *Store { return k.store }
+
 // Close lets go of the store.
 func (k *Keeper) Close() error { return k.store.Close() }
 
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -25,6 +25,9 @@
 	// Channels takes in what names a channel; nil where channels are off. It is set before any client comes.
 	Channels relay.Channels
 
+	// Orders takes in orders of customers; nil where none are taken. It is set before any client comes.
+	Orders *Orders
+
 	Busy, Refused atomic.Int64 // hand-ins pushed back at once, and in error
 }
 
@@ -84,6 +87,9 @@
 		return c.Answer() == nil
 	}
 	c.Served()
+	if f.Orders != nil && m.Dst == f.Orders.Dst {
+		return f.order(c, m)
+	}
 	if m.Channel != "" {
 		used.note(m.Channel)
 		return f.ordered(c, m, lane)
--- a/internal/purge/fence.go
+++ b/internal/purge/fence.go
@@ -135,12 +135,12 @@
 	}
 }
 
-// Ready tells whether PING may be answered: what is fenced here is refused and recalled, and every member that answers has told its
+// Ready tells whether PING may be answered: what is fenced here is refused, and every member that answers has told its
 // fences, one at least. A sender that hears nobody serves after startFor all the same: it may then carry what a fence that it cannot
 // know forbids, until it hears of it.
 func (p *Machine) Ready(now int64) bool {
 	for _, j := range p.jobs {
-		if j.Phase < Erasing {
+		if j.Phase < Ending {
 			return now-p.begun >= 2*startFor
 		}
 	}
--- a/internal/purge/lead.go
+++ b/internal/purge/lead.go
@@ -67,7 +67,7 @@
 // strike takes a word off the record.
 func (l *lead) strike(name string, folder uint64) {
 	n := len(l.Words)
-	l.Words = slices.DeleteFunc(l.Words, func(w Word) bool { return w.Name == name && w.Folder == folder })
+	l.Words = slices.DeleteFunc(l.Words, func(w Word) bool { return w.Name == name && uint64(w.Folder) == folder })
 	if len(l.Words) < n {
 		l.Version++
 	}
@@ -100,7 +100,7 @@
 		return ErrMany
 	}
 	l = &lead{Case: Case{Order: o, Epoch: p.above(o), Owner: p.me.Name, Term: 1, Version: 1}, heardAt: p.now, waitAt: p.now + waitEvery}
-	l.asks = p.me.Incarnation << askBits
+	l.asks = p.me.Boot
 	p.cases[o.Key()] = l
 	p.out.Save = true
 	p.tell(l, accepted, 0)
@@ -113,8 +113,6 @@
 	return nil
 }
 
-const askBits = 24 // of asks, by which those of two lives of a sender differ
-
 // above gives an epoch above all that are known here of a tenant.
 func (p *Machine) above(o Order) Epoch {
 	n := p.highest(o.Tenant, All).N
@@ -158,16 +156,23 @@
 	if k := l.Order.Key(); !slices.Contains(p.endings, k) {
 		p.endings = append(p.endings, k)
 	}
-	for i := 0; len(p.endings) > mostEnded && i < len(p.endings); {
-		k := p.endings[i]
+	for len(p.endings) > mostEnded && p.Shed() {
+	}
+}
+
+// Shed forgets the case that ended first and is not being erased for any more; false: there is none. Its fence stays, its id is free again.
+// The runtime sheds cases while the memo does not fit its place.
+func (p *Machine) Shed() bool {
+	for i, k := range p.endings {
 		if j := p.jobs[k]; j != nil && j.Phase < Verified {
-			i++
 			continue
 		}
 		delete(p.cases, k)
 		delete(p.jobs, k)
 		p.endings = slices.Delete(p.endings, i, i+1)
+		return true
 	}
+	return false
 }
 
 // endHere ends a case by an order, whoever coordinated it.
@@ -182,7 +187,7 @@
 func (p *Machine) takeOver(l *lead) {
 	l.Term++
 	l.Owner, l.Version, l.peers, l.heardAt = p.me.Name, 1, nil, p.now
-	l.asks = max(l.asks, p.me.Incarnation<<askBits)
+	l.asks += p.me.Boot
 	p.out.Save = true
 	p.note("purge %s: coordinated here, term %d", l.Order.Key(), l.Term)
 	if low := p.join(&l.Case); low.N > 0 { // an older copy of a folder may not know its own part
@@ -278,7 +283,7 @@
 		return
 	}
 	if j.Phase == Verified && slices.ContainsFunc(l.Words, func(w Word) bool {
-		return w.Name == p.me.Name && w.Folder == p.me.Folder && w.Incarnation == p.me.Incarnation
+		return w.Name == p.me.Name && uint64(w.Folder) == p.me.Folder && w.Incarnation == p.me.Incarnation
 	}) {
 		p.turnTo(j, Settled)
 	}
@@ -361,8 +366,8 @@
 		}
 		return
 	}
-	w := Word{Name: from, Folder: r.Folder, Incarnation: r.Incarnation, Fence: r.Fence, Counts: r.Counts}
-	i := slices.IndexFunc(l.Words, func(o Word) bool { return o.Name == from && o.Folder == r.Folder })
+	w := Word{Name: from, Folder: Hex(r.Folder), Incarnation: r.Incarnation, Fence: r.Fence, Counts: r.Counts}
+	i := slices.IndexFunc(l.Words, func(o Word) bool { return o.Name == from && uint64(o.Folder) == r.Folder })
 	if f.fresh && i >= 0 && l.Words[i] == w {
 		return
 	}
@@ -409,7 +414,7 @@
 	for _, s := range p.roster.list() {
 		if s.Destroyed != "" && p.missingOf(l, s, true) != "" {
 			l.strike(s.Name, s.Folder)
-			l.Words = append(l.Words, Word{Name: s.Name, Folder: s.Folder, Incarnation: s.Incarnation, Destroyed: s.Destroyed})
+			l.Words = append(l.Words, Word{Name: s.Name, Folder: Hex(s.Folder), Incarnation: s.Incarnation, Destroyed: s.Destroyed})
 		}
 	}
 	sortWords(l.Words)
@@ -424,7 +429,7 @@
 			if known {
 				since = max(0, p.now-m.Since)
 			}
-			all = append(all, Missing{s.Name, s.Folder, why, since})
+			all = append(all, Missing{s.Name, Hex(s.Folder), why, since})
 		}
 	}
 	return all
@@ -438,7 +443,9 @@
 	m, known := p.view.Member(s.Name)
 	silent := !known || m.State == members.Gone || m.State == members.Left
 	current := known && m.Folder == s.Folder
-	i := slices.IndexFunc(l.Words, func(w Word) bool { return w.Name == s.Name && w.Folder == s.Folder && w.Incarnation == s.Incarnation })
+	i := slices.IndexFunc(l.Words, func(w Word) bool {
+		return w.Name == s.Name && uint64(w.Folder) == s.Folder && w.Incarnation == s.Incarnation
+	})
 	f := l.peers[s.Name]
 	switch {
 	case s.Folder == 0:
--- a/internal/purge/letter.go
+++ b/internal/purge/letter.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 )
 
@@ -38,13 +39,19 @@
 // Word is what one sender has said of one folder, or an operator in its place.
 type Word struct {
 	Name        string `json:"sender" cbor:"1,keyasint"`
-	Folder      uint64 `json:"folder" cbor:"2,keyasint"`
+	Folder      Hex    `json:"folder" cbor:"2,keyasint"`
 	Incarnation uint64 `json:"incarnation" cbor:"3,keyasint"`
 	Fence       int64  `json:"fence" cbor:"4,keyasint"` // what it took on up to here is gone
 	Counts      Counts `json:"counts" cbor:"5,keyasint"`
 	Destroyed   string `json:"declared_destroyed_by,omitempty" cbor:"6,keyasint,omitempty"`
 }
 
+// Hex is a folder's number, in JSON as hexadecimal digits: readers of JSON lose the last of so long numbers.
+type Hex uint64
+
+// MarshalText is for JSON.
+func (h Hex) MarshalText() ([]byte, error) { return fmt.Appendf(nil, "%016x", uint64(h)), nil }
+
 // Counts is what was erased.
 type Counts struct {
 	Ended    int64 `json:"messages_ended" cbor:"1,keyasint"`
--- a/internal/purge/machine.go
+++ b/internal/purge/machine.go
@@ -21,9 +21,9 @@
 	waitEvery    = int64(300_000_000) // between messages to the customer that say who is missing
 	startFor     = int64(1_000_000)   // a start waits so long for the others' fences; with all links cut it serves all the same
 
-	mostOpen    = 64   // orders running
-	mostEnded   = 256  // remembered for their ids; the one that ended first gives way
-	mostFolders = 2048 // in the roster; a further one stops completions until an operator's word makes room
+	mostOpen    = 64  // orders running
+	mostEnded   = 256 // remembered for their ids; the one that ended first gives way
+	mostFolders = 700 // in the roster; a further one stops completions until an operator's word makes room; as many fit one letter
 )
 
 // The faults that callers tell apart.
@@ -76,15 +76,16 @@
 	Notes   []string // for the log
 }
 
-// Me is the sender that a machine belongs to.
+// Me is the sender that a machine belongs to. Boot is drawn at each start: an older copy of a folder counts its starts from lower on.
 type Me struct {
 	Name        string
 	Folder      uint64
 	Incarnation uint64
+	Boot        uint64
 }
 
 // mark names one life of a sender: on a new folder, or an older copy of one, it does not know what epochs it gave before.
-func (m Me) mark() string { return fmt.Sprintf("%s/%x/%d", m.Name, m.Folder, m.Incarnation) }
+func (m Me) mark() string { return fmt.Sprintf("%s/%x", m.Name, m.Boot) }
 
 // Machine is one sender's part: it takes part in all orders, and coordinates some.
 type Machine struct {
@@ -222,6 +223,7 @@
 		}
 		for _, m := range v.Members {
 			if m.Name == p.me.Name {
+				p.self(m)
 				continue
 			}
 			before, known := old.Member(m.Name)
@@ -234,6 +236,22 @@
 	})
 }
 
+// self takes in what the fleet says of this sender: after an older copy of its folder it counts on from the latest start known.
+func (p *Machine) self(m members.Member) {
+	if m.Incarnation <= p.me.Incarnation {
+		return
+	}
+	p.me.Incarnation = m.Incarnation
+	p.roster.see(Seen{Name: p.me.Name, Folder: p.me.Folder, Incarnation: m.Incarnation})
+	p.out.Save = true
+	for _, k := range sorted(p.cases) {
+		if l := p.cases[k]; l.Owner == p.me.Name {
+			l.forget(p.me.Name, p.me.Folder)
+			p.report(p.jobs[k])
+		}
+	}
+}
+
 // returned has a member that started again, or was silent, say everything anew: it may have come back with an older copy of its folder.
 func (p *Machine) returned(m members.Member) {
 	p.out.Save = true
--- a/internal/purge/part.go
+++ b/internal/purge/part.go
@@ -113,6 +113,7 @@
 			return
 		}
 		if d.Fault != "" {
+			j.Counts.add(d.Counts)
 			j.cause, j.retryAt = d.Fault, p.now+retryEvery
 			p.note("purge %s: %s: %s", j.Key, j.Phase, d.Fault)
 			p.report(j)
--- a/internal/purge/world_test.go
+++ b/internal/purge/world_test.go
@@ -63,6 +63,7 @@
 	done     map[Key]bool
 	ids      map[Key]map[string]bool // of completions handed in
 	incs     map[string]bool
+	boots    uint64
 	broken   []string
 	faults
 }
@@ -102,7 +103,8 @@
 	}
 	w.incs[fmt.Sprint(n.f.id, n.f.inc)] = true
 	n.acts, n.view, n.marks = nil, members.View{}, map[string]FenceMark{}
-	n.m = New(Me{n.name, n.f.id, n.f.inc}, tenants, n.f.memo)
+	w.boots++
+	n.m = New(Me{n.name, n.f.id, n.f.inc, w.boots << 20}, tenants, n.f.memo)
 	w.apply(n, n.m.Begin(w.now))
 }
 
@@ -210,7 +212,7 @@
 		now := n.m.cases[k]
 		now.Words, now.peers = l.Words, l.peers
 		for i, word := range now.Words {
-			if s := n.m.roster.all[place{word.Name, word.Folder}]; s != nil {
+			if s := n.m.roster.all[place{word.Name, uint64(word.Folder)}]; s != nil {
 				now.Words[i].Incarnation = s.Incarnation
 			}
 		}
--- a/internal/spool/purge.go
+++ b/internal/spool/purge.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 )
 
@@ -36,8 +37,8 @@
 	return s.mark()
 }
 
-// Owing counts messages that match and are not over; ended ones, whose notice is owed, apart.
-func (s *Spool) Owing(match func(*Message) bool) (open, ended int) {
+// Owing lists messages that match and are under way, and counts those that ended and whose notice is owed.
+func (s *Spool) Owing(match func(*Message) bool) (open []string, ended int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, m := range s.owed {
@@ -46,9 +47,10 @@
 		case m.Ended:
 			ended++
 		default:
-			open++
+			open = append(open, m.ID)
 		}
 	}
+	slices.Sort(open)
 	return open, ended
 }
 
--- a/internal/verdicts/table.go
+++ b/internal/verdicts/table.go
@@ -87,6 +87,7 @@
 	learnt      map[string]bool
 	letterNo    uint64
 	counts      Counts
+	forgot      map[int64]int64 // when the data of destinations was purged; emptied by Forget, at most what the operator's file lists
 }
 
 // held is an entry with what is to be done with it here.
@@ -281,6 +282,9 @@
 
 // put is the only place where an entry comes into the table or changes. It returns nil for what changes no version or has no room.
 func (t *Table) put(now int64, e entry) *held {
+	if t.purged(e) {
+		return nil
+	}
 	if e.over(now) {
 		return nil
 	}
