--- a/internal/daemon/program.go
+++ b/internal/daemon/program.go
@@ -17,6 +17,7 @@
 	"ravenlink/internal/fleet"
 	"ravenlink/internal/keep"
 	"ravenlink/internal/kept"
+	"ravenlink/internal/ordered"
 	"ravenlink/internal/platform"
 	"ravenlink/internal/relay"
 	"ravenlink/internal/routing"
@@ -65,6 +66,7 @@
 	keeper   *keep.Keeper   // nil where nothing is kept
 	fleet    *fleet.Runtime // nil where this sender decides alone
 	eraser   *eraser        // nil where it takes no orders
+	ordered  *ordered.Host  // nil where there are no channels
 	phase    phase          // changes in enter only
 	clock    relay.Clock
 	state    string // the folder that lasts
@@ -157,9 +159,7 @@
 	}
 	p.start(working)
 	p.discovery.Heard(p.listWait)
-	for _, m := range p.spool.Owed() {
-		p.engine.Resume(m)
-	}
+	p.recover(picking)
 	if p.eraser != nil {
 		p.eraser.await()
 	}
@@ -210,6 +210,9 @@
 // drain keeps on for a while, then lets go of the clients, then starts no more legs, then waits for those out.
 func (p *Program) drain(stopPicking context.CancelFunc) {
 	begun := time.Now()
+	if p.ordered != nil {
+		p.ordered.Leave()
+	}
 	p.until(begun.Add(doorsOpen), func() bool { return false })
 	var gone atomic.Bool // the clients
 	p.goWork(func() {
--- a/internal/fleet/purging.go
+++ b/internal/fleet/purging.go
@@ -102,8 +102,8 @@
 // Ready tells whether this sender may say that it serves: what it has is not older than what others have fenced off, as far as it can know.
 func (r *Runtime) Ready() bool { return r.purging == nil || r.purging.ready.Load() }
 
-// Order takes an order on. Without an error it is on this sender's disk.
-func (r *Runtime) Order(body []byte) error {
+// TakeOrder takes an order on. Without an error it is on this sender's disk.
+func (r *Runtime) TakeOrder(body []byte) error {
 	if r.purging == nil {
 		return errPurgeOff
 	}
@@ -293,7 +293,7 @@
 			err = errors.Join(err, fault)
 		}
 	}
-	return n, err
+	return n, errors.Join(err, p.r.store.Wipe(fleetlog.Purge)) // and nothing of theirs in the log's free pages
 }
 
 // write has a memo outlast the process; what ended longest ago gives way if there is no room.
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -25,11 +25,12 @@
 	DriftPPM int               `toml:"drift_ppm"` // by which any clock may run fast or slow
 	Orders   *int64            `toml:"orders_dst"`
 	Tenants  []Tenant          `toml:"tenant"`
+	Limits   *Limits           `toml:"limits"`   // nil: each sender keeps to limits alone
+	Verdicts *Verdicts         `toml:"verdicts"` // nil: each sender goes by its own sight
+	Channels *Channels         `toml:"channels"` // nil: no channels
 
 	// Destroyed is the operator's word that folders are gone, with all that was in them.
 	Destroyed []Destroyed `toml:"destroyed"`
-	Limits    *Limits     `toml:"limits"`   // nil: each sender keeps to limits alone
-	Verdicts  *Verdicts   `toml:"verdicts"` // nil: each sender goes by its own sight
 }
 
 // Tenant says what is one tenant's. Each of its three ways of naming adds to the others.
@@ -89,6 +90,9 @@
 	if t.Limits != nil {
 		t.Limits.Lease = cmp.Or(t.Limits.Lease, strict.Span(shares.Usual().Lease))
 	}
+	if t.Channels != nil {
+		t.Channels.fill(t)
+	}
 	if t.Verdicts != nil {
 		_, room := verdicts.Usual()
 		t.Verdicts.BytesPerSec = cmp.Or(t.Verdicts.BytesPerSec, room.Rate)
@@ -134,6 +138,9 @@
 	if t.Limits != nil {
 		t.Limits.check(func(setting, what string) { fault("limits."+setting, what) })
 	}
+	if t.Channels != nil {
+		t.Channels.check(t, func(setting, what string) { fault("channels."+setting, what) })
+	}
 	if t.Verdicts != nil && t.Verdicts.BytesPerSec < leastRate {
 		fault("verdicts.bytes_per_sec", fmt.Sprintf("fewer than %d carry nothing", leastRate))
 	}
--- a/internal/verdicts/table.go
+++ b/internal/verdicts/table.go
@@ -33,6 +33,7 @@
 const (
 	fanout    = 4             // letters at once on what is new
 	rounds    = 4             // times it goes out, the first among them; each to fanout others
+	roundsFew = 2             // where less than a second's bytes are left
 	enough    = 3             // origins that say the same of a subject: further ones are kept but not passed on
 	learnFrom = 3             // senders that a joiner compares with before it knows enough
 	buckets   = 32            // parts of a table that are compared
@@ -280,7 +281,8 @@
 	return 0
 }
 
-// put is the only place where an entry comes into the table or changes. It returns nil for what changes no version or has no room.
+// put is the only place where an entry comes into the table or changes. It returns nil for what has no
+// room and for what was known; a fact that now counts by a better date of it is news.
 func (t *Table) put(now int64, e entry) *held {
 	if t.purged(e) {
 		return nil
@@ -294,7 +296,7 @@
 		h := t.subjects[k.Subject][i]
 		was := h.entry
 		h.entry = merge(was, e)
-		if newer(h.Fact, was.Fact) == 0 {
+		if newer(h.Fact, was.Fact) == 0 && (was.counts(now) || !h.counts(now)) {
 			return nil
 		}
 		t.heat(h)
@@ -320,6 +322,9 @@
 		t.hot = append(t.hot, h)
 	}
 	h.listed, h.quiet, h.copies = true, false, rounds
+	if t.tokens < float64(t.room.Rate) {
+		h.copies = roundsFew
+	}
 }
 
 // makeRoom: a table full of subjects takes in no more; of a full slot the oldest goes, unless e is older. Withdrawals and own sight stay.
