--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -53,6 +53,9 @@
 // recover takes up what is owed: messages of channels wait there for their turn.
 func (p *Program) recover(picking context.Context) {
 	owed := p.spool.Owed()
+	if p.eraser != nil {
+		owed = p.eraser.giveUp(owed)
+	}
 	if p.ordered != nil {
 		others, err := p.ordered.Restore(owed)
 		if err != nil {
--- a/internal/daemon/program.go
+++ b/internal/daemon/program.go
@@ -159,10 +159,10 @@
 	}
 	p.start(working)
 	p.discovery.Heard(p.listWait)
-	p.recover(picking)
 	if p.eraser != nil {
 		p.eraser.await()
 	}
+	p.recover(picking)
 	p.engine.Run()
 	if p.keeper != nil {
 		p.goWork(func() { p.keeper.Run(picking) })
--- a/internal/daemon/purge.go
+++ b/internal/daemon/purge.go
@@ -47,12 +47,16 @@
 	return slices.ContainsFunc(*e.cuts.Load(), func(c fleet.Cuts) bool { return r.Taken <= c.Kept && c.Tenant.Owns(r.Dst, r.Lane, r.OrderKey) })
 }
 
-// recallOld has what was resumed and is older than a fence end, before any leg may start.
-func (e *eraser) recallOld() {
-	open, _ := e.p.spool.Owing(e.oldMessage)
-	for _, id := range open {
-		e.p.router.Recall(id)
+// giveUp ends what is owed from before a fence, without the decisions hearing of it, and gives the rest.
+func (e *eraser) giveUp(owed []*spool.Message) (rest []*spool.Message) {
+	for _, m := range owed {
+		if m.Ended || !e.oldMessage(m) {
+			rest = append(rest, m)
+		} else {
+			e.p.engine.GiveUp(m, 0)
+		}
 	}
+	return rest
 }
 
 func owned(t fleet.Tenant, cut int64) func(*spool.Message) bool {
@@ -160,7 +164,4 @@
 }
 
 // await waits until the fleet's fences are known, or for so long.
-func (e *eraser) await() {
-	e.p.until(time.Now().Add(readyWithin), e.p.fleet.Ready)
-	e.recallOld()
-}
+func (e *eraser) await() { e.p.until(time.Now().Add(readyWithin), e.p.fleet.Ready) }
