--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"ravenlink/internal/fleet"
+	"ravenlink/internal/platform"
 	"ravenlink/internal/routing"
 	"ravenlink/internal/startup"
 )
@@ -20,6 +21,16 @@
 		log.Error("this sender goes without the fleet", zap.Error(err))
 		return
 	}
+	if t.Orders != nil {
+		e := &eraser{p: p}
+		e.cuts.Store(new([]fleet.Cuts))
+		if err := r.TakeOrders(e); err != nil {
+			log.Error("this sender takes no orders", zap.Error(err))
+		} else {
+			p.eraser = e
+			p.front.Orders = &platform.Orders{Dst: *t.Orders, Take: r.TakeOrder, Busy: fleet.ErrBusy}
+		}
+	}
 	p.fleet = r
 	p.router.Gate = r.May
 	p.engine.Watch = r
@@ -42,6 +53,9 @@
 // recover takes up what is owed: messages of channels wait there for their turn.
 func (p *Program) recover(picking context.Context) {
 	owed := p.spool.Owed()
+	if p.eraser != nil {
+		owed = p.eraser.giveUp(owed)
+	}
 	if p.ordered != nil {
 		others, err := p.ordered.Restore(owed)
 		if err != nil {
