--- a/internal/lab/fleet/fleet_test.go
+++ b/internal/lab/fleet/fleet_test.go
@@ -2,29 +2,76 @@
 
 import (
 	"flag"
-	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
 
-var only = flag.String("fleet.sizes", "", "measure at these numbers of senders")
+var (
+	sizes = flag.String("fleet.sizes", "", "measure at these numbers of senders, with commas")
+	seeds = flag.Int("fleet.seeds", 3, "runs of each")
+	into  = flag.String("fleet.into", "", "folder for the table and the plots")
+)
 
 func TestMeasure(t *testing.T) {
-	var n int
-	if *only == "" {
-		t.Skip("long; sizes by -fleet.sizes")
+	if *sizes == "" {
+		t.Skip("long; see docs/limits.md")
+	}
+	var ns []int
+	for _, x := range strings.Split(*sizes, ",") {
+		n, err := strconv.Atoi(x)
+		require.NoError(t, err)
+		ns = append(ns, n)
 	}
-	_, err := fmt.Sscan(*only, &n)
+	ms, err := Measure(ns, *seeds, 5)
 	require.NoError(t, err)
-	for _, s := range Scenarios(n, 1) {
-		for _, p := range Policies {
-			f, err := Run(s, p)
-			require.NoError(t, err)
-			fmt.Printf("%5d %-13s %-12s value %.3f over %5.2f p99 %5.2f unused %.3f refused %.3f starve %.2f %.2f bytes %.0f\n",
-				n, f.Scenario, f.Policy, f.Value, f.Over, f.OverP99, f.Unused, f.Refused, f.StarveP99, f.StarveMost, f.Bytes)
+	require.NoError(t, os.WriteFile(filepath.Join(*into, "limits.md"), []byte(Markdown(ms)), 0o644))
+	for _, s := range []string{"busy", "halves"} {
+		svg, err := Plot(ms, s)
+		require.NoError(t, err)
+		require.NoError(t, os.WriteFile(filepath.Join(*into, "limits-"+s+".svg"), svg, 0o644))
+	}
+}
+
+func named(n int, name string) Scenario {
+	for _, s := range Scenarios(n, 5) {
+		if s.Name == name {
+			s.Length = 20 * second
+			return s
 		}
 	}
-	assert.True(t, true)
+	panic(name)
+}
+
+func TestLeasesUseTheLimitAndKeepToIt(t *testing.T) {
+	f, err := Run(named(12, "busy"), "leases")
+	require.NoError(t, err)
+	off, err := Run(named(12, "busy"), "off")
+	require.NoError(t, err)
+	best, err := Run(named(12, "busy"), "all-knowing")
+	require.NoError(t, err)
+	assert.Less(t, f.Unused, 0.05)
+	assert.Less(t, f.OverP99, 0.15)
+	assert.Greater(t, f.Value, off.Value)
+	assert.GreaterOrEqual(t, best.Value, f.Value)
+	again, err := Run(named(12, "busy"), "leases")
+	require.NoError(t, err)
+	assert.Equal(t, f, again, "the same seed gives the same run")
+}
+
+// greedy calls whenever something waits: figures have to show it.
+type greedy struct{ quiet }
+
+func (greedy) begin(*World)             {}
+func (greedy) may(int64, int, int) bool { return true }
+
+func TestFiguresShowAFleetThatKeepsNoLimit(t *testing.T) {
+	f := run(named(12, "busy"), greedy{}, "greedy")
+	assert.Greater(t, f.OverP99, 0.15)
+	assert.Greater(t, f.Refused, 0.3)
 }
--- a/internal/lab/fleet/world.go
+++ b/internal/lab/fleet/world.go
@@ -76,11 +76,15 @@
 
 // Run makes a run with a policy by its name.
 func Run(s Scenario, policyName string) (Figures, error) {
-	w := &World{Scenario: s, l: loop.New(), r: draw.Stream(s.Seed, "traffic", s.Senders), links: draw.Stream(s.Seed, "links", 0), letters: map[uint64]letter{}}
-	var err error
-	if w.p, err = newPolicy(policyName); err != nil {
+	p, err := newPolicy(policyName)
+	if err != nil {
 		return Figures{}, err
 	}
+	return run(s, p, policyName), nil
+}
+
+func run(s Scenario, p policy, name string) Figures {
+	w := &World{Scenario: s, p: p, l: loop.New(), r: draw.Stream(s.Seed, "traffic", s.Senders), links: draw.Stream(s.Seed, "links", 0), letters: map[uint64]letter{}}
 	for i := range s.Senders {
 		w.names = append(w.names, fmt.Sprintf("s%04d", i))
 		w.ss = append(w.ss, &sender{queues: make([]queue, s.Dsts), life: 1})
@@ -99,7 +103,7 @@
 	}
 
 	w.l.Run(loop.Origin + s.Length)
-	return w.figures(policyName), nil
+	return w.figures(name)
 }
 
 const (
--- a/internal/shares/bound.go
+++ b/internal/shares/bound.go
@@ -49,14 +49,14 @@
 func (t Timing) Bound(c Case) Bound {
 	// until another owner grants: the promises to the last one, a turn for each elector, what the last one granted, and asks
 	take := t.long(t.Vote) + electorsMost*t.stagger() + t.long(t.Lease) + 4*t.Renew
-	doubt := t.long(t.Lease) + t.doubtAfter()
+	doubt := t.long(t.Lease) + t.doubtAfter() + t.Renew
 	switch c.Event {
 	case LinkSlow:
 		return t.slow(c.RoundTrip)
 	case CutOneWay: // the view may not see it, so the owner keeps nothing back
 		return Bound{doubtShare * c.Apart, Always, c.Apart, doubt}
 	case CutBothWays, EvenHalves: // until the view sees it, and the leases given before have ended
-		return Bound{doubtShare * c.Apart, t.long(t.Detect + t.Lease), 1, take}
+		return Bound{doubtShare * c.Apart, t.cutSeen(), 1, max(take, t.Detect+t.cutSeen())}
 	case OwnerKilled, OwnerPaused: // doubt shares bridge it once the leases have ended
 		return Bound{0, 0, 1, take}
 	case MemberDies: // its lease, then what is kept for a sender that may only be cut off
--- a/internal/shares/hold.go
+++ b/internal/shares/hold.go
@@ -65,7 +65,7 @@
 	case !needs:
 		next = resting
 	case h.phase == doubting && h.unanswered > 0:
-	case h.unanswered > 0 && now-h.unanswered >= t.t.doubtAfter() && h.asks >= 4:
+	case h.unanswered > 0 && now-h.unanswered >= t.t.doubtAfter() && h.asks >= 3:
 		next = doubting
 	default:
 		next = asking
