--- a/internal/members/fleet.go
+++ b/internal/members/fleet.go
@@ -60,6 +60,7 @@
 	doubters []string
 	base     int64 // when its way back began; 0 for none
 	pinged   int64 // when it was asked in its turn; 0 for answered
+	lived    bool  // it has been alive since it was first heard of, or last left
 	flaps    int
 	flapped  int64
 	hot      int // letters that shall still carry its word
@@ -175,7 +176,7 @@
 		}
 		p.Folder, p.Incarnation, p.beat = s.folder, s.incarnation, 0
 		if p.State == Left {
-			p.State = Gone // until it has beaten often enough
+			p.State, p.lived = Gone, false // until it has beaten often enough; to leave is not to flap
 		}
 		p.base = 0
 	case e == told:
--- a/internal/members/heard.go
+++ b/internal/members/heard.go
@@ -71,10 +71,10 @@
 	case p.base == 0:
 		p.base = now
 	case now-p.base >= int64(f.t.Returns)*f.t.Beat<<p.flaps:
-		if p.State == Gone {
+		if p.State == Gone && p.lived {
 			p.flaps, p.flapped = min(p.flaps+1, flapsMost), now
 		}
-		p.base = 0
+		p.base, p.lived = 0, true
 		f.step(now, p, steady, start{})
 	}
 	return true
--- a/internal/members/members_test.go
+++ b/internal/members/members_test.go
@@ -42,9 +42,15 @@
 	for _, n := range []int{2, 3, 30} {
 		m, fs := fleetOf(n, 7)
 		m.Loss = 0.1
-		m.Run(20e6)
+		m.Nodes[0] = nil // it starts late, held gone by then
+		m.Run(10e6)
+		m.Nodes[0] = fs[0]
+		m.Run(25e6)
 		for _, f := range fs {
 			require.Len(t, f.View().Alive(), n)
+			for _, p := range f.peers {
+				require.Zero(t, p.flaps, "a first start is no return")
+			}
 		}
 		m.Nodes[0] = nil
 		m.Run(m.Now + 8e6)
--- a/internal/verdicts/explore_test.go
+++ b/internal/verdicts/explore_test.go
@@ -31,6 +31,8 @@
 	left   map[string]int              // how often each event may still be
 	seen   map[string]int64            // of origin/incarnation/version
 	over   []map[string]uint64         // of origin/incarnation: the newest version known to be withdrawn
+	snap   []byte                      // of the second sender, when time last passed
+	snapAt int64
 	faults faults
 }
 
@@ -189,6 +191,11 @@
 		w.post(0, letters)
 	case "crash":
 		w.start(1, 2)
+		if w.snap != nil {
+			if _, err := w.ts[1].Restore(w.clock(1), w.snap, w.now-w.snapAt); err != nil {
+				panic(err) // a whole snapshot is always taken
+			}
+		}
 		for _, link := range allLinks {
 			if link[0] == 1 || link[1] == 1 {
 				delete(w.links, link)
@@ -203,6 +210,8 @@
 		for i := range w.ts {
 			w.tick(i)
 		}
+		w.snap, _ = w.ts[1].Snapshot(w.clock(1))
+		w.snapAt = w.now
 	default:
 		again := strings.HasPrefix(e, "again")
 		link := allLinks[e[len(e)-1]-'0']
@@ -273,6 +282,7 @@
 			fmt.Fprint(h, i, e.Fact, e.seen, e.surely, e.copies)
 		}
 	}
+	fmt.Fprintf(h, "%x %d", w.snap, w.snapAt)
 	for _, link := range allLinks {
 		for _, l := range w.links[link] {
 			fmt.Fprint(h, link, l.Msg.Facts, l.Msg.Digest, l.Msg.Want, l.Msg.Flags, l.Msg.Stamp)
