--- a/internal/daemon/program.go
+++ b/internal/daemon/program.go
@@ -14,8 +14,10 @@
 	"github.com/tidwall/gjson"
 	"go.uber.org/zap"
 
+	"ravenlink/internal/fleet"
 	"ravenlink/internal/keep"
 	"ravenlink/internal/kept"
+	"ravenlink/internal/ordered"
 	"ravenlink/internal/platform"
 	"ravenlink/internal/relay"
 	"ravenlink/internal/routing"
@@ -48,6 +50,7 @@
 	doorsOpen   = 600 * time.Millisecond  // after SIGTERM: new connections come for a while
 	picksEnd    = 2400 * time.Millisecond // after SIGTERM: no leg starts later
 	drainEnd    = 3300 * time.Millisecond // after SIGTERM: we are gone before we are killed
+	firstList   = 300 * time.Millisecond  // the agent answers at once, or discovery is down; clients wait a little longer for their answers
 	glance      = 20 * time.Millisecond   // between looks whether all is done
 	tallyEvery  = 10 * time.Second        // between lines of counts
 )
@@ -60,10 +63,13 @@
 	agent    *platform.Agent
 	levels   *levels // nil without an operator's file
 	opFile   string
-	keeper   *keep.Keeper // nil where nothing is kept
-	phase    phase        // changes in enter only
+	keeper   *keep.Keeper   // nil where nothing is kept
+	fleet    *fleet.Runtime // nil where this sender decides alone
+	ordered  *ordered.Host  // nil where there are no channels
+	phase    phase          // changes in enter only
 	clock    relay.Clock
 	state    string // the folder that lasts
+	disk     int64  // bytes that it may hold
 	settings gjson.Result
 	spool    *spool.Spool
 	router   *routing.Router
@@ -78,6 +84,7 @@
 	discovery *platform.Discovery
 
 	probeFor time.Duration // how long a probe may take
+	listWait time.Duration // for the first list, before anything is sent
 	probes   atomic.Int64
 	work     sync.WaitGroup
 }
@@ -98,12 +105,12 @@
 	debug.SetMemoryLimit(int64(memoryShare * float64(startup.Memory(c))))
 	listen, discoveryAt := startup.Addresses(env, c)
 	p := &Program{log: log.With(zap.String("sender", startup.Name(c))), env: env, reload: reload, agent: platform.NewAgent(discoveryAt),
-		clock: relay.NewClock()}
+		clock: relay.NewClock(), listWait: firstList}
 	if err := p.openSpool(startup.StateDir(env), int64(diskShare*float64(startup.Disk(c)))); err != nil {
 		return nil, err
 	}
 	settings := startup.Module(c)
-	p.settings, p.state = settings, startup.StateDir(env)
+	p.settings, p.state, p.disk = settings, startup.StateDir(env), startup.Disk(c)
 	up, idle := startup.Connections(settings)
 	p.pool = transport.NewPool(up, time.Duration(idleShare*float64(idle)), startup.Sockets(c)/callPart)
 	module := part(p.log, "module")
@@ -146,10 +153,12 @@
 	defer stopPicking()
 	p.engine.Begin(picking, working)
 	p.enter(recovering)
-	p.start(working)
-	for _, m := range p.spool.Owed() {
-		p.engine.Resume(m)
+	if p.fleet != nil {
+		p.goWork(func() { p.fleet.Run(picking) }) // it gives back what was lent as soon as no leg may begin
 	}
+	p.start(working)
+	p.discovery.Heard(p.listWait)
+	p.recover(picking)
 	p.engine.Run()
 	if p.keeper != nil {
 		p.goWork(func() { p.keeper.Run(picking) })
@@ -197,6 +206,9 @@
 // drain keeps on for a while, then lets go of the clients, then starts no more legs, then waits for those out.
 func (p *Program) drain(stopPicking context.CancelFunc) {
 	begun := time.Now()
+	if p.ordered != nil {
+		p.ordered.Leave()
+	}
 	p.until(begun.Add(doorsOpen), func() bool { return false })
 	var gone atomic.Bool // the clients
 	p.goWork(func() {
--- a/internal/relay/courier.go
+++ b/internal/relay/courier.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -22,9 +23,15 @@
 
 	Tally *Tally
 
+	turns   Turns // nil where channels are off
+	legMost time.Duration
+
 	// Delivered, where it is set, hears of messages that are over and not undelivered. It must not block for long.
 	Delivered func(id string)
 
+	// Watch, where it is set before Begin, hears what becomes of messages and legs. It must not block for long.
+	Watch Watcher
+
 	picking context.Context // ends when no leg may start any more
 	working context.Context // ends when those out are given up
 	out     atomic.Int64    // legs out, as many as the settings' slots at most
@@ -38,6 +45,14 @@
 type carried struct {
 	msg   *spool.Message
 	story []Told // as many as legs
+
+	// Of messages of channels.
+	out       int  // legs
+	running   bool // one had no outcome, and may still run
+	delivered bool
+	ended     bool // its channel is to hear once no leg is out
+	given     bool // up, by its channel
+	advice    int64
 }
 
 // Tally counts what happened since the start.
@@ -101,7 +116,7 @@
 // Resume takes up a message that the sender owed before its restart.
 func (e *Engine) Resume(m *spool.Message) {
 	if m.Ended {
-		e.ends.Undelivered(Undelivered{Msg: m, PushedBack: m.PushedBack, Advice: m.Advice})
+		e.ends.Undelivered(Undelivered{Msg: m, PushedBack: m.PushedBack, Advice: m.Advice, Bare: e.spool.Stripped(m)})
 		return
 	}
 	way, advice := routing.Failed, int64(0)
@@ -119,8 +134,11 @@
 // Carry takes a message to its end.
 func (e *Engine) Carry(m *spool.Message) {
 	e.mu.Lock()
-	e.held[m.ID] = &carried{msg: m}
+	e.held[m.ID] = &carried{msg: m, running: mayHaveRun(m)}
 	e.mu.Unlock()
+	if e.Watch != nil {
+		e.Watch.Came(m.Dst)
+	}
 	e.router.Carry(m.ID)
 }
 
@@ -134,26 +152,37 @@
 			return
 		}
 		c := e.carried(p)
+		e.watched(c.msg.Dst, p.Way)
 		switch p.Way {
 		case routing.Leg:
 			e.running.Go(func() { e.leg(c, p) })
 		case routing.Over:
-			e.Over(c.msg)
-			if e.Delivered != nil {
-				e.Delivered(c.msg.ID)
-			}
+			e.over(c)
 		default:
 			e.undelivered(c, p.Way == routing.PushedBack, p.Advice)
 		}
 	}
 }
 
+// watched tells who watches that a leg begins, or that a message ends.
+func (e *Engine) watched(dst int64, way routing.Way) {
+	switch {
+	case e.Watch == nil:
+	case way == routing.Leg:
+		e.Watch.Began(dst)
+	default:
+		e.Watch.Ended(dst)
+	}
+}
+
 // carried finds the message of a decision; with its end it is let go.
 func (e *Engine) carried(p routing.Pick) *carried {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	c := e.held[p.ID]
-	if p.Way != routing.Leg {
+	if p.Way == routing.Leg {
+		c.out++
+	} else {
 		delete(e.held, p.ID)
 	}
 	return c
@@ -167,6 +196,12 @@
 }
 
 func (e *Engine) undelivered(c *carried, pushedBack bool, advice int64) {
+	e.tell(c, pushedBack, advice)
+	e.endTurn(c, false)
+}
+
+// tell puts an end on record and has it told.
+func (e *Engine) tell(c *carried, pushedBack bool, advice int64) {
 	if pushedBack {
 		e.Tally.PushedBack.Add(1)
 	} else {
@@ -192,9 +227,10 @@
 	defer context.AfterFunc(e.working, cancel)()
 	began := e.clock.Now()
 	recorded := false
-	j := e.carrier.Carry(ctx, Leg{Msg: m, To: p.Receiver, Patience: p.Patience, Until: began + p.Patience.Microseconds(),
+	patience := e.patience(m, p)
+	j := e.carrier.Carry(ctx, Leg{Msg: m, To: p.Receiver, Patience: patience, Until: began + patience.Microseconds(),
 		Ready: func() bool {
-			if !e.router.Stands(p) {
+			if !e.router.Stands(p) || !e.begins(m) {
 				return false
 			}
 			recorded = e.record(m, p, false)
@@ -203,6 +239,12 @@
 	if e.working.Err() != nil && j.Result == routing.CalledOff {
 		return // the process ends: the leg may have run, and the record says so
 	}
+	if e.Watch != nil {
+		e.Watch.Paused(m.Dst)
+		if j.Result == routing.TurnedAway {
+			e.Watch.TurnedAway(m.Dst)
+		}
+	}
 	e.settle(m, p, j.Result, recorded)
 	took := e.clock.Now() - began
 	e.mu.Lock()
@@ -210,8 +252,10 @@
 	e.mu.Unlock()
 	e.log.Debug("leg", zap.String("id", m.ID), zap.Int64("dst", m.Dst), zap.String("receiver", p.Receiver.ID), zap.Int("number", p.Number),
 		zap.Uint8("stage", j.Stage), zap.Int("status", j.Status), zap.Int64("took_us", took),
-		zap.Duration("patience", p.Patience), zap.Int64("wait_us", j.Wait))
+		zap.Duration("patience", patience), zap.Int64("wait_us", j.Wait))
+	e.outcome(c, j.Result)
 	e.router.Report(p, j.Result, j.Wait, j.Load)
+	e.legOver(c)
 }
 
 // settle counts a leg and puts on record that it never ran, where that is sure.
