--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 STATE ?= bin/state
 
-.PHONY: build test lint run toy
+.PHONY: build test lint run toy fleet-a fleet-b fleet-c links
 
 build:
 	mkdir -p bin && CGO_ENABLED=1 go build -ldflags=-linkmode=external -o bin/ ./cmd/...
@@ -20,3 +20,12 @@
 
 toy:
 	go run ./examples/toy serve
+
+# Three senders of one fleet, each in a shell of its own, and what stands between them: docs/fleet.md, Try it.
+fleet-a fleet-b fleet-c: fleet-%: build
+	mkdir -p $(STATE)-$*
+	RELAY_NAME=$* RELAY_LISTEN=127.0.0.1:$(subst c,6381,$(subst b,6380,$(subst a,6379,$*))) RELAY_DISCOVERY=127.0.0.1:8500 \
+	RELAY_STATE=$(STATE)-$* RELAY_CONFIG=examples/config.json exec bin/ravenlink --operator deploy/fleet-$*.toml
+
+links:
+	go run ./examples/toy links
--- a/examples/toy/main.go
+++ b/examples/toy/main.go
@@ -2,7 +2,8 @@
 // and a client.
 //
 //	toy serve [-status 200] [-wait 0.5]   the receiver of destination 7, discovery and the platform
-//	toy hand-in [-lane notice] [-n 1] TEXT   a client that hands TEXT in for destination 7
+//	toy hand-in [-at 127.0.0.1:6379] [-lane notice] [-n 1] TEXT   a client that hands TEXT in for destination 7
+//	toy links                             stands between the senders of deploy/fleet-*.toml, and cuts and mends links as it is told
 package main
 
 import (
@@ -30,7 +31,7 @@
 func main() {
 	log.SetFlags(log.Ltime | log.Lmicroseconds)
 	if len(os.Args) < 2 {
-		log.Fatal("toy serve | toy hand-in TEXT")
+		log.Fatal("toy serve | toy hand-in TEXT | toy links")
 	}
 	var err error
 	switch os.Args[1] {
@@ -38,6 +39,8 @@
 		err = serve(os.Args[2:])
 	case "hand-in":
 		err = handIn(os.Args[2:])
+	case "links":
+		err = links()
 	default:
 		err = fmt.Errorf("unknown: %s", os.Args[1])
 	}
@@ -101,8 +104,9 @@
 	flags := flag.NewFlagSet("hand-in", flag.ExitOnError)
 	lane := flags.String("lane", "notice", "lane of the messages")
 	n := flags.Int("n", 1, "how many messages")
+	at := flags.String("at", senderAddr, "the sender")
 	_ = flags.Parse(args)
-	c, err := net.Dial("tcp", senderAddr)
+	c, err := net.Dial("tcp", *at)
 	if err != nil {
 		return err
 	}
