A call that comes a little before its share waits at the gate instead of using up a leg

A shut gate sent the leg back as not sent. The call now waits up to 0.3 s on its own goroutine, as much of the rate as the module lets go at once, and told waits and drains are looked at again after it.

--- a/internal/fleet/limits.go
+++ b/internal/fleet/limits.go
@@ -22,8 +22,8 @@
 	mostDemand = 4096      // destinations of one shard that messages are counted for
 	holdLeast  = 40_000    // µs for which a destination is held back after its gate was shut: two ticks
 	holdMost   = 1_000_000
-	fewShare   = 6  // calls a second; a lesser share is single calls, lent to go at once, or a sender's own in doubt
-	fewTold    = 20 // what the module is told of those: the gate is their pace
+	fewShare   = 6        // calls a second; a lesser share is single calls, lent to go at once, or a sender's own in doubt
+	fewTold    = fewShare // what the module is told of those: the gate is their pace, and at this rate the module lets one go at a time
 )
 
 // limits has this sender's shares of destinations' limits, and tells the module of them.
@@ -267,27 +267,38 @@
 	}
 }
 
-// hold has the module wait a moment with a destination whose gate was shut: a call that is not let go costs it nothing, so it would come
-// again at once.
-func (r *Runtime) hold(dst int64) {
+// hold has the module wait with a destination whose gate was shut, at least so long: a call that is not let go costs it nothing, so it would
+// come again at once.
+func (r *Runtime) hold(dst, least int64) {
 	now := r.now()
 	r.told.mu.Lock()
-	news := len(r.told.held) < mostDemand
-	if news {
+	h, held := r.told.held[dst]
+	first := !held || now >= h.until
+	room := held || len(r.told.held) < mostDemand
+	if room {
 		is := r.told.is[dst]
-		wait := int64(holdLeast)
+		wait := least
 		if is > 0 && is < fewShare {
-			wait = min(max(int64(1e6/is), holdLeast), holdMost)
+			wait = min(max(int64(1e6/is), least), holdMost)
 		}
-		r.told.held[dst] = heldBack{now + wait, is}
+		r.told.held[dst] = heldBack{max(h.until, now+wait), is}
 		r.told.of[dst] = said{0, now}
 	}
 	r.told.mu.Unlock()
-	if news {
+	if first && room {
 		r.module.Shared(dst, 0)
 	}
 }
 
+// unhold lets the next tick tell the module its share again.
+func (r *Runtime) unhold(dst int64) {
+	r.told.mu.Lock()
+	defer r.told.mu.Unlock()
+	if h, held := r.told.held[dst]; held {
+		r.told.held[dst] = heldBack{0, h.share}
+	}
+}
+
 // unshare forgets a destination for which nothing waits.
 func (r *Runtime) unshare(dst int64) {
 	r.told.mu.Lock()
--- a/internal/fleet/runtime.go
+++ b/internal/fleet/runtime.go
@@ -17,11 +17,13 @@
 )
 
 const (
-	workers   = 4                     // beside the message loop's own goroutines; more gain nothing on the cores that a sender has
-	places    = 512                   // of work waiting for one worker; what finds none is lost, as a letter on the way may be
-	tickEvery = 20 * time.Millisecond // a twelfth of the usual beat, and half of the least time between two asks for a share
-	sayEvery  = 10 * time.Second      // between lines of counts
-	badNamed  = 256                   // lines in the log on letters that could not be read, by sender and kind
+	workers   = 4                      // beside the message loop's own goroutines; more gain nothing on the cores that a sender has
+	places    = 512                    // of work waiting for one worker; what finds none is lost, as a letter on the way may be
+	tickEvery = 20 * time.Millisecond  // a twelfth of the usual beat, and half of the least time between two asks for a share
+	sayEvery  = 10 * time.Second       // between lines of counts
+	gateWait  = 300 * time.Millisecond // for a share to be earned: as much of the rate as the module lets go at once
+	gateLook  = 5 * time.Millisecond
+	badNamed  = 256 // lines in the log on letters that could not be read, by sender and kind
 )
 
 // Runtime is one sender's part in its fleet.
@@ -236,12 +238,26 @@
 	}
 }
 
-// May is asked right before a call's first byte, with no lock held: may it go to this destination now? It takes the call off this sender's share.
+// May is asked right before a call's first byte, with no lock held: may it go to this destination now? It takes the call off this sender's
+// share. A call that comes a little before its share is earned waits for it here: sent back, it would have used up one of its message's legs.
+// It waits for no link, and the module is told to hold the destination back meanwhile, so that no more come.
 func (r *Runtime) May(dst int64) bool {
-	if r.hearsay != nil && !r.hearsay.lets() || r.limits != nil && !r.limits.spend(dst) {
-		r.counts.held.Inc()
-		r.hold(dst)
-		return false
+	if r.lets(dst) {
+		return true
 	}
-	return true
+	r.hold(dst, gateWait.Microseconds())
+	for end := r.now() + gateWait.Microseconds(); r.now() < end; {
+		time.Sleep(gateLook)
+		if r.lets(dst) {
+			r.unhold(dst)
+			return true
+		}
+	}
+	r.counts.held.Inc()
+	r.hold(dst, holdLeast)
+	return false
+}
+
+func (r *Runtime) lets(dst int64) bool {
+	return (r.hearsay == nil || r.hearsay.lets()) && (r.limits == nil || r.limits.spend(dst))
 }
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -115,7 +115,7 @@
 	timer     *time.Timer
 
 	// Gate, where set before the first message, is asked last before a leg's first byte: may a call go to this destination now?
-	// It is asked with no lock of the router held.
+	// It is asked with no lock of the router held, and may take a moment.
 	Gate func(dst int64) bool
 }
 
@@ -276,7 +276,10 @@
 
 // Stands is asked right before a leg's first byte: no wait has been told meanwhile, no drain, no end.
 func (r *Router) Stands(p Pick) bool {
-	return r.stands(p) && (r.Gate == nil || r.Gate(p.Receiver.dst))
+	if !r.stands(p) {
+		return false
+	}
+	return r.Gate == nil || r.Gate(p.Receiver.dst) && r.stands(p) // the gate may have taken a moment
 }
 
 func (r *Router) stands(p Pick) bool {
