--- a/internal/channels/contract.go
+++ b/internal/channels/contract.go
@@ -78,6 +78,14 @@
 	Withdrawn  bool   `json:"withdrawn"`
 }
 
+// IsContract tells whether an order is a contract, well formed or not.
+func IsContract(order []byte) bool {
+	var d struct {
+		Order string `json:"order"`
+	}
+	return json.Unmarshal(order, &d) == nil && d.Order == "contract"
+}
+
 // DecodeContract reads a contract as an order tells it: one JSON object, no unknown fields, spans such as "30s". All faults
 // come joined.
 func DecodeContract(text []byte) (Contract, error) {
--- a/internal/channels/line.go
+++ b/internal/channels/line.go
@@ -412,6 +412,46 @@
 	return t.done(now)
 }
 
+// Forget lets go of all that is known of channels to some destinations: contracts, positions, ids and messages that are not under way, which
+// end. The keys of all rows that went come back.
+func (t *Table) Forget(now int64, dsts []int64) (Effects, []string) {
+	mine := func(k *Contract) bool { return k != nil && slices.Contains(dsts, k.Dst) }
+	from := len(t.out.Rows)
+	for _, name := range slices.Sorted(maps.Keys(t.chans)) {
+		c := t.chans[name]
+		if s := t.seats[name]; !mine(c.contract) && (s == nil || !mine(s.Contract)) {
+			continue
+		}
+		for i := len(c.entries) - 1; i >= 0; i-- {
+			e := c.entries[i]
+			t.giveUp(now, c, i)
+			if e.released {
+				t.held--
+				t.drop(entryRow(e))
+			}
+		}
+		t.drop(ownKey + name)
+		delete(t.chans, name)
+	}
+	for _, name := range slices.Sorted(maps.Keys(t.seats)) {
+		if mine(t.seats[name].Contract) {
+			delete(t.seats, name)
+			t.drop(seatKey + name)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(t.orders)) {
+		if mine(&t.orders[name].Contract) {
+			delete(t.orders, name)
+			t.drop(orderKey + name)
+		}
+	}
+	var gone []string
+	for _, r := range t.out.Rows[from:] {
+		gone = append(gone, r.Key)
+	}
+	return t.done(now), gone
+}
+
 // Gone says that the channel's client has left its connection: another sender's wish for the channel is heeded at once.
 func (t *Table) Gone(channel string) {
 	if c := t.chans[channel]; c != nil {
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"ravenlink/internal/channels"
 	"ravenlink/internal/fleet"
 	"ravenlink/internal/platform"
 	"ravenlink/internal/routing"
@@ -28,7 +29,7 @@
 			log.Error("this sender takes no orders", zap.Error(err))
 		} else {
 			p.eraser = e
-			p.front.Orders = &platform.Orders{Dst: *t.Orders, Take: r.TakeOrder, Busy: fleet.ErrBusy}
+			p.front.Orders = &platform.Orders{Dst: *t.Orders, Take: takes(r), Busy: fleet.ErrBusy}
 		}
 	}
 	p.fleet = r
@@ -37,6 +38,16 @@
 	p.order(r)
 }
 
+// takes tells contracts from other orders.
+func takes(r *fleet.Runtime) func([]byte) error {
+	return func(order []byte) error {
+		if channels.IsContract(order) {
+			return r.TakeContract(order)
+		}
+		return r.TakeOrder(order)
+	}
+}
+
 // order has this sender take part in channels, where the table says so.
 func (p *Program) order(r *fleet.Runtime) {
 	settle := startup.KeyQuiet(p.settings)
--- a/internal/fleet/channels.go
+++ b/internal/fleet/channels.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"ravenlink/internal/channels"
@@ -84,6 +85,7 @@
 	post := func(l post.Letter[channels.Msg]) { send(r, links.Channels, []post.Letter[channels.Msg]{l}) }
 	o := &ordering{r: r, host: ordered.New(r.log, engine, rows{r.store}, table, post, settle)}
 	r.add(o)
+	r.ordering = o
 	return o.host, legMost, nil
 }
 
@@ -153,12 +155,35 @@
 	return all, err
 }
 
-// forget cannot take one tenant's rows out yet: where there are any, a purge of what was learned waits, and says why.
-func (o *ordering) forget([]int64) (int64, error) {
-	if _, n := o.host.View(); n.Channels+n.Seats+n.Orders > 0 {
-		return 0, errChannelRows
+// forget lets go of contracts and positions of channels to some destinations, so that none of their bytes is left in the fleet's log.
+func (o *ordering) forget(dsts []int64) (int64, error) {
+	gone, err := o.host.Forget(dsts)
+	if err != nil || len(gone) == 0 {
+		return 0, err
 	}
-	return 0, nil
+	return int64(len(gone)), o.r.store.Wipe(fleetlog.Channels, gone...)
 }
 
-var errChannelRows = errors.New("contracts and positions of channels cannot be erased yet")
+// TakeContract takes a contract on. Without an error it is on this sender's disk.
+func (r *Runtime) TakeContract(order []byte) error {
+	if r.ordering == nil {
+		return errors.New("channels are off here")
+	}
+	k, err := channels.DecodeContract(order)
+	if err != nil {
+		return err
+	}
+	i := slices.IndexFunc(r.table.Tenants, func(t Tenant) bool { return t.Name == k.Tenant })
+	if i < 0 {
+		return fmt.Errorf("tenant: no %q in the operator's file", k.Tenant)
+	}
+	if !slices.Contains(r.table.Tenants[i].Dst, k.Dst) {
+		return fmt.Errorf("dst: destination %d is not tenant %s's in the operator's file", k.Dst, k.Tenant)
+	}
+	if err := r.ordering.host.Declare(k); errors.Is(err, ordered.ErrBroken) {
+		return ErrBusy
+	} else if err != nil {
+		return err
+	}
+	return nil
+}
--- a/internal/fleet/runtime.go
+++ b/internal/fleet/runtime.go
@@ -36,12 +36,13 @@
 	pool   *Pool
 	counts *counts
 
-	watch   *watch
-	limits  *limits  // nil where each sender keeps to limits alone
-	hearsay *hearsay // nil where each sender goes by its own sight
-	purging *purging // nil where no orders are taken
-	parts   map[links.Kind]Part
-	order   []Part // the same, in the order in which they tick
+	watch    *watch
+	limits   *limits  // nil where each sender keeps to limits alone
+	hearsay  *hearsay // nil where each sender goes by its own sight
+	purging  *purging // nil where no orders are taken
+	parts    map[links.Kind]Part
+	ordering *ordering // nil where there are no channels
+	order    []Part    // the same, in the order in which they tick
 
 	told    told
 	namedMu sync.Mutex // a leaf
--- a/internal/fleettest/purge_test.go
+++ b/internal/fleettest/purge_test.go
@@ -127,7 +127,7 @@
 	})
 	r.Until("all end", func(rec Record) bool { return len(without(rec).Owed()) == 0 })
 	assert.Len(t, told(r.Record(), "complete"), 1)
-	for _, judge := range []Judge{OneEnd, Repeats(Lanes), Waits(travel), Drains(time.Second)} {
+	for _, judge := range []Judge{OneEnd(Lanes), Repeats(Lanes), Waits(travel), Drains(time.Second)} {
 		assert.Empty(t, judge(without(r.Record())))
 	}
 }
--- a/internal/ordered/host.go
+++ b/internal/ordered/host.go
@@ -43,7 +43,8 @@
 	shortest   = time.Millisecond
 )
 
-var errBroken = errors.New("channels: their state cannot be written")
+// ErrBroken says that channels have stopped here.
+var ErrBroken = errors.New("channels: their state cannot be written")
 
 // Host is one sender's part in channels. Its lock leads to no other and is held over no I/O.
 type Host struct {
@@ -163,6 +164,13 @@
 	return h.wait(h.add(e))
 }
 
+// Forget lets go of all that is known of channels to some destinations, and names the rows that went.
+func (h *Host) Forget(dsts []int64) ([]string, error) {
+	h.mu.Lock()
+	e, gone := h.table.Forget(h.engine.Now(), dsts)
+	return gone, h.wait(h.add(e))
+}
+
 // Heard takes a letter in.
 func (h *Host) Heard(from string, m channels.Msg) {
 	h.mu.Lock()
@@ -334,7 +342,7 @@
 	h.mu.Unlock()
 	<-j.done
 	if j.bad {
-		return errBroken
+		return ErrBroken
 	}
 	return nil
 }
