--- a/internal/channels/contract.go
+++ b/internal/channels/contract.go
@@ -59,6 +59,7 @@
 	From       int64    `cbor:"11,keyasint"` // the first position that it holds for
 	Withdrawn  bool     `cbor:"12,keyasint,omitempty"`
 	Electors   []string `cbor:"13,keyasint,omitempty"`
+	Born       uint64   `cbor:"14,keyasint,omitempty"` // drawn with version 1: a channel declared anew after a purge is another one
 }
 
 // declaration is the form of a contract in an order.
@@ -198,6 +199,6 @@
 }
 
 func (k Contract) same(o Contract) bool {
-	k.Electors, o.Electors = nil, nil
+	k.Electors, o.Electors, k.Born, o.Born = nil, nil, 0, 0
 	return fmt.Sprint(k) == fmt.Sprint(o)
 }
--- a/internal/channels/line.go
+++ b/internal/channels/line.go
@@ -413,10 +413,10 @@
 }
 
 // Forget lets go of all that is known of channels to some destinations: contracts, positions, ids and messages that are not under way, which
-// end. The keys of all rows that went come back.
+// end. The keys of all rows that went come back. Letters of those channels are refused for a day: others may not have purged them yet.
 func (t *Table) Forget(now int64, dsts []int64) (Effects, []string) {
 	mine := func(k *Contract) bool { return k != nil && slices.Contains(dsts, k.Dst) }
-	from := len(t.out.Rows)
+	from, borns := len(t.out.Rows), map[uint64]bool{}
 	for _, name := range slices.Sorted(maps.Keys(t.chans)) {
 		c := t.chans[name]
 		if s := t.seats[name]; !mine(c.contract) && (s == nil || !mine(s.Contract)) {
@@ -430,11 +430,15 @@
 				t.drop(entryRow(e))
 			}
 		}
+		if c.contract != nil {
+			borns[c.contract.Born] = true
+		}
 		t.drop(ownKey + name)
 		delete(t.chans, name)
 	}
 	for _, name := range slices.Sorted(maps.Keys(t.seats)) {
 		if mine(t.seats[name].Contract) {
+			borns[t.seats[name].Contract.Born] = true
 			delete(t.seats, name)
 			t.drop(seatKey + name)
 		}
@@ -445,11 +449,17 @@
 			t.drop(orderKey + name)
 		}
 	}
-	var gone []string
+	var keys []string
 	for _, r := range t.out.Rows[from:] {
-		gone = append(gone, r.Key)
+		keys = append(keys, r.Key)
+	}
+	for _, born := range slices.Sorted(maps.Keys(borns)) {
+		if len(t.gone) < t.room.Channels {
+			t.gone[born] = now + t.t.Forget
+			t.row(goneRow(born), gone{born, t.gone[born]})
+		}
 	}
-	return t.done(now), gone
+	return t.done(now), keys
 }
 
 // Gone says that the channel's client has left its connection: another sender's wish for the channel is heeded at once.
--- a/internal/channels/seat.go
+++ b/internal/channels/seat.go
@@ -135,7 +135,7 @@
 		answer.Kind, answer.Cause = Refused, err.Error()
 	} else if k.Version > s.newest().Version {
 		next := *k
-		next.Electors = s.Contract.Electors
+		next.Electors, next.Born = s.Contract.Electors, s.Contract.Born
 		s.Next = &next
 		t.keepSeat(now, k.Channel, s)
 	}
--- a/internal/channels/table.go
+++ b/internal/channels/table.go
@@ -23,6 +23,7 @@
 	ownKey   = "o/"
 	entryKey = "e/"
 	orderKey = "d/"
+	goneKey  = "f/"
 )
 
 const (
@@ -49,6 +50,7 @@
 	seats   map[string]*seat    // emptied by forgetSeat
 	chans   map[string]*channel // emptied when idle without messages
 	orders  map[string]*order   // emptied by a majority's answers
+	gone    map[uint64]int64    // by a contract's Born: purged, and refused until then; emptied as that passes
 	due     alarms
 	held    int
 	local   []Msg // letters to oneself
@@ -67,11 +69,17 @@
 	again    int64
 }
 
+// gone is a purged channel, by nothing that its tenant named.
+type gone struct {
+	Born  uint64 `cbor:"1,keyasint"`
+	Until int64  `cbor:"2,keyasint"`
+}
+
 // New makes a table. Life is the sender's incarnation, which grows with each start on the same folder. Listed are all senders of the
 // operator's file, self among them.
 func New(self string, life uint64, listed []string, timing Timing, room Room) *Table {
 	return &Table{self: self, life: life, listed: slices.Sorted(slices.Values(listed)), t: timing, room: room,
-		seats: map[string]*seat{}, chans: map[string]*channel{}, orders: map[string]*order{}}
+		seats: map[string]*seat{}, chans: map[string]*channel{}, orders: map[string]*order{}, gone: map[uint64]int64{}}
 }
 
 // Electors are the senders whose majority decides who owns a channel, first the one that is asked first: the three of
@@ -103,9 +111,9 @@
 	if len(t.orders) >= t.room.Channels {
 		return Effects{}, fmt.Errorf("%d declarations wait for their electors already", len(t.orders))
 	}
-	k.Electors = Electors(t.listed, k.Channel)
+	k.Electors, k.Born = Electors(t.listed, k.Channel), xxhash.Sum64String(fmt.Sprint(t.self, t.life, now, k.Channel))|1
 	if known != nil && known.Electors != nil {
-		k.Electors = known.Electors
+		k.Electors, k.Born = known.Electors, known.Born
 	}
 	o := &order{Contract: k, yes: map[string]bool{}, no: map[string]bool{}}
 	t.orders[k.Channel] = o
@@ -175,10 +183,29 @@
 		t.bad++
 		return Effects{}
 	}
+	if m.Contract != nil && t.purged(now, m.Contract.Born) {
+		if m.Kind == Hold {
+			t.send(from, Msg{Kind: Deny, Channel: m.Channel, At: m.At, Life: m.Life, Fence: m.Fence, Blank: true})
+		}
+		return t.done(now)
+	}
 	t.hear(now, from, m)
 	return t.done(now)
 }
 
+// purged tells whether a letter is of a channel that this sender has purged, and so is older than the purge.
+func (t *Table) purged(now int64, born uint64) bool {
+	until, there := t.gone[born]
+	if there && now >= until {
+		delete(t.gone, born)
+		t.drop(goneRow(born))
+		return false
+	}
+	return there
+}
+
+func goneRow(born uint64) string { return fmt.Sprintf("%s%x", goneKey, born) }
+
 func (t *Table) hear(now int64, from string, m Msg) {
 	switch m.Kind {
 	case Ask:
@@ -346,6 +373,12 @@
 		}
 		t.orders[name] = o
 		t.wakeAt(now, name, false)
+	case goneKey:
+		g := gone{}
+		if err := cbor.Unmarshal(r.Value, &g); err != nil {
+			return err
+		}
+		t.gone[g.Born] = g.Until
 	case ownKey:
 		c := t.open(name)
 		if err := cbor.Unmarshal(r.Value, &c.mine); err != nil {
--- a/internal/channels/view.go
+++ b/internal/channels/view.go
@@ -63,6 +63,9 @@
 			t.row(ownKey+name, c.mine)
 		}
 	}
+	for _, born := range slices.Sorted(maps.Keys(t.gone)) {
+		t.row(goneRow(born), gone{born, t.gone[born]})
+	}
 	for _, name := range slices.Sorted(maps.Keys(t.seats)) {
 		t.row(seatKey+name, t.seats[name])
 	}
