--- a/internal/fleettest/channels_test.go
+++ b/internal/fleettest/channels_test.go
@@ -65,18 +65,25 @@
 // elsewhere has the client lose its connection and go on at another sender.
 func (s *stream) elsewhere(sender int) { s.c.Leave(); s.c = s.r.Client(sender) }
 
-// judge reads what the receiver got: ascending positions, none twice.
-func (s *stream) judge() {
-	s.r.t.Helper()
+// ascending judges what the receiver got: positions in order, none twice.
+func ascending(rec Record) (faults []string) {
 	last := int64(0)
-	for _, c := range s.r.Record().Calls {
+	for _, c := range rec.Calls {
 		pos, err := strconv.ParseInt(strings.TrimPrefix(c.ID, "x"), 10, 64)
 		if err != nil || !c.Ran() {
 			continue
 		}
-		assert.Greater(s.r.t, pos, last, "position %d came after %d", pos, last)
+		if pos <= last {
+			faults = append(faults, fmt.Sprintf("position %d came after %d, from %s", pos, last, c.Sender))
+		}
 		last = pos
 	}
+	return faults
+}
+
+func (s *stream) judge() {
+	s.r.t.Helper()
+	assert.Empty(s.r.t, ascending(s.r.Record()))
 }
 
 func (s *stream) until(pos int64) {
@@ -147,3 +154,113 @@
 	s.until(s.next - 1)
 	s.judge()
 }
+
+// each sets the same faults on every link.
+func (r *Rig) each(f Faults) {
+	for _, from := range r.Senders() {
+		for _, to := range r.Senders() {
+			if from != to {
+				r.Link(from.Name, to.Name).Set(f)
+			}
+		}
+	}
+}
+
+// TestChannelSchedules plays further fixed schedules; after each the channel goes on at a further sender, and the judge reads what came.
+func TestChannelSchedules(t *testing.T) {
+	t.Parallel()
+	for name, play := range map[string]func(r *Rig, s *stream){
+		"slow-links": func(r *Rig, s *stream) {
+			r.each(Faults{Delay: 60 * time.Millisecond})
+			s.hand(10)
+			s.elsewhere(1)
+			s.hand(10)
+		},
+		"a-tenth-lost-doubled-and-late": func(r *Rig, s *stream) {
+			r.each(Faults{Loss: 0.1, Doubles: 0.2, Disorder: 0.2, ReplayWait: 300 * time.Millisecond})
+			s.hand(10)
+			s.elsewhere(1)
+			s.hand(10)
+			s.elsewhere(2)
+			s.hand(10)
+		},
+		"no-link-works": func(r *Rig, s *stream) {
+			s.hand(10)
+			r.each(Faults{Cut: true})
+			s.elsewhere(1)
+			time.AfterFunc(4*time.Second, r.Heal) // past every lease
+			s.hand(10)
+		},
+		"links-half-open": func(r *Rig, s *stream) {
+			s.hand(5)
+			r.each(Faults{HalfOpen: true})
+			time.AfterFunc(3*time.Second, r.Heal)
+			s.hand(10)
+		},
+		"owner-heard-and-deaf": func(r *Rig, s *stream) {
+			s.hand(10)
+			r.Link("b", "a").Set(Faults{Cut: true})
+			r.Link("c", "a").Set(Faults{Cut: true})
+			s.elsewhere(1)
+			s.hand(10)
+			r.Heal()
+			s.elsewhere(0)
+			s.hand(5)
+		},
+		"owner-killed-in-mid-burst-and-back-at-once": func(r *Rig, s *stream) {
+			r.Conduct(acme, Conduct{Down: true})
+			s.hand(8)
+			r.Sender("a").Kill()
+			r.Sender("a").Start()
+			r.Conduct(acme, Conduct{})
+			s.hand(8)
+		},
+		"an-elector-without-its-folder": func(r *Rig, s *stream) {
+			s.hand(5)
+			r.Sender("c").Kill()
+			r.Sender("c").Wipe()
+			r.Sender("c").Start()
+			s.elsewhere(1)
+			s.hand(5)
+			s.elsewhere(2)
+			s.hand(5)
+		},
+		"one-sender-after-another-restarts": func(r *Rig, s *stream) {
+			for i, name := range []string{"a", "b", "c"} {
+				s.hand(5)
+				r.Sender(name).Term()
+				r.Sender(name).Start()
+				s.elsewhere((i + 1) % 3)
+			}
+			s.hand(5)
+		},
+		"a-client-that-comes-and-goes": func(r *Rig, s *stream) {
+			for i := range 12 {
+				s.elsewhere(i % 3)
+				s.hand(1)
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := ordering(t, "skip")
+			s := r.stream()
+			play(r, s)
+			s.elsewhere(2)
+			s.hand(3)
+			s.until(s.next - 1)
+			s.judge()
+		})
+	}
+}
+
+// A receiver that got positions out of order, or one twice, is found.
+func TestChannelJudgeFails(t *testing.T) {
+	for name, ids := range map[string][]string{"disorder": {"x1", "x3", "x2"}, "doubled": {"x1", "x1"}} {
+		rec := Record{}
+		for _, id := range ids {
+			rec.Calls = append(rec.Calls, Call{ID: id, Status: 200})
+		}
+		assert.NotEmpty(t, ascending(rec), name)
+	}
+}
