--- a/choice/choice.go
+++ b/choice/choice.go
@@ -66,6 +66,8 @@
 	meanStep       = 1.0 / 32    // weight of the newest answer time in the mean over all destinations
 	leastTook      = second / 20 // µs; answers quicker than that are alike
 	leastRoom      = 0.1         // odds of a receiver that seems full: it may have room after all
+	idleLean       = 4.0         // odds of a receiver to which an idle connection stands, likewise
+	laneFailed     = 0.05        // odds of a receiver where the latest leg of that lane went wrong
 	farLean        = 0.3         // odds of a receiver across zones where a crossing has a price
 	waitKeeps      = 0.4         // odds that what waits still goes: below late values, so fresh goes first
 	roomKept       = 0.97        // of the holding room; beyond, messages that cannot go soon are pushed back
@@ -77,6 +79,7 @@
 	lossStep       = 0.03        // weight of the newest leg in the share of lost ones
 	usualLoss      = 0.05        // share of lost legs up to which a row of them counts in full
 	distrustFor    = 60 * second // µs: none trusted, where loss is common; new ones cost less
+	staleRow       = 2           // legs lost in a row on idle connections from which none is trusted
 	staleIdle      = second / 5  // µs without a call from which a connection counts as idle
 	scarceFor      = 60 * second // µs after a failed connect for which no connection is kept idle there
 	backEvery      = 2 * second  // µs between two notes of one receiver's return
@@ -343,7 +346,7 @@
 	}
 	r := s.recvs[e.Receiver]
 	if r == nil {
-		r = &receiver{id: e.Receiver, dst: d, route: d.route}
+		r = &receiver{id: e.Receiver, dst: d, route: d.route, fails: map[*Lane]bool{}}
 		if d.kind.Apart {
 			r.route = &route{}
 		}
@@ -510,6 +513,7 @@
 	}
 	c.open--
 	c.r.usedAt = s.now
+	s.countStale(c, o)
 	if s.now < c.r.scarceTill {
 		s.spare = append(s.spare, c.r)
 	}
@@ -522,6 +526,9 @@
 	s.reported(c.r, rep)
 	s.wake(c.r.dst)
 	s.countLost(c.r, o)
+	if o == Delivered || o == Errored || o == TimedOut || o == Reset {
+		c.r.fails[m.lane] = o != Delivered
+	}
 	if m.line != nil && (o == TimedOut || o == Reset || o == Cancelled) {
 		m.line.rest = s.now + s.guards.KeyRest
 	}
@@ -558,6 +565,20 @@
 	}
 }
 
+// countStale sees connections that die while idle: a row of legs lost on such. Danger: a thin sender sees a
+// receiver too seldom to tell loss on the way by answers that come later.
+func (s *Sender) countStale(c *call, o Outcome) {
+	switch {
+	case !c.onIdle:
+	case o == Delivered:
+		s.stale = 0
+	case o == TimedOut || o == Reset || o == Cancelled:
+		if s.stale++; s.stale >= staleRow {
+			s.distrust = s.now + distrustFor
+		}
+	}
+}
+
 // repeat is the design's mechanism: budget, told wait plus full jitter, deadline.
 func (s *Sender) repeat(m *msg, o Outcome, wait int64) {
 	d := m.dst
@@ -967,6 +988,7 @@
 	for _, d := range s.awake() {
 		if len(d.held) > 0 || len(d.recvs) > 0 {
 			s.tryClosed(d)
+			s.giveUp(d)
 			ready = append(ready, d)
 		}
 	}
@@ -979,6 +1001,27 @@
 	s.setTimer()
 }
 
+// giveUp ends at once what cannot go in time: nobody hears of a return before the next trial. Held, it would
+// fill the room and run out; pushed back, its client finds another sender, or this one later.
+func (s *Sender) giveUp(d *dst) {
+	at := never
+	for _, r := range d.recvs {
+		hope := max(r.route.waitUntil, r.route.pause)
+		if r.health == closed {
+			hope = max(hope, r.route.trialAt)
+		}
+		at = min(at, hope)
+	}
+	if at == never {
+		return
+	}
+	for _, m := range slices.Clone(d.held) {
+		if m.lastChance() < at {
+			s.end(m, at-s.now)
+		}
+	}
+}
+
 // tryClosed probes closed receivers, rarely.
 func (s *Sender) tryClosed(d *dst) {
 	for _, r := range d.recvs {
@@ -1090,7 +1133,7 @@
 	d := m.dst
 	r := s.draw(m, s.usable(d))
 	s.refresh(r)
-	c := &call{r: r, sentAt: s.now}
+	c := &call{r: r, sentAt: s.now, onIdle: s.hasIdle(r) && s.now-r.usedAt > staleIdle}
 	s.calls, r.calls = s.calls+1, r.calls+1
 	d.calls, d.calledAt = append(d.calls, c), s.now
 	s.keepBusy(d)
@@ -1112,7 +1155,7 @@
 
 // refresh guards against connections that died while idle: only a new one helps. Done while loss is common.
 func (s *Sender) refresh(r *receiver) {
-	if r.calls == 0 && s.now < s.distrust && s.now-r.usedAt > staleIdle {
+	if r.calls == 0 && !s.hasIdle(r) && s.now < s.distrust {
 		s.host.CloseIdle(r.id)
 	}
 }
@@ -1125,7 +1168,9 @@
 	s.host.Send(m.id, c.r.id, s.patience(m, c.r))
 }
 
-// draw picks one receiver at random, odds in step with the room each is thought to have.
+// draw picks one receiver at random, odds in step with the room each is thought to have, rather one with an
+// idle connection: in a large fleet most calls of a thin sender would open one. Danger: an endpoint may fail
+// one lane alone, and its other lanes' answers clear its strikes.
 func (s *Sender) draw(m *msg, rs []*receiver) *receiver {
 	var best *receiver
 	sum := 0.0
@@ -1134,6 +1179,12 @@
 			continue
 		}
 		odds := max(leastRoom, float64(r.peak+1-r.calls))
+		if s.hasIdle(r) {
+			odds *= idleLean
+		}
+		if r.fails[m.lane] {
+			odds *= laneFailed
+		}
 		if r.zone != s.team.Zone && s.team.CrossingFee > 0 {
 			odds *= farLean
 		}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -27,6 +27,7 @@
 	PushedBack bool
 	Advice     int64 // µs after which its client should come again, 0 for none
 	Story      []Told
+	Bare       bool // its body was erased on a purge's order before this process began
 }
 
 // Told is a leg and what became of it, as far as this process has seen it.
@@ -44,6 +45,16 @@
 	Undelivered(u Undelivered)
 }
 
+// Watcher hears what becomes of messages, by destination: one was taken on, a leg of it begins, that leg is over and it waits again, a call
+// was turned away, it ended.
+type Watcher interface {
+	Came(dst int64)
+	Began(dst int64)
+	Paused(dst int64)
+	TurnedAway(dst int64)
+	Ended(dst int64)
+}
+
 // Leg is one to be carried.
 type Leg struct {
 	Msg      *spool.Message
