Timers for what a turn woke; what cannot be repeated waits where a leg just went wrong

Causes: (1) a destination woken by a turn's own sends stayed due until the next event, so the time when pace or ramp let its next call go, and the look at overdue calls, were lost: a thin sender waited for some other event. (2) A message that cannot be repeated was thrown at destinations that had just failed one. Bookkeeping without a decision (constructor, rates, bucket spans) moves to state.go, which holds just that.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -37,6 +37,7 @@
 
 	strikesToClose = 3.0             // points; three errors in a row, two silent ones or failed connects
 	silentStrike   = 1.5             // points; a leg without any answer says more than an error
+	waryFor        = 2.0             // target times that what cannot be repeated waits after a leg went wrong
 	refusedRow     = 2               // refusals without a success that look like a shut destination
 	refusedSilence = 3 * second      // µs that such a row must last; limiters free room sooner
 	pauseFirst     = second / 4      // µs; pause of a route after a refusal, doubled by each further one
@@ -60,6 +61,8 @@
 	pressGap       = second      // µs between two cuts; the last one must have shown first
 	leastShareLeft = 0.2         // of a limit; told less, a route waits for the next token
 	paceBurst      = 0.3         // seconds of the rate that may go at once
+	okSpan         = 2 * second  // µs; successes are counted over such spans at least,
+	okLeast        = 5           // and until there are so many: fewer make no rate
 	scarceSlots    = 0.85        // of the slots; with more in use, patience goes by the answer times
 	patienceVar    = 9           // deviations above the mean answer time until a leg is given up
 	slowVar        = 4           // deviations until a leg out counts as slow
@@ -135,34 +138,6 @@
 	}
 }
 
-// budget is the design's retry bucket. Its spans are a ring, so it never grows.
-type budget struct {
-	spans [int(ttl/creditSpan) + 1]struct {
-		span int64
-		n    int
-	}
-	spent float64
-}
-
-func (b *budget) expire(now int64, percent float64) (live int) {
-	edge := now/creditSpan - int64(ttl/creditSpan)
-	for i := range b.spans {
-		if s := &b.spans[i]; s.n > 0 && s.span <= edge {
-			b.spent = max(0, b.spent-float64(s.n)*percent)
-			s.n = 0
-		}
-		live += b.spans[i].n
-	}
-	return live
-}
-
-func (b *budget) deposit(now int64, percent float64) {
-	b.expire(now, percent)
-	s := &b.spans[(now/creditSpan)%int64(len(b.spans))]
-	s.span = now / creditSpan
-	s.n++
-}
-
 func (b *budget) withdraw(now int64, percent, floor float64) bool {
 	live := b.expire(now, percent)
 	may := float64(live)*percent+floor*float64(ttl/second)-b.spent >= 1
@@ -248,23 +223,6 @@
 	return slices.MinFunc(s.lanes, func(a, b Lane) int { return cmp.Compare(a.Target, b.Target) }).Target
 }
 
-// rate is how many messages a second this sender takes on, 0 while it has not run long enough to tell.
-func (s *Sender) rate() float64 {
-	if s.now-s.takenFrom < rateSpan {
-		return 0
-	}
-	return float64(s.taken) * float64(second) / float64(s.now-s.takenFrom)
-}
-
-// heardRate takes a fellow's rate. Busy ones are refused and heard more often in step with their rates, so
-// the mean of the gaps between messages, not of the rates, is the team's.
-func (s *Sender) heardRate(text string) {
-	if rate, err := strconv.ParseFloat(text, 64); err == nil && rate >= rateLeast {
-		s.meanGap = cmp.Or(s.meanGap, 1/rate)
-		s.meanGap += (1/rate - s.meanGap) * meanStep
-	}
-}
-
 // readyAt is when pace and told wait let a call go.
 func (p *route) readyAt(now int64) int64 {
 	p.refill(now)
@@ -296,6 +254,19 @@
 	p.pause = now + int64((0.5+chance)*float64(min(max(pauseMost, turn), first<<min(p.row-1, 10))))
 }
 
+// succeeded ends a row of refusals, and keeps the best rate over a span, less the noise: where spans hold few,
+// the best of many lies far above the mean.
+func (p *route) succeeded(now int64, open bool) {
+	p.row, p.oks = 0, p.oks+1
+	if !open || p.okFrom == 0 { // a ramp's own restraint is no measure
+		p.okFrom, p.okNow = now, 0
+	} else if now-p.okFrom > okSpan && p.okNow >= okLeast {
+		p.okPeak = max(p.okPeak, (p.okNow-math.Sqrt(p.okNow))*float64(second)/float64(now-p.okFrom))
+		p.okFrom, p.okNow = now, 0
+	}
+	p.okNow++
+}
+
 func (d *dst) slowAfter() float64 { return d.mean + slowVar*d.dev }
 
 // overdue calls take longer than the answers seen at their destination make likely.
@@ -303,22 +274,6 @@
 	return c.r.dst.sampled && float64(now-c.sentAt) > c.r.dst.slowAfter()
 }
 
-// New starts a sender that knows nothing yet.
-func New(h Host, seed uint64, team Team, lanes []Lane, kinds []Kind, room Room, allowed Allowed,
-	guards Guards, trust WeightTrust) *Sender {
-	return &Sender{host: h, seed: seed, team: team, lanes: lanes, kinds: kinds, room: room, allowed: allowed,
-		guards: guards, trust: trust, timerAt: never, floor: minRetriesPerSec, msgs: map[string]*msg{}, dsts: map[int64]*dst{},
-		recvs: map[uint32]*receiver{}, lines: map[string]*keyLine{}}
-}
-
-// At sets the clock for the events that follow.
-func (s *Sender) At(now int64) {
-	if s.now == 0 {
-		s.startAt, s.takenFrom, s.askAt = now, now, now+int64(s.chance()*askSpread*float64(s.guards.AskWithin))
-	}
-	s.now = now
-}
-
 // Listed takes a list of receivers. A failed lookup leaves the old one in force.
 func (s *Sender) Listed(form ListForm, entries []Entry) {
 	if form == LookupFailed {
@@ -617,8 +572,7 @@
 		d.told.deposit(s.now, percentCanRetry*toldWaitBonus)
 		d.timed(float64(s.now - c.sentAt))
 		s.mean += (float64(s.now-c.sentAt) - s.mean) * meanStep
-		r.route.row = 0
-		r.route.oks++
+		r.route.succeeded(s.now, r.health == open)
 		s.answered(r, c.sentAt)
 	case Full:
 		if r.route.pressed(s.now, s.target(), s.chance()) && s.allowed.Notes {
@@ -639,23 +593,6 @@
 	}
 }
 
-func (d *dst) timed(t float64) {
-	if !d.sampled {
-		d.mean, d.dev, d.sampled = t, t/2, true
-		return
-	}
-	d.dev += (math.Abs(t-d.mean) - d.dev) / 4
-	d.mean += (t - d.mean) / 8
-}
-
-// answerTime is how long answers take; where a destination has given none, as long as elsewhere.
-func (s *Sender) answerTime(d *dst) (mean, dev float64) {
-	if !d.sampled {
-		return s.mean, s.mean / 2
-	}
-	return d.mean, d.dev
-}
-
 func (s *Sender) reported(r *receiver, rep Report) {
 	if rep.Told && rep.LimitPerSec > 0 {
 		if rep.LimitPerSec != r.route.told {
@@ -702,6 +639,7 @@
 		return
 	}
 	r.strikes += points * s.weightOfSilence()
+	r.struckAt = s.now
 	if r.strikes >= strikesToClose || r.health == warming && !r.proved {
 		s.close(r)
 	} else if r.health == warming && r.strikes > 1 {
@@ -850,7 +788,7 @@
 	// What this sender delivered while it stood: over all senders the sum is right, however thin each. Danger:
 	// the best of many spans is twice the mean, and what arrives counts each time that clients come again.
 	stood := max(s.now-s.startAt-r.dst.downFor(s.now), rateSpan)
-	return float64(s.team.Senders) * max(1, r.route.oks) * float64(second) / float64(stood)
+	return float64(s.team.Senders) * max(r.route.okPeak, max(1, r.route.oks)*float64(second)/float64(stood))
 }
 
 // ramp is this sender's share of what a receiver back from an outage may be sent, in calls a second.
@@ -918,7 +856,7 @@
 	for _, d := range s.busy {
 		s.callOffOvertaken(d)
 		sentAt := d.calls[0].sentAt
-		if due := sentAt + int64(d.slowAfter()); due > s.now {
+		if due := sentAt + int64(d.slowAfter()) + 1; due > s.now {
 			s.wakeBy(d, due)
 			continue
 		}
@@ -979,13 +917,14 @@
 		s.askAt, s.askedAt = never, s.now
 		s.host.Subscribe()
 	}
-	s.callOff()
 	s.restOver()
 	for len(s.expiry) > 0 && s.expiry[0].giveUp <= s.now {
 		s.end(s.expiry[0], 0)
 	}
+	awake := s.awake()
+	s.callOff() // once they are no longer due: what it sets for later would be lost
 	var ready []*dst
-	for _, d := range s.awake() {
+	for _, d := range awake {
 		if len(d.held) > 0 || len(d.recvs) > 0 {
 			s.tryClosed(d)
 			s.giveUp(d)
@@ -1099,7 +1038,7 @@
 // the time its call holds a slot. Danger: a backlog served as it runs out of time makes all that follow late.
 func (s *Sender) mostUrgent(d *dst, rs []*receiver) (c candidate) {
 	for _, m := range d.held {
-		if !s.mayGo(m) || !slices.ContainsFunc(rs, func(r *receiver) bool { return m.mayGoTo(r, s.now) }) {
+		if !s.mayGo(m) || !slices.ContainsFunc(rs, func(r *receiver) bool { return s.fits(m, r) }) {
 			continue
 		}
 		if u := s.urgency(m); c.m == nil || u > c.urgent {
@@ -1109,6 +1048,18 @@
 	return c
 }
 
+func (s *Sender) fits(m *msg, r *receiver) bool { return m.mayGoTo(r, s.now) && !s.wary(m, r) }
+
+// wary keeps what cannot be repeated from where the latest leg went wrong: others find out.
+func (s *Sender) wary(m *msg, r *receiver) bool {
+	until := r.struckAt + int64(waryFor*float64(m.lane.Target))
+	if m.lane.Repeat != NonRetriable || r.strikes == 0 || until <= s.now {
+		return false
+	}
+	s.wakeBy(m.dst, until)
+	return true
+}
+
 func (s *Sender) mayGo(m *msg) bool {
 	if m.notBefore > s.now {
 		s.wakeBy(m.dst, m.notBefore)
@@ -1175,7 +1126,7 @@
 	var best *receiver
 	sum := 0.0
 	for _, r := range rs {
-		if !m.mayGoTo(r, s.now) {
+		if !s.fits(m, r) {
 			continue
 		}
 		odds := max(leastRoom, float64(r.peak+1-r.calls))
--- a/choice/state.go
+++ b/choice/state.go
@@ -1,9 +1,12 @@
 package choice
 
 import (
+	"cmp"
 	"encoding/binary"
 	"hash/crc32"
+	"math"
 	"slices"
+	"strconv"
 )
 
 // What the module remembers, without any decision: those are in choice.go.
@@ -153,6 +156,9 @@
 	trialAt   int64   // no probe of a closed receiver before
 	pause     int64   // until when a row of refusals keeps all calls back
 	oks       float64 // successes
+	okFrom    int64
+	okNow     float64 // successes in the span since okFrom
+	okPeak    float64 // most successes a second over a span, less their noise
 }
 
 type health uint8
@@ -176,6 +182,7 @@
 	health     health
 	since      int64 // of the last change of health, or of the last setback while warming
 	strikes    float64
+	struckAt   int64
 	fails      map[*Lane]bool // the latest leg of that lane went wrong there
 	missed     bool           // lost a leg since it last delivered
 	usedAt     int64          // of the latest outcome
@@ -379,6 +386,9 @@
 	if len(s.wakes) > 0 {
 		at = min(at, s.wakes[0].wakeAt)
 	}
+	if len(s.due) > 0 { // what this turn sent woke its destination: its next time to go is not known yet
+		at = s.now + 1
+	}
 	if at < s.timerAt && at < never {
 		s.timerAt = at
 		s.host.Timer(max(1, at-s.now), 0)
@@ -468,3 +478,81 @@
 	d := s.dsts[id]
 	return d != nil && len(d.recvs) > 0 && !slices.ContainsFunc(d.recvs, (*receiver).sick)
 }
+
+// budget is the design's retry bucket. Its spans are a ring, so it never grows.
+type budget struct {
+	spans [int(ttl/creditSpan) + 1]struct {
+		span int64
+		n    int
+	}
+	spent float64
+}
+
+func (b *budget) expire(now int64, percent float64) (live int) {
+	edge := now/creditSpan - int64(ttl/creditSpan)
+	for i := range b.spans {
+		if s := &b.spans[i]; s.n > 0 && s.span <= edge {
+			b.spent = max(0, b.spent-float64(s.n)*percent)
+			s.n = 0
+		}
+		live += b.spans[i].n
+	}
+	return live
+}
+
+func (b *budget) deposit(now int64, percent float64) {
+	b.expire(now, percent)
+	s := &b.spans[(now/creditSpan)%int64(len(b.spans))]
+	s.span = now / creditSpan
+	s.n++
+}
+
+// rate is how many messages a second this sender takes on, 0 while it has not run long enough to tell.
+func (s *Sender) rate() float64 {
+	if s.now-s.takenFrom < rateSpan {
+		return 0
+	}
+	return float64(s.taken) * float64(second) / float64(s.now-s.takenFrom)
+}
+
+// heardRate takes a fellow's rate. Busy ones are refused and heard more often in step with their rates, so
+// the mean of the gaps between messages, not of the rates, is the team's.
+func (s *Sender) heardRate(text string) {
+	if rate, err := strconv.ParseFloat(text, 64); err == nil && rate >= rateLeast {
+		s.meanGap = cmp.Or(s.meanGap, 1/rate)
+		s.meanGap += (1/rate - s.meanGap) * meanStep
+	}
+}
+
+// New starts a sender that knows nothing yet.
+func New(h Host, seed uint64, team Team, lanes []Lane, kinds []Kind, room Room, allowed Allowed,
+	guards Guards, trust WeightTrust) *Sender {
+	return &Sender{host: h, seed: seed, team: team, lanes: lanes, kinds: kinds, room: room, allowed: allowed,
+		guards: guards, trust: trust, timerAt: never, floor: minRetriesPerSec, msgs: map[string]*msg{}, dsts: map[int64]*dst{},
+		recvs: map[uint32]*receiver{}, lines: map[string]*keyLine{}}
+}
+
+// At sets the clock for the events that follow.
+func (s *Sender) At(now int64) {
+	if s.now == 0 {
+		s.startAt, s.takenFrom, s.askAt = now, now, now+int64(s.chance()*askSpread*float64(s.guards.AskWithin))
+	}
+	s.now = now
+}
+
+func (d *dst) timed(t float64) {
+	if !d.sampled {
+		d.mean, d.dev, d.sampled = t, t/2, true
+		return
+	}
+	d.dev += (math.Abs(t-d.mean) - d.dev) / 4
+	d.mean += (t - d.mean) / 8
+}
+
+// answerTime is how long answers take; where a destination has given none, as long as elsewhere.
+func (s *Sender) answerTime(d *dst) (mean, dev float64) {
+	if !d.sampled {
+		return s.mean, s.mean / 2
+	}
+	return d.mean, d.dev
+}
