Two calls gone wrong or refused in a row pause a route as a cold share has it

Cause: messages' own repeats at receivers that need several strikes each to close. New code cannot repeat it: after the second failure in a row at a route a sender's calls keep to the interval of its cold share.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -40,6 +40,7 @@
 	waryFor        = 2.0             // target times that what cannot be repeated waits after a leg went wrong
 	refusedRow     = 2               // refusals without a success that look like a shut destination
 	refusedSilence = 3 * second      // µs that such a row must last; limiters free room sooner
+	badRow         = 2               // calls wrong or refused in a row, anywhere at a route: an outage?
 	pauseFirst     = second / 4      // µs; pause of a route after a refusal, doubled by each further one
 	pauseTurn      = 0.3             // of the interval of a cold share; the first pause at least
 	pauseMost      = 2 * second      // µs; longest such pause
@@ -247,17 +248,26 @@
 		return
 	}
 	turn := int64(float64(second) / max(share, leastTrials))
-	if p.share > 0 { // pace keeps to the limit; a cold share's interval is minutes in a large fleet
+	if p.share > 0 && p.row+p.bad < badRow { // pace keeps to the limit; a cold share's interval may be minutes
 		turn = 0
 	}
 	first := max(pauseFirst, int64(pauseTurn*float64(turn)))
 	p.pause = now + int64((0.5+chance)*float64(min(max(pauseMost, turn), first<<min(p.row-1, 10))))
 }
 
-// succeeded ends a row of refusals, and keeps the best rate over a span, less the noise: where spans hold few,
-// the best of many lies far above the mean.
+// failed spaces the calls of a sender that sees only failures at a route. Danger: closing takes strikes at
+// each receiver; in a large fleet the messages' own repeats, harmless alone, push a return over.
+func (s *Sender) failed(r *receiver) {
+	if r.route.bad++; r.route.bad >= badRow && s.weightOfSilence() >= 1 {
+		turn := float64(second) / max(s.coldShare(r, s.guards.StartShare), leastTrials)
+		r.route.pause = max(r.route.pause, s.now+int64((0.5+s.chance())*pauseTurn*turn))
+	}
+}
+
+// succeeded ends such rows, and keeps the best rate over a span, less the noise: where spans hold few, the
+// best of many lies far above the mean.
 func (p *route) succeeded(now int64, open bool) {
-	p.row, p.oks = 0, p.oks+1
+	p.row, p.bad, p.oks = 0, 0, p.oks+1
 	if !open || p.okFrom == 0 { // a ramp's own restraint is no measure
 		p.okFrom, p.okNow = now, 0
 	} else if now-p.okFrom > okSpan && p.okNow >= okLeast {
@@ -562,6 +572,9 @@
 func (s *Sender) observe(c *call, o Outcome, wait int64) {
 	r, d := c.r, c.r.dst
 	r.route.piling = o == TimedOut || o == Full
+	if o == TimedOut || o == ConnectFailed || o == Errored || o == Reset {
+		s.failed(r)
+	}
 	r.route.ill = o != Delivered && (r.route.ill || o != Full && o != Skipped && o != Cancelled)
 	if r.route.ill && r.route.pressedAt > 0 { // nor may what was earned at a larger share go there at once
 		r.route.tokens = min(r.route.tokens, 0)
--- a/choice/fleet_test.go
+++ b/choice/fleet_test.go
@@ -219,3 +219,37 @@
 		assert.Zero(t, count(f.after(0), "close"), name)
 	}
 }
+
+// repeats counts what a fleet, each with one message some time in 16 s, sends a dead destination in the last 3 s.
+func repeats(t *testing.T, weight float64, o Outcome) (n int) {
+	for i, f := range fleet(t, 200, 20) {
+		f.recvs[1].route.share = weight / 200
+		if weight == 0 {
+			f.trust = NoWeight
+		}
+		for id := uint32(2); id < 5; id++ { // strikes count at each receiver
+			f.Listed(Changes, []Entry{{Receiver: id, Dst: 7, Weight: weight, Listed: true}})
+		}
+		at := f.now + 16*second
+		f.after(int64(i) * 16 * second / 200)
+		f.take("a")
+		for f.now < at {
+			late := count(f.after(100*ms), "send a")
+			if late > 0 {
+				f.ends("a", o, 0)
+			}
+			if at-f.now <= 3*second {
+				n += late
+			}
+		}
+	}
+	return n
+}
+
+func TestMessagesOwnRepeatsDoNotPushAReturnOver(t *testing.T) {
+	assert.Less(t, repeats(t, 0, ConnectFailed), 150, "no limit known; 38 are first calls")
+}
+
+func TestRefusedAtAKnownLimitTheyDoNotEither(t *testing.T) {
+	assert.Less(t, repeats(t, 20, Full), 95, "38 are first calls")
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -152,6 +152,7 @@
 	part      float64 // of its sender in the team's messages, in means; 0 for not known
 	rowFrom   int64   // when that row began
 	row       int     // refusals since the last success
+	bad       int     // calls gone wrong since the last success
 	piling    bool    // the latest call or probe hung or was refused, so trials may pile up there
 	trialAt   int64   // no probe of a closed receiver before
 	pause     int64   // until when a row of refusals keeps all calls back
