--- a/internal/fleettest/transcript.go
+++ b/internal/fleettest/transcript.go
@@ -74,14 +74,14 @@
 	}
 }
 
-// Links writes which facts of these kinds have passed on which links since the transcript began: each slot once, since how often it
-// was told depends on time.
-func (t *Transcript) Links(kinds ...links.Kind) {
+// Links writes which facts have passed on which links since the transcript began, each once: how often one was told depends on time.
+// Label names those that count, without what changes from run to run; empty for the others.
+func (t *Transcript) Links(label func(Post, links.Frame) string) {
 	told := map[string]bool{}
 	for _, p := range t.r.Record().Posts {
 		for _, f := range p.Frames {
-			if p.Fate == "passed" && slices.Contains(kinds, f.Kind) {
-				told[fmt.Sprintf("%s to %s: %v %s", p.From, p.To, f.Kind, f.Slot)] = true
+			if what := label(p, f); what != "" && p.Fate == "passed" {
+				told[fmt.Sprintf("%s to %s: %s", p.From, p.To, what)] = true
 			}
 		}
 	}
