--- a/internal/fleet/runtime.go
+++ b/internal/fleet/runtime.go
@@ -17,11 +17,13 @@
 )
 
 const (
-	workers   = 4                     // beside the message loop's own goroutines; more gain nothing on the cores that a sender has
-	places    = 512                   // of work waiting for one worker; what finds none is lost, as a letter on the way may be
-	tickEvery = 20 * time.Millisecond // a twelfth of the usual beat, and half of the least time between two asks for a share
-	sayEvery  = 10 * time.Second      // between lines of counts
-	badNamed  = 256                   // lines in the log on letters that could not be read, by sender and kind
+	workers   = 4                      // beside the message loop's own goroutines; more gain nothing on the cores that a sender has
+	places    = 512                    // of work waiting for one worker; what finds none is lost, as a letter on the way may be
+	tickEvery = 20 * time.Millisecond  // a twelfth of the usual beat, and half of the least time between two asks for a share
+	sayEvery  = 10 * time.Second       // between lines of counts
+	gateWait  = 300 * time.Millisecond // for a share to be earned: as much of the rate as the module lets go at once
+	gateLook  = 5 * time.Millisecond
+	badNamed  = 256 // lines in the log on letters that could not be read, by sender and kind
 )
 
 // Runtime is one sender's part in its fleet.
@@ -36,11 +38,13 @@
 	pool   *Pool
 	counts *counts
 
-	watch   *watch
-	limits  *limits  // nil where each sender keeps to limits alone
-	hearsay *hearsay // nil where each sender goes by its own sight
-	parts   map[links.Kind]Part
-	order   []Part // the same, in the order in which they tick
+	watch    *watch
+	limits   *limits  // nil where each sender keeps to limits alone
+	hearsay  *hearsay // nil where each sender goes by its own sight
+	purging  *purging // nil where no orders are taken
+	parts    map[links.Kind]Part
+	ordering *ordering // nil where there are no channels
+	order    []Part    // the same, in the order in which they tick
 
 	told    told
 	namedMu sync.Mutex // a leaf
@@ -116,6 +120,9 @@
 	})
 	r.log.Info("fleet", zap.String("name", r.table.Name), zap.String("self", r.table.Self), zap.Uint64("incarnation", r.id.Incarnation),
 		zap.String("folder", fmt.Sprintf("%016x", r.id.Folder)), zap.Int("peers", len(r.table.Peers)))
+	if r.purging != nil {
+		linked.Go(func() { r.purging.run(linking) })
+	}
 	r.tick(ctx)
 	r.leave()
 	unlink()
@@ -232,12 +239,26 @@
 	}
 }
 
-// May is asked right before a call's first byte, with no lock held: may it go to this destination now? It takes the call off this sender's share.
+// May is asked right before a call's first byte, with no lock held: may it go to this destination now? It takes the call off this sender's
+// share. A call that comes a little before its share is earned waits for it here: sent back, it would have used up one of its message's legs.
+// It waits for no link, and the module is told to hold the destination back meanwhile, so that no more come.
 func (r *Runtime) May(dst int64) bool {
-	if r.hearsay != nil && !r.hearsay.lets() || r.limits != nil && !r.limits.spend(dst) {
-		r.counts.held.Inc()
-		r.hold(dst)
-		return false
+	if r.lets(dst) {
+		return true
+	}
+	r.hold(dst, gateWait.Microseconds())
+	for end := r.now() + gateWait.Microseconds(); r.now() < end; {
+		time.Sleep(gateLook)
+		if r.lets(dst) {
+			r.unhold(dst)
+			return true
+		}
 	}
-	return true
+	r.counts.held.Inc()
+	r.hold(dst, holdLeast)
+	return false
+}
+
+func (r *Runtime) lets(dst int64) bool {
+	return (r.hearsay == nil || r.hearsay.lets()) && (r.limits == nil || r.limits.spend(dst))
 }
