Everything of a rig serves at an address of the test program's own; twelve rigs side by side

Senders of other test programs, still alive, told their notices to a port that a rig's platform had been given, and a transcript differed. Tests wait most of their time, so twelve run at once whatever the cores.

--- a/internal/fleettest/build.go
+++ b/internal/fleettest/build.go
@@ -1,6 +1,7 @@
 package fleettest
 
 import (
+	"flag"
 	"fmt"
 	"os"
 	"os/exec"
@@ -34,8 +35,17 @@
 	return filepath.Join(built.dir, "ravenlink")
 }
 
+// sideBySide is how many rigs run at once where nobody says otherwise: most of their time they wait.
+const sideBySide = "12"
+
 // Main runs a package's tests, removes what was built for them, and fails if a goroutine is left.
 func Main(m *testing.M) {
+	flag.Parse()
+	said := false
+	flag.Visit(func(f *flag.Flag) { said = said || f.Name == "test.parallel" })
+	if !said {
+		_ = flag.Set("test.parallel", sideBySide)
+	}
 	goleak.VerifyTestMain(m, goleak.Cleanup(func(code int) {
 		_ = os.RemoveAll(built.dir)
 		os.Exit(code)
--- a/internal/fleettest/proxy.go
+++ b/internal/fleettest/proxy.go
@@ -51,7 +51,7 @@
 		client: &http.Client{Transport: &http.Transport{DisableCompression: true, DisableKeepAlives: true,
 			DialContext: (&net.Dialer{Timeout: long}).DialContext}}}
 	l.changed, l.change = context.WithCancel(context.Background())
-	l.server = httptest.NewServer(http.HandlerFunc(l.pass))
+	l.server = newServer(http.HandlerFunc(l.pass))
 	return l
 }
 
--- a/internal/fleettest/receiver.go
+++ b/internal/fleettest/receiver.go
@@ -54,7 +54,7 @@
 }
 
 func (d *destination) serve(sender string) *httptest.Server {
-	return httptest.NewServer(http.HandlerFunc(func(out http.ResponseWriter, in *http.Request) { d.receive(sender, out, in) }))
+	return newServer(http.HandlerFunc(func(out http.ResponseWriter, in *http.Request) { d.receive(sender, out, in) }))
 }
 
 func (d *destination) receive(sender string, out http.ResponseWriter, in *http.Request) {
@@ -156,7 +156,7 @@
 
 func newPlatform(r *Rig, sender string) *platform {
 	p := &platform{r: r, sender: sender, revision: 1, more: make(chan struct{})}
-	p.server = httptest.NewServer(p)
+	p.server = newServer(p)
 	return p
 }
 
--- a/internal/fleettest/rig.go
+++ b/internal/fleettest/rig.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
@@ -103,6 +104,17 @@
 	return fmt.Sprintf("127.%d.%d.1", 64+pid>>8%128, pid%256)
 }
 
+// newServer serves at an address of this program's own: elsewhere senders of other test programs may come by, that had somebody at that port.
+func newServer(h http.Handler) *httptest.Server {
+	l, err := net.Listen("tcp", ownHost()+":0")
+	if err != nil {
+		panic(err) // as httptest does
+	}
+	s := &httptest.Server{Listener: l, Config: &http.Server{Handler: h}}
+	s.Start()
+	return s
+}
+
 // freePorts finds addresses on which nobody listens, below those that the kernel gives to connections.
 func freePorts(t testing.TB, n int) (addrs []string) {
 	given.Lock()
