--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -31,6 +31,9 @@
 			p.front.Orders = &platform.Orders{Dst: *t.Orders, Take: r.TakeOrder, Busy: fleet.ErrBusy}
 		}
 	}
+	if startup.OwnLimits(p.settings) {
+		r.RoutesApart()
+	}
 	p.fleet = r
 	p.router.Gate = r.May
 	p.engine.Watch = r
--- a/internal/fleet/hearsay.go
+++ b/internal/fleet/hearsay.go
@@ -159,7 +159,6 @@
 	h.mu.Lock()
 	whole, err := h.table.Snapshot(now)
 	h.mu.Unlock()
-	ranked.Free("writing to the fleet's log")
 	if err == nil {
 		err = h.write(append(binary.BigEndian.AppendUint64(nil, uint64(time.Now().UnixMicro())), whole...))
 	}
--- a/internal/fleet/runtime.go
+++ b/internal/fleet/runtime.go
@@ -45,6 +45,7 @@
 	parts   map[links.Kind]Part
 	order   []Part // the same, in the order in which they tick
 
+	apart   bool // limits that are told are a route's, not a destination's
 	told    told
 	namedMu sync.Mutex // a leaf
 	named   map[string]bool
@@ -97,6 +98,9 @@
 	r.order = append(r.order, p)
 }
 
+// RoutesApart says that routes have limits of their own, so that one which is told is no destination's. It comes before Run.
+func (r *Runtime) RoutesApart() { r.apart = true }
+
 // Addr is where this sender is heard.
 func (r *Runtime) Addr() string { return r.links.Addr() }
 
@@ -233,7 +237,7 @@
 	if r.hearsay != nil {
 		r.hearsay.saw(receiver, v)
 	}
-	if r.limits != nil {
+	if r.limits != nil && !r.apart {
 		r.limits.saw(v)
 	}
 }
--- a/internal/fleet/runtime_test.go
+++ b/internal/fleet/runtime_test.go
@@ -273,3 +273,19 @@
 	assert.Less(t, let, 3*trickle)
 	require.Eventually(t, func() bool { return o.May(3) }, long, glimpse)
 }
+
+// BenchmarkMessage is what the fleet adds to one message that is delivered at once.
+func BenchmarkMessage(b *testing.B) {
+	o := &one{dir: b.TempDir(), table: Table{Name: "east", Self: "a", Listen: "127.0.0.1:0", MostMB: 1, Limits: &Limits{Declared: []Declared{{limited, 1e6}}}}}
+	o.table.Fill()
+	r, err := Open(o.table, o.dir, zap.NewNop(), &desk{shares: map[int64]float64{}})
+	require.NoError(b, err)
+	defer r.pool.Close()
+	for b.Loop() {
+		r.Came(3)
+		r.Began(3)
+		_ = r.May(3)
+		r.Paused(3)
+		r.Ended(3)
+	}
+}
--- a/internal/fleetlog/record.go
+++ b/internal/fleetlog/record.go
@@ -5,6 +5,8 @@
 	"hash/crc32"
 
 	"go.etcd.io/bbolt"
+
+	"ravenlink/internal/ranked"
 )
 
 const sealed = 6 // bytes before a value: its version and the checksum
@@ -57,6 +59,7 @@
 
 // write changes the file in one step, and has it compacted when it has grown too long.
 func (l *Log) write(f func(*bbolt.Tx) error) error {
+	ranked.Free("writing to the fleet's log")
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	before := l.live
--- a/internal/fleetlog/wipe.go
+++ b/internal/fleetlog/wipe.go
@@ -9,11 +9,14 @@
 	"path/filepath"
 
 	"go.etcd.io/bbolt"
+
+	"ravenlink/internal/ranked"
 )
 
 // Wipe forgets records so that none of their bytes is left in the folder's files when it returns: the file is written anew without
 // them, and the old one overwritten.
 func (l *Log) Wipe(b Bucket, keys ...string) error {
+	ranked.Free("writing to the fleet's log")
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if err := l.db.Update(func(tx *bbolt.Tx) error { return l.drop(tx, b, keys) }); err != nil {
--- a/internal/startup/startup.go
+++ b/internal/startup/startup.go
@@ -4,6 +4,7 @@
 
 import (
 	"math"
+	"slices"
 	"strconv"
 	"time"
 
@@ -105,6 +106,11 @@
 	return time.Duration(Span(v)) * time.Microsecond
 }
 
+// OwnLimits tells whether routes of any kind have limits of their own.
+func OwnLimits(c gjson.Result) bool {
+	return slices.ContainsFunc(kinds(c, 1), func(k choice.Kind) bool { return k.Apart })
+}
+
 // LaneNames names the lanes by number; one without a name has an empty one.
 func LaneNames(c gjson.Result) (ns []string) {
 	for _, l := range c.Get("classes").Array() {
--- a/internal/strict/strict.go
+++ b/internal/strict/strict.go
@@ -85,7 +85,7 @@
 		if !ok {
 			break
 		}
-		for t = f.Type; t.Kind() == reflect.Slice; {
+		for t = f.Type; t.Kind() == reflect.Slice || t.Kind() == reflect.Pointer; {
 			t = t.Elem()
 		}
 	}
