An owner serves its seats from one row: no sorting and no maps while it divides a limit

One ask among 300 seats took 217 µs, so a busy destination cost its owner a large part of a core; seats now stand in a row by name and the next for a call is looked up, not sorted.

--- a/internal/shares/bound.go
+++ b/internal/shares/bound.go
@@ -17,7 +17,6 @@
 	LimitLowered
 	LimitRaised
 	NoOwner // a majority of a destination's electors is down or cut apart from each other
-	events
 )
 
 func (e Event) String() string {
--- a/internal/shares/explore_test.go
+++ b/internal/shares/explore_test.go
@@ -33,10 +33,10 @@
 	c.places, c.order, c.out = map[string]*place{}, slices.Clone(t.order), nil
 	for k, p := range t.places {
 		q := *p
-		q.seat.votes, q.seat.seats = maps.Clone(p.seat.votes), maps.Clone(p.seat.seats)
-		for n, s := range q.seat.seats {
+		q.seat.votes, q.seat.seats, q.seat.row = maps.Clone(p.seat.votes), map[string]*seat{}, nil
+		for _, s := range p.seat.row {
 			d := *s
-			q.seat.seats[n] = &d
+			q.seat.row, q.seat.seats[d.name] = append(q.seat.row, &d), &d
 		}
 		c.places[k] = &q
 	}
--- a/internal/shares/own.go
+++ b/internal/shares/own.go
@@ -3,7 +3,7 @@
 import (
 	"math"
 	"slices"
-	"sort"
+	"strings"
 )
 
 // reignPhase is where this sender stands as owner of a destination.
@@ -38,6 +38,8 @@
 	pool     float64
 	poolAt   int64
 	seats    map[string]*seat
+	row      []*seat // the same, by name
+	held     float64 // standing rates that holders may go by
 	nextSeat uint64
 	refused  int64   // last refusal heard of that cut the budget
 	doubts   float64 // share of the listed fleet that asks, but was not answered yet
@@ -45,6 +47,7 @@
 
 // seat is a holder as its owner knows it.
 type seat struct {
+	name        string
 	id, serial  uint64
 	life        uint64
 	stamp       int64
@@ -61,7 +64,9 @@
 	lostUntil   int64
 	until       int64 // when nothing of it can be spent any more
 	served      int64
-	limit       known // last told
+	target      float64 // standing rate that it should have, as of the last serving
+	turn        bool    // it got single calls in this serving
+	limit       known   // last told
 }
 
 // committed is the greatest rate that the holder may go by.
@@ -99,7 +104,7 @@
 		case !has || now-o.wanted > forgetAfter/2:
 			*o = owning{term: o.term, nextSeat: o.nextSeat, wanted: o.wanted, rest: now + int64(p.rank)*t.t.stagger()}
 		case o.phase == waiting && now >= o.from:
-			o.phase, o.since, o.seats, o.poolAt = granting, now, map[string]*seat{}, now
+			o.phase, o.since, o.seats, o.row, o.poolAt = granting, now, map[string]*seat{}, nil, now
 			t.counts.Owned++
 		}
 	}
@@ -214,8 +219,10 @@
 	}
 	if s == nil {
 		o.nextSeat++
-		s = &seat{id: o.nextSeat}
+		s = &seat{name: from, id: o.nextSeat}
 		o.seats[from] = s
+		i, _ := slices.BinarySearchFunc(o.row, from, func(s *seat, name string) int { return strings.Compare(s.name, name) })
+		o.row = slices.Insert(o.row, i, s)
 	} else if m.Life != s.life { // another life of it: what the earlier one was given counts as out until it has surely ended
 		o.nextSeat++
 		s.lost, s.lostUntil = s.lost+s.given-s.done, s.until
@@ -257,49 +264,42 @@
 	if o.phase != granting || p.limit.perSec == 0 {
 		return
 	}
-	names := t.refill(now, p)
-	targets := t.targets(now, p, names)
-	turn := t.turns(now, p, names, targets)
-	for _, name := range names {
-		s := o.seats[name]
-		target := targets[name]
-		called := target < 0.9*s.rate && s.committed(now) > 0
-		if name != asker && !turn[name] && !called {
+	t.refill(now, p)
+	t.targets(now, p)
+	t.turns(now, p)
+	for _, s := range o.row {
+		called := s.target < 0.9*s.rate && s.committed(now) > 0
+		if s.name != asker && !s.turn && !called {
 			continue
 		}
-		if called || name == asker {
-			t.setRate(now, p, s, target)
+		if called || s.name == asker {
+			t.setRate(now, p, s)
 		}
 		s.serial++
 		m := Msg{Kind: Grant, Life: s.life, Stamp: s.stamp, Term: o.term, Seat: s.id, Serial: s.serial, Rate: milli(s.rate), Count: s.given}
-		if name == t.self {
-			t.granted(now, p, name, m)
+		if s.name == t.self {
+			t.granted(now, p, s.name, m)
 			continue
 		}
 		if s.limit != p.limit || s.serial%8 == 1 { // told when new, and now and then: letters get lost
 			s.limit = p.limit
 			t.withLimit(now, p, &m)
 		}
-		t.send(name, "grant ", p, m)
+		t.send(s.name, "grant ", p, m)
 	}
 }
 
-// refill lets the pool of single calls take what no lease holds, and drops seats that can spend nothing more. It gives the names in order.
-func (t *Table) refill(now int64, p *place) []string {
+// refill lets the pool of single calls take what no lease holds, and drops seats that can spend nothing more.
+func (t *Table) refill(now int64, p *place) {
 	o := &p.seat
-	names := make([]string, 0, len(o.seats))
-	out, held, doubts := 0.0, 0.0, 0
-	for name, s := range o.seats {
+	out, doubts := 0.0, 0
+	o.held = 0
+	o.row = slices.DeleteFunc(o.row, func(s *seat) bool {
 		if s.until <= now {
-			delete(o.seats, name)
-			continue
+			delete(o.seats, s.name)
+			return true
 		}
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	for _, name := range names {
-		s := o.seats[name]
-		held += s.committed(now)
+		o.held += s.committed(now)
 		if now >= s.lostUntil {
 			s.lost = 0
 		}
@@ -307,98 +307,87 @@
 		if s.doubt {
 			doubts++
 		}
-	}
+		return false
+	})
 	o.doubts = float64(doubts) / float64(max(1, len(t.listed)))
-	o.pool += (t.budget(now, p) - held) * float64(now-o.poolAt) / 1e6
+	o.pool += (t.budget(now, p) - o.held) * float64(now-o.poolAt) / 1e6
 	o.pool = math.Max(min(o.pool, savedOf(p.limit.perSec), aheadOf(p.limit.perSec)-out), -p.limit.perSec)
 	o.poolAt = now
-	return names
 }
 
 // targets are the standing rates: in step with need, none below the quantum, after what those with less need of it.
-func (t *Table) targets(now int64, p *place, names []string) map[string]float64 {
+func (t *Table) targets(now int64, p *place) {
 	o := &p.seat
 	sum, thin := 0.0, 0.0
-	for _, name := range names {
-		w := o.seats[name].wants()
+	for _, s := range o.row {
+		s.target = 0
+		w := s.wants()
 		sum += w
 		if w < quantum {
 			thin += w
 		}
 	}
-	targets := map[string]float64{}
 	if sum == thin {
-		return targets
+		return
 	}
 	budget := t.budget(now, p)
 	scale := math.Min(headroom, math.Min(budget/sum, (budget-math.Min(thin, thinMost*budget))/(sum-thin)))
-	for _, name := range names {
-		s := o.seats[name]
+	for _, s := range o.row {
 		least := quantum
 		if s.committed(now) > 0 {
 			least *= keepRate
 		}
 		if r := s.wants() * scale; r >= least {
-			targets[name] = r
+			s.target = r
 		}
 	}
-	return targets
 }
 
 func (s *seat) wants() float64 { return s.need + float64(s.waiting)/drainTime }
 
 // setRate gives a lease its target, as far as what others may still go by leaves room.
-func (t *Table) setRate(now int64, p *place, s *seat, target float64) {
-	free := t.budget(now, p)
-	for _, other := range p.seat.seats {
-		if other != s {
-			free -= other.committed(now)
-		}
-	}
-	r := unit(milli(math.Max(0, math.Min(target, free))))
-	if c := s.committed(now); c > r {
+func (t *Table) setRate(now int64, p *place, s *seat) {
+	o := &p.seat
+	c := s.committed(now)
+	free := t.budget(now, p) - (o.held - c)
+	r := unit(milli(math.Max(0, math.Min(s.target, free))))
+	if c > r {
 		s.old, s.oldUntil = c, max(s.oldUntil, s.rateUntil)
 	}
-	s.rate = r
-	s.rateUntil = s.until
+	s.rate, s.rateUntil = r, s.until
+	o.held += s.committed(now) - c
 }
 
-// turns gives out single calls, to those first who had none for longest. It tells who got some.
-func (t *Table) turns(now int64, p *place, names []string, targets map[string]float64) map[string]bool {
+// turns gives out single calls, to those first who had none for longest; what is left over then goes to those with standing rates.
+func (t *Table) turns(now int64, p *place) {
 	o := &p.seat
-	if o.pool < 1 {
-		return nil
-	}
-	var queue []string
-	for _, name := range names {
-		if o.seats[name].wantsCalls(now, t.t) > 0 {
-			queue = append(queue, name)
-		}
-	}
-	sort.SliceStable(queue, func(i, j int) bool {
-		a, b := queue[i], queue[j]
-		if sa, sb := targets[a] > 0, targets[b] > 0; sa != sb {
-			return sb // what leases leave over goes to those with leases last
+	for _, s := range o.row {
+		s.turn = false
+	}
+	for o.pool >= 1 {
+		var s *seat
+		for _, x := range o.row {
+			if !x.turn && x.wantsCalls(now, t.t) > 0 && (s == nil || x.before(s)) {
+				s = x
+			}
 		}
-		return o.seats[a].served < o.seats[b].served
-	})
-	got := map[string]bool{}
-	for _, name := range queue {
-		s := o.seats[name]
-		most := turnMost
-		if targets[name] > 0 {
-			most = int(max(turnMost, targets[name]/4))
+		if s == nil {
+			return
 		}
+		most := max(turnMost, int(s.target/4))
 		k := min(max(1, s.waiting/4), most, s.wantsCalls(now, t.t), int(o.pool))
-		if k < 1 {
-			break
-		}
 		s.given += uint64(k)
-		s.served = now
+		s.served, s.turn = now, true
 		o.pool -= float64(k)
-		got[name] = true
 	}
-	return got
+}
+
+// before tells which of two seats gets single calls first.
+func (s *seat) before(x *seat) bool {
+	if a, b := s.target > 0, x.target > 0; a != b {
+		return b
+	}
+	return s.served < x.served
 }
 
 // wantsCalls counts the single calls that a sender could use beside its rate; none once its ask is too old for an answer to come in time.
