--- /dev/null
+++ b/internal/fleettest/channels_test.go
@@ -0,0 +1,266 @@
+package fleettest
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+const channelsTOML = "orders_dst = 1000\nmost_mb = 0.25\n[[fleet.tenant]]\nname = \"acme\"\ndst = [7]\n" +
+	"[fleet.channels]\nlease = \"1200ms\"\nleg = \"3s\"\nlive = \"300ms\"\ndrain = \"300ms\"\n"
+
+// ordering is a rig with channel x to destination 7, whose gap rule is named.
+func ordering(t *testing.T, gap string) *Rig {
+	r := New(t, Setup{Senders: 3, Destinations: []int64{acme}, Operator: func(s *Sender) string {
+		return "version = 1\n" + strings.Replace(s.LinksTOML("fleet"), "[[fleet.peer]]", channelsTOML+"[[fleet.peer]]", 1)
+	}})
+	r.Start()
+	order := `{"order":"contract","channel":"x","tenant":"acme","dst":7,"mode":"whole","gap":"` + gap + `","wait":"1s","most_hold":"8s","version":1}`
+	r.take(0, Message{ID: "contract", Lane: "once", Dst: orders, Body: order})
+	return r
+}
+
+// stream is a client of channel x. It goes on where it is told, and hands a position in under one id until it has an answer.
+type stream struct {
+	r    *Rig
+	c    *Client
+	next int64
+}
+
+func (r *Rig) stream() *stream { return &stream{r: r, c: r.Client(0), next: 1} }
+
+// position reads the position of an answer, -1 for none.
+func position(answer string) int64 {
+	_, pos, there := strings.Cut(answer, " pos=")
+	if n, err := strconv.ParseInt(pos, 10, 64); there && err == nil {
+		return n
+	}
+	return -1
+}
+
+// hand has so many more messages taken on.
+func (s *stream) hand(n int) {
+	s.r.t.Helper()
+	for deadline := time.Now().Add(long); n > 0; {
+		require.True(s.r.t, time.Now().Before(deadline), "position %d is not taken on", s.next)
+		answer := s.c.HandIn(Message{ID: fmt.Sprint("x", s.next), Lane: "once", Dst: acme, Fields: fmt.Sprint("ch=x,pos=", s.next), Within: 12 * time.Second})
+		if strings.HasPrefix(answer, "+OK") {
+			n--
+		}
+		if last := position(answer); last >= 0 {
+			s.next = last + 1
+		}
+		if strings.HasPrefix(answer, "-BUSY") {
+			time.Sleep(50 * time.Millisecond) // as a client waits that is told to come back
+		}
+	}
+}
+
+// elsewhere has the client lose its connection and go on at another sender.
+func (s *stream) elsewhere(sender int) { s.c.Leave(); s.c = s.r.Client(sender) }
+
+// ascending judges what the receiver got: positions in order, none twice.
+func ascending(rec Record) (faults []string) {
+	last := int64(0)
+	for _, c := range rec.Calls {
+		pos, err := strconv.ParseInt(strings.TrimPrefix(c.ID, "x"), 10, 64)
+		if err != nil || !c.Ran() {
+			continue
+		}
+		if pos <= last {
+			faults = append(faults, fmt.Sprintf("position %d came after %d, from %s", pos, last, c.Sender))
+		}
+		last = pos
+	}
+	return faults
+}
+
+func (s *stream) judge() {
+	s.r.t.Helper()
+	assert.Empty(s.r.t, ascending(s.r.Record()))
+}
+
+func (s *stream) until(pos int64) {
+	s.r.t.Helper()
+	s.r.Until(fmt.Sprint("position ", pos, " is delivered"), func(rec Record) bool {
+		return slices.ContainsFunc(rec.Calls, func(c Call) bool { return c.ID == fmt.Sprint("x", pos) && c.Status == 200 })
+	})
+}
+
+func TestChannelMovesAndDrains(t *testing.T) {
+	t.Parallel()
+	r := ordering(t, "wait")
+	s := r.stream()
+	s.hand(20)
+	s.elsewhere(1)
+	s.hand(20)
+	r.Sender("b").Term()
+	s.elsewhere(2)
+	s.hand(20)
+	s.until(60)
+	assert.Equal(t, int64(61), s.next, "nothing was skipped")
+	s.judge()
+}
+
+func TestChannelOwnerKilledAndBack(t *testing.T) {
+	t.Parallel()
+	r := ordering(t, "wait")
+	s := r.stream()
+	s.hand(15)
+	r.Sender("a").Kill()
+	s.elsewhere(1)
+	r.Sender("a").Start()
+	s.hand(15)
+	s.until(s.next - 1)
+	assert.Equal(t, int64(31), s.next)
+	s.judge()
+}
+
+func TestChannelOwnerGone(t *testing.T) {
+	t.Parallel()
+	r := ordering(t, "skip")
+	s := r.stream()
+	s.hand(15)
+	r.Sender("a").Kill()
+	s.elsewhere(1)
+	s.hand(15)
+	s.until(s.next - 1)
+	assert.Greater(t, s.next, int64(31), "what the owner may have taken on was skipped")
+	s.judge()
+}
+
+func TestChannelOwnerStoppedAndCutOff(t *testing.T) {
+	t.Parallel()
+	r := ordering(t, "skip")
+	s := r.stream()
+	s.hand(10)
+	r.Sender("a").Stop()
+	s.elsewhere(1)
+	s.hand(10)
+	r.Sender("a").Cont()
+	s.hand(5)
+	r.Cut([]string{"b"}, []string{"a", "c"})
+	s.elsewhere(2)
+	s.hand(10)
+	r.Heal()
+	s.elsewhere(1)
+	s.hand(5)
+	s.until(s.next - 1)
+	s.judge()
+}
+
+// each sets the same faults on every link.
+func (r *Rig) each(f Faults) {
+	for _, from := range r.Senders() {
+		for _, to := range r.Senders() {
+			if from != to {
+				r.Link(from.Name, to.Name).Set(f)
+			}
+		}
+	}
+}
+
+// TestChannelSchedules plays further fixed schedules; after each the channel goes on at a further sender, and the judge reads what came.
+func TestChannelSchedules(t *testing.T) {
+	t.Parallel()
+	for name, play := range map[string]func(r *Rig, s *stream){
+		"slow-links": func(r *Rig, s *stream) {
+			r.each(Faults{Delay: 60 * time.Millisecond})
+			s.hand(10)
+			s.elsewhere(1)
+			s.hand(10)
+		},
+		"a-tenth-lost-doubled-and-late": func(r *Rig, s *stream) {
+			r.each(Faults{Loss: 0.1, Doubles: 0.2, Disorder: 0.2, ReplayWait: 300 * time.Millisecond})
+			s.hand(10)
+			s.elsewhere(1)
+			s.hand(10)
+			s.elsewhere(2)
+			s.hand(10)
+		},
+		"no-link-works": func(r *Rig, s *stream) {
+			s.hand(10)
+			r.each(Faults{Cut: true})
+			s.elsewhere(1)
+			time.AfterFunc(4*time.Second, r.Heal) // past every lease
+			s.hand(10)
+		},
+		"links-half-open": func(r *Rig, s *stream) {
+			s.hand(5)
+			r.each(Faults{HalfOpen: true})
+			time.AfterFunc(3*time.Second, r.Heal)
+			s.hand(10)
+		},
+		"owner-heard-and-deaf": func(r *Rig, s *stream) {
+			s.hand(10)
+			r.Link("b", "a").Set(Faults{Cut: true})
+			r.Link("c", "a").Set(Faults{Cut: true})
+			s.elsewhere(1)
+			s.hand(10)
+			r.Heal()
+			s.elsewhere(0)
+			s.hand(5)
+		},
+		"owner-killed-in-mid-burst-and-back-at-once": func(r *Rig, s *stream) {
+			r.Conduct(acme, Conduct{Down: true})
+			s.hand(8)
+			r.Sender("a").Kill()
+			r.Sender("a").Start()
+			r.Conduct(acme, Conduct{})
+			s.hand(8)
+		},
+		"an-elector-without-its-folder": func(r *Rig, s *stream) {
+			s.hand(5)
+			r.Sender("c").Kill()
+			r.Sender("c").Wipe()
+			r.Sender("c").Start()
+			s.elsewhere(1)
+			s.hand(5)
+			s.elsewhere(2)
+			s.hand(5)
+		},
+		"one-sender-after-another-restarts": func(r *Rig, s *stream) {
+			for i, name := range []string{"a", "b", "c"} {
+				s.hand(5)
+				r.Sender(name).Term()
+				r.Sender(name).Start()
+				s.elsewhere((i + 1) % 3)
+			}
+			s.hand(5)
+		},
+		"a-client-that-comes-and-goes": func(r *Rig, s *stream) {
+			for i := range 12 {
+				s.elsewhere(i % 3)
+				s.hand(1)
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := ordering(t, "skip")
+			s := r.stream()
+			play(r, s)
+			s.elsewhere(2)
+			s.hand(3)
+			s.until(s.next - 1)
+			s.judge()
+		})
+	}
+}
+
+// A receiver that got positions out of order, or one twice, is found.
+func TestChannelJudgeFails(t *testing.T) {
+	for name, ids := range map[string][]string{"disorder": {"x1", "x3", "x2"}, "doubled": {"x1", "x1"}} {
+		rec := Record{}
+		for _, id := range ids {
+			rec.Calls = append(rec.Calls, Call{ID: id, Status: 200})
+		}
+		assert.NotEmpty(t, ascending(rec), name)
+	}
+}
