--- a/internal/purge/lead.go
+++ b/internal/purge/lead.go
@@ -22,6 +22,9 @@
 	return [...]string{"running", "complete", "cancelled", "superseded"}[s]
 }
 
+// rank: what is complete stays so, and what a customer ended is not taken up again by a coordinator that does not know of it.
+func (s State) rank() int { return [...]int{0, 2, 1, 1}[s] }
+
 // states are the changes allowed. That a case was complete becomes known late, where its coordinator was cut off: it stands above any
 // other end, because the customer was told and it was true.
 var states = map[State][]State{Running: {Complete, Cancelled, Superseded}, Cancelled: {Complete}, Superseded: {Complete}}
@@ -81,6 +84,9 @@
 }
 
 func (p *Machine) accept(o Order) error {
+	if err := o.check(); err != nil {
+		return err
+	}
 	if !p.tenants[o.Tenant] {
 		return fmt.Errorf("%w: %q", ErrTenant, o.Tenant)
 	}
@@ -199,8 +205,11 @@
 
 // wins tells whether a says more of an order than b, or is to be followed before it. It is the same on every sender.
 func wins(a, b *Case) bool {
-	if a.State == Complete || b.State == Complete {
-		return b.State != Complete
+	if a.State.rank() != b.State.rank() {
+		return a.State.rank() > b.State.rank()
+	}
+	if a.State == Complete {
+		return false
 	}
 	if a.Term != b.Term {
 		return a.Term > b.Term
@@ -432,6 +441,11 @@
 			all = append(all, Missing{s.Name, Hex(s.Folder), why, since})
 		}
 	}
+	for _, m := range p.view.Members {
+		if (m.State >= members.Gone || m.Folder == 0) && p.roster.known(m.Name) && p.roster.all[place{m.Name, 0}] == nil && p.roster.vacant(m.Name) {
+			all = append(all, Missing{m.Name, 0, "its folder is declared destroyed, and of one begun since nothing is heard", max(0, p.now-m.Since)})
+		}
+	}
 	return all
 }
 
--- a/internal/purge/letter.go
+++ b/internal/purge/letter.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"slices"
+	"strconv"
 )
 
 // Epoch numbers fences of a tenant: N grows, and By, one life of a sender, keeps all apart.
@@ -52,6 +53,13 @@
 // MarshalText is for JSON.
 func (h Hex) MarshalText() ([]byte, error) { return fmt.Appendf(nil, "%016x", uint64(h)), nil }
 
+// UnmarshalText reads what MarshalText wrote.
+func (h *Hex) UnmarshalText(text []byte) error {
+	n, err := strconv.ParseUint(string(text), 16, 64)
+	*h = Hex(n)
+	return err
+}
+
 // Counts is what was erased.
 type Counts struct {
 	Ended    int64 `json:"messages_ended" cbor:"1,keyasint"`
--- a/internal/purge/notice.go
+++ b/internal/purge/notice.go
@@ -32,7 +32,7 @@
 // Missing is one whose word an order waits for.
 type Missing struct {
 	Name   string `json:"sender"`
-	Folder Hex    `json:"folder,omitempty"`
+	Folder Hex    `json:"folder"`
 	Why    string `json:"why"`
 	Since  int64  `json:"since_us_ago"` // -1: not known
 }
--- a/internal/purge/roster.go
+++ b/internal/purge/roster.go
@@ -92,8 +92,25 @@
 	return false
 }
 
+// vacant tells whether all folders known of a sender are declared destroyed, and nothing is said of one that it may have begun since.
+func (r *roster) vacant(name string) bool {
+	if s := r.all[place{name, 0}]; s != nil {
+		return s.Destroyed == ""
+	}
+	for at, s := range r.all {
+		if at.name == name && s.Destroyed == "" {
+			return false
+		}
+	}
+	return true
+}
+
 func (r *roster) destroy(name string, folder uint64, by string) bool {
 	s := r.all[place{name, folder}]
+	if s == nil && folder == 0 && r.known(name) && r.room() { // the sender is gone, with whatever it may have begun since it was heard
+		s = &Seen{Name: name}
+		r.all[place{name, 0}] = s
+	}
 	if s == nil || s.Destroyed != "" || by == "" {
 		return false
 	}
