--- a/internal/channels/contract.go
+++ b/internal/channels/contract.go
@@ -33,13 +33,14 @@
 
 // Bounds of a contract, so that no declaration makes a table large or a wait endless.
 const (
-	MostWindow  = 1024                  // positions remembered, and messages held; 8 bytes each in every letter of renewal
-	longestWait = int64(600_000_000)    // µs; clients' deadlines are shorter
-	longestHold = int64(86_400_000_000) // µs; one day, longer than any lane's deadline
-	longestName = 64                    // bytes, as ids on the wire
-	mostPos     = int64(1) << 53        // positions stay exact in any client's numbers
-	usualWindow = 64                    // positions
-	usualHold   = 10 * int64(1_000_000) // µs
+	MostWindow   = 1024                  // positions remembered, and messages held; 8 bytes each in every letter of renewal
+	longestWait  = int64(600_000_000)    // µs; clients' deadlines are shorter
+	longestHold  = int64(86_400_000_000) // µs; one day, longer than any lane's deadline
+	longestCause = 1 << 10               // bytes
+	longestName  = 64                    // bytes, as ids on the wire
+	mostPos      = int64(1) << 53        // positions stay exact in any client's numbers
+	usualWindow  = 64                    // positions
+	usualHold    = 10 * int64(1_000_000) // µs
 )
 
 // Contract is what a tenant declared for a channel. Tenant and destination never change, nor do the electors, which are
@@ -58,6 +59,7 @@
 	From       int64    `cbor:"11,keyasint"` // the first position that it holds for
 	Withdrawn  bool     `cbor:"12,keyasint,omitempty"`
 	Electors   []string `cbor:"13,keyasint,omitempty"`
+	Born       uint64   `cbor:"14,keyasint,omitempty"` // drawn with version 1: a channel declared anew after a purge is another one
 }
 
 // declaration is the form of a contract in an order.
@@ -77,6 +79,14 @@
 	Withdrawn  bool   `json:"withdrawn"`
 }
 
+// IsContract tells whether an order is a contract, well formed or not.
+func IsContract(order []byte) bool {
+	var d struct {
+		Order string `json:"order"`
+	}
+	return json.Unmarshal(order, &d) == nil && d.Order == "contract"
+}
+
 // DecodeContract reads a contract as an order tells it: one JSON object, no unknown fields, spans such as "30s". All faults
 // come joined.
 func DecodeContract(text []byte) (Contract, error) {
@@ -189,6 +199,6 @@
 }
 
 func (k Contract) same(o Contract) bool {
-	k.Electors, o.Electors = nil, nil
+	k.Electors, o.Electors, k.Born, o.Born = nil, nil, 0, 0
 	return fmt.Sprint(k) == fmt.Sprint(o)
 }
--- a/internal/fleettest/record.go
+++ b/internal/fleettest/record.go
@@ -1,7 +1,10 @@
 package fleettest
 
 import (
+	"cmp"
+	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -27,7 +30,7 @@
 }
 
 // Taken tells whether the sender took the message on.
-func (h HandIn) Taken() bool { return h.Answer == "+OK" }
+func (h HandIn) Taken() bool { return h.Answer == "+OK" || strings.HasPrefix(h.Answer, "+OK ") }
 
 // Call is one leg as a receiver saw it.
 type Call struct {
@@ -79,10 +82,13 @@
 	start time.Time
 	mu    sync.Mutex // a leaf
 	rec   Record
-	news  chan struct{} // closed and renewed with each entry
+	open  map[string]int // calls that a receiver has not done with, by sender
+	news  chan struct{}  // closed and renewed with each entry
 }
 
-func newRecorder() *recorder { return &recorder{start: time.Now(), news: make(chan struct{})} }
+func newRecorder() *recorder {
+	return &recorder{start: time.Now(), open: map[string]int{}, news: make(chan struct{})}
+}
 
 func (r *recorder) now() time.Duration { return time.Since(r.start) }
 
@@ -95,6 +101,19 @@
 	r.news = make(chan struct{})
 }
 
+// hold counts a sender's open calls, by 1 or -1.
+func (r *recorder) hold(sender string, by int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.open[sender] += by
+}
+
+func (r *recorder) held(sender string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.open[sender]
+}
+
 // post writes one post down. It wakes nobody: there are many, and conditions are looked at now and then anyway.
 func (r *recorder) post(p Post) {
 	r.mu.Lock()
@@ -128,6 +147,17 @@
 		slices.ContainsFunc(r.Notices, func(n Notice) bool { return n.ID == id })
 }
 
+// Delivered counts the messages that a receiver answered 200.
+func (r Record) Delivered() int {
+	ids := map[string]bool{}
+	for _, c := range r.Calls {
+		if c.Status == 200 {
+			ids[c.ID] = true
+		}
+	}
+	return len(ids)
+}
+
 // Owed are the messages taken on that have not ended.
 func (r Record) Owed() (ids []string) {
 	for _, h := range r.HandIns {
@@ -137,3 +167,41 @@
 	}
 	return ids
 }
+
+// Story tells all that passed of one message, in the order of time, and what was done to senders meanwhile.
+func (r Record) Story(id string) string {
+	type line struct {
+		at   time.Duration
+		text string
+	}
+	var lines []line
+	add := func(at time.Duration, form string, args ...any) {
+		lines = append(lines, line{at, fmt.Sprintf(form, args...)})
+	}
+	for _, h := range r.HandIns {
+		if h.ID == id {
+			add(h.At, "handed in at %s, lane %s, destination %d, within %v", h.Sender, h.Lane, h.Dst, h.Within)
+			add(h.Answered, "%s answers %q", h.Sender, h.Answer)
+		}
+	}
+	for _, c := range r.CallsOf(id) {
+		add(c.At, "%s calls %d", c.Sender, c.Dst)
+		if c.Answered > 0 {
+			add(c.Answered, "answer to %s: %s", c.Sender, status(c))
+		}
+	}
+	for _, n := range r.Notices {
+		if n.ID == id {
+			add(n.At, "%s tells the platform: %s", n.Sender, n.State)
+		}
+	}
+	for _, a := range r.Acts {
+		add(a.At, "%s: %s", a.Sender, a.What)
+	}
+	slices.SortStableFunc(lines, func(a, b line) int { return cmp.Compare(a.at, b.at) })
+	text := "story of " + id
+	for _, l := range lines {
+		text += fmt.Sprintf("\n%12v %s", l.at.Round(time.Microsecond), l.text)
+	}
+	return text
+}
