--- a/internal/lab/fleet/policies.go
+++ b/internal/lab/fleet/policies.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
+	"slices"
 
 	"ravenlink/internal/lab/draw"
 	"ravenlink/internal/members"
@@ -265,8 +267,8 @@
 			continue
 		}
 		p.askedAt = now
-		for _, h := range p.open {
-			e.w.send(i, h.to, h, escrowSize)
+		for _, number := range slices.Sorted(maps.Keys(p.open)) {
+			e.w.send(i, p.open[number].to, p.open[number], escrowSize)
 		}
 		if p.want <= p.rate {
 			continue
