--- a/choice/host.go
+++ b/choice/host.go
@@ -14,6 +14,7 @@
 	Note(text string)
 	Subscribe()
 	Log(text string)
+	Saw(Sight) // something that fellows may want to know
 }
 
 // Repeat says what a lane allows for a message that may have run.
@@ -53,7 +54,8 @@
 // Room is what a sender has to work with.
 type Room struct {
 	Slots, Held, Legs int
-	HalvesLate        bool // late value falls by half with each further target time, not evenly
+	Idle              int64 // how long a connection stands idle until it closes
+	HalvesLate        bool  // late value falls by half with each further target time, not evenly
 }
 
 // Allowed is what the deployment lets a sender do.
@@ -126,3 +128,26 @@
 	ShareLeft   float64
 	LimitPerSec float64
 }
+
+// SightKind says what was seen.
+type SightKind uint8
+
+// What a sender sees of a receiver, or of its route.
+const (
+	SeenDown   SightKind = iota // closed
+	SeenBack                    // delivers again, cold
+	SeenWait                    // told a wait
+	SeenLimit                   // told its limit
+	SeenScarce                  // short of connections
+)
+
+// Sight is what one sender saw and tells its fellows. What a kind does not name is zero. It may be wrong.
+type Sight struct {
+	Kind     SightKind
+	Receiver uint32
+	Dst      int64
+	Wait     int64   // µs left of a told wait
+	PerSec   float64 // calls a second, the told limit
+	Warm     float64 // of the warm time, from 0 to 1
+	Age      int64   // µs since it was seen
+}
