--- a/internal/channels/line.go
+++ b/internal/channels/line.go
@@ -412,6 +412,56 @@
 	return t.done(now)
 }
 
+// Forget lets go of all that is known of channels to some destinations: contracts, positions, ids and messages that are not under way, which
+// end. The keys of all rows that went come back. Letters of those channels are refused for a day: others may not have purged them yet.
+func (t *Table) Forget(now int64, dsts []int64) (Effects, []string) {
+	mine := func(k *Contract) bool { return k != nil && slices.Contains(dsts, k.Dst) }
+	from, borns := len(t.out.Rows), map[uint64]bool{}
+	for _, name := range slices.Sorted(maps.Keys(t.chans)) {
+		c := t.chans[name]
+		if s := t.seats[name]; !mine(c.contract) && (s == nil || !mine(s.Contract)) {
+			continue
+		}
+		for i := len(c.entries) - 1; i >= 0; i-- {
+			e := c.entries[i]
+			t.giveUp(now, c, i)
+			if e.released {
+				t.held--
+				t.drop(entryRow(e))
+			}
+		}
+		if c.contract != nil {
+			borns[c.contract.Born] = true
+		}
+		t.drop(ownKey + name)
+		delete(t.chans, name)
+	}
+	for _, name := range slices.Sorted(maps.Keys(t.seats)) {
+		if mine(t.seats[name].Contract) {
+			borns[t.seats[name].Contract.Born] = true
+			delete(t.seats, name)
+			t.drop(seatKey + name)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(t.orders)) {
+		if mine(&t.orders[name].Contract) {
+			delete(t.orders, name)
+			t.drop(orderKey + name)
+		}
+	}
+	var keys []string
+	for _, r := range t.out.Rows[from:] {
+		keys = append(keys, r.Key)
+	}
+	for _, born := range slices.Sorted(maps.Keys(borns)) {
+		if len(t.gone) < t.room.Channels {
+			t.gone[born] = now + t.t.Forget
+			t.row(goneRow(born), gone{born, t.gone[born]})
+		}
+	}
+	return t.done(now), keys
+}
+
 // Gone says that the channel's client has left its connection: another sender's wish for the channel is heeded at once.
 func (t *Table) Gone(channel string) {
 	if c := t.chans[channel]; c != nil {
--- a/internal/fleettest/fleettest_test.go
+++ b/internal/fleettest/fleettest_test.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"ravenlink/internal/links"
+	"ravenlink/internal/shares"
 )
 
 func TestMain(m *testing.M) { Main(m) }
@@ -53,7 +54,7 @@
 
 func TestDrawnSchedules(t *testing.T) {
 	t.Parallel()
-	seeds := []uint64{1, 2}
+	seeds := []uint64{3, 14} // a fleet and none, each with stops
 	if one, err := strconv.ParseUint(os.Getenv("FLEETTEST_SEED"), 10, 64); err == nil { // play this one again
 		seeds = []uint64{one}
 	}
@@ -71,11 +72,16 @@
 			require.NoError(t, s.Keep(path))
 			s, err := ReadSchedule(path)
 			require.NoError(t, err)
-			r := New(t, s.Setup())
+			setup, more := s.Setup(), []Judge{}
+			if seed%2 == 1 { // with a fleet: whoever is cut off from whom, nobody goes on with more than half of an even share
+				setup.Operator = inFleet
+				more = append(more, WithinLimit(7, int(declared), time.Second, int(shares.Burst(declared)+declared/2)))
+			}
+			r := New(t, setup)
 			r.Start()
 			r.Play(s)
 			r.UntilEnded()
-			r.Judge()
+			r.Judge(more...)
 		})
 	}
 }
@@ -331,7 +337,7 @@
 	require.True(t, w.failed)
 	text, err := os.ReadFile("testdata/delivery.golden")
 	require.NoError(t, err)
-	require.NotRegexp(t, `127\.0\.0\.1|X-Remaining-Ms: \d`, string(text))
+	require.NotRegexp(t, `127\.\d|X-Remaining-Ms: \d`, string(text))
 }
 
 func TestTheLinksTableOfASenderIsSound(t *testing.T) {
