--- a/choice/choice.go
+++ b/choice/choice.go
@@ -447,15 +447,6 @@
 	}
 }
 
-// left learns how soon clients leave. Danger: where they do, and only a call tells, serving the oldest first
-// spends the pace on messages that nobody waits for; while it lasts, the young go first.
-func (s *Sender) left(m *msg) {
-	if s.now >= s.leftTill {
-		s.leaveAge = float64(s.age(m))
-	}
-	s.leaveAge, s.leftTill = s.leaveAge+(float64(s.age(m))-s.leaveAge)*leaveStep, s.now+leavesFor
-}
-
 // Began says that the answer of a streamed leg has started; it now belongs to the client.
 func (s *Sender) Began(id string) {
 	if m := s.msgs[id]; m != nil {
--- a/choice/state.go
+++ b/choice/state.go
@@ -557,3 +557,12 @@
 	}
 	return d.mean, d.dev
 }
+
+// left learns how soon clients leave. Danger: where they do, and only a call tells, serving the oldest first
+// spends the pace on messages that nobody waits for; while it lasts, the young go first.
+func (s *Sender) left(m *msg) {
+	if s.now >= s.leftTill {
+		s.leaveAge = float64(s.age(m))
+	}
+	s.leaveAge, s.leftTill = s.leaveAge+(float64(s.age(m))-s.leaveAge)*leaveStep, s.now+leavesFor
+}
