Verdicts: who is doubted is told as well, first facts are dated by the link

News went to those alive alone: while all links of a loaded machine stood still for 2.4 s every sender doubted the others, and for 0.8 s after that nobody was told anything, since a doubt outlasts the link's trouble by a question and its answer. One in doubt is now told as those alive are; one who was gone and is back is compared with at the next round and not in its turn. Tests of both under the race detector.

--- a/internal/fleet/hearsay.go
+++ b/internal/fleet/hearsay.go
@@ -56,10 +56,11 @@
 	if err != nil {
 		return err
 	}
+	came := h.r.now()
 	h.r.pool.Do(hearsayKey, func() {
 		h.mu.Lock()
 		now := h.r.now()
-		news, letters := h.table.Heard(now, from, m)
+		news, letters := h.table.HeardWithin(now, f.Age+now-came, from, m)
 		news = slices.DeleteFunc(news, func(f verdicts.Fact) bool { return !h.stands(now, f) })
 		h.mu.Unlock()
 		send(h.r, links.Verdicts, letters)
--- a/internal/verdicts/explore_test.go
+++ b/internal/verdicts/explore_test.go
@@ -309,7 +309,7 @@
 func (t *Table) copied() *Table {
 	c := *t
 	c.subjects, c.order, c.hot, c.peers = map[Subject][]*held{}, slices.Clone(t.order), nil, map[string]*peer{}
-	c.names, c.alive, c.learnt, c.rng = slices.Clone(t.names), slices.Clone(t.alive), maps.Clone(t.learnt), rand.New(rand.NewPCG(1, 1))
+	c.names, c.told, c.learnt, c.rng = slices.Clone(t.names), slices.Clone(t.told), maps.Clone(t.learnt), rand.New(rand.NewPCG(1, 1))
 	same := map[*held]*held{}
 	for s, hs := range t.subjects {
 		for _, h := range hs {
--- a/internal/verdicts/hard_test.go
+++ b/internal/verdicts/hard_test.go
@@ -3,12 +3,14 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"testing"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/require"
 
 	"ravenlink/internal/members"
+	"ravenlink/internal/post"
 )
 
 func alone(t *testing.T, incarnation uint64) *Table {
@@ -270,3 +272,39 @@
 	}
 	require.LessOrEqual(t, x.Counts().Bytes-before, uint64((burst+1+10)*x.room.Rate+answers*x.room.Letter))
 }
+
+func to(letters []post.Letter[Msg], digest bool) (names []string) {
+	for _, l := range letters {
+		if digest == (len(l.Msg.Digest) > 0) {
+			names = append(names, l.To)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+func TestOneInDoubtIsToldAtOnceAndOneWhoWasGoneAtItsReturn(t *testing.T) {
+	x := alone(t, 1)
+	x.Tick(4e6) // no joiner any more
+	v := viewOf("a", []string{"a", "b", "c"})
+	v.Members[1].State, v.Members[2].State = members.Doubted, members.Gone
+	x.View(4e6, v)
+	require.Equal(t, []string{"b"}, to(x.Own(4e6, Fact{Subject: place, Kind: Wait, For: 9e6}), false), "slow is not gone")
+	x.Tick(4.1e6)
+	v.Members[2].State = members.Doubted
+	x.View(4.15e6, v)
+	require.Equal(t, []string{"c"}, to(x.Tick(4.2e6), true), "before the second's comparison")
+	require.Empty(t, to(x.Tick(4.3e6), true), "once")
+}
+
+func TestALinksOwnBoundDatesTheFirstFacts(t *testing.T) {
+	x := alone(t, 1)
+	w := seenBy("c", Wait, 1)
+	w.For = 9e6
+	news, _ := x.HeardWithin(2e6, 300_000, "c", Msg{Incarnation: 1, Stamp: 77, Facts: []wire{w}})
+	require.Len(t, news, 1)
+	require.Equal(t, int64(300_000), news[0].Slack, "the whole of the way counts")
+	require.Zero(t, x.Counts().Undated)
+	news, _ = x.HeardWithin(2e6, 0, "b", Msg{Incarnation: 1, Stamp: 5900, Facts: []wire{seenBy("b", Down, 1)}})
+	require.Greater(t, news[0].Slack, int64(1.9e6), "stamps also count what passed before the letter came to the link")
+}
--- a/internal/verdicts/hear.go
+++ b/internal/verdicts/hear.go
@@ -8,6 +8,12 @@
 
 // Heard takes in a letter: news are the facts that came in, or were withdrawn, by it.
 func (t *Table) Heard(now int64, from string, m Msg) (news []Fact, letters []post.Letter[Msg]) {
+	return t.HeardWithin(now, -1, from, m)
+}
+
+// HeardWithin is Heard where the link itself bounds the letter's age, in µs; -1 where it does not. That dates facts of a sender whose clock
+// is not known yet; where it is, the stamps do, which also count what passed before the letter came to the link.
+func (t *Table) HeardWithin(now, most int64, from string, m Msg) (news []Fact, letters []post.Letter[Msg]) {
 	t.begin(now)
 	p := t.peers[from]
 	switch {
@@ -22,6 +28,9 @@
 	}
 	t.refill(now)
 	travel := p.clock.hear(now, t.incarnation, m)
+	if travel < 0 {
+		travel = most
+	}
 	if travel < 0 && len(m.Facts) > 0 {
 		t.counts.Undated++
 		if p.again > 0 && now-p.again < t.t.Hot {
--- a/internal/verdicts/table.go
+++ b/internal/verdicts/table.go
@@ -56,7 +56,8 @@
 // peer is another sender.
 type peer struct {
 	name        string
-	alive       bool
+	gone        bool   // or left, as the view says
+	missed      bool   // it was gone and is back: what it missed is compared at the next round
 	incarnation uint64 // as the view or its own letters say
 	folder      uint64
 	clock       clock
@@ -74,8 +75,9 @@
 	order       []Subject           // sorted
 	peers       map[string]*peer
 	names       []string // of all peers, sorted
-	alive       []string // shuffled
-	turn        int      // in alive: who is told next
+	alive       int      // how many
+	told        []string // alive or doubted, shuffled: a doubt is mostly a slow link, and a letter costs less than what is not heard in time
+	turn        int      // in told: who is next
 	hot         []*held  // in the order in which they became hot
 	rng         *rand.Rand
 	tokens      float64 // bytes that may go out
@@ -119,7 +121,7 @@
 	t.begin(now)
 	t.viewed = true
 	listed := map[string]bool{}
-	t.alive, t.names = t.alive[:0], t.names[:0]
+	t.alive, t.told, t.names = 0, t.told[:0], t.names[:0]
 	for _, m := range v.Members {
 		listed[m.Name] = true
 		if m.Name == t.self {
@@ -132,10 +134,13 @@
 			t.peers[m.Name] = p
 		}
 		t.refolded(p, m)
-		p.alive, p.incarnation = m.State == members.Alive, max(p.incarnation, m.Incarnation)
+		gone := m.State != members.Alive && m.State != members.Doubted
+		p.missed = !gone && (p.missed || p.gone)
+		p.gone, p.incarnation = gone, max(p.incarnation, m.Incarnation)
 		t.names = append(t.names, m.Name)
-		if p.alive {
-			t.alive = append(t.alive, m.Name)
+		t.alive += bit(m.State == members.Alive)
+		if !gone && p.incarnation > 0 {
+			t.told = append(t.told, m.Name)
 		}
 	}
 	for name := range t.peers {
@@ -143,7 +148,7 @@
 			delete(t.peers, name)
 		}
 	}
-	t.rng.Shuffle(len(t.alive), func(i, j int) { t.alive[i], t.alive[j] = t.alive[j], t.alive[i] })
+	t.rng.Shuffle(len(t.told), func(i, j int) { t.told[i], t.told[j] = t.told[j], t.told[i] })
 	t.sweep(func(h *held) bool { return h.Origin == t.self || listed[h.Origin] })
 }
 
@@ -183,7 +188,7 @@
 	if now-t.born >= t.t.LearnFor {
 		return false
 	}
-	return !t.viewed || len(t.learnt) == 0 && len(t.names) > 0 || len(t.learnt) < min(learnFrom, len(t.alive))
+	return !t.viewed || len(t.learnt) == 0 && len(t.names) > 0 || len(t.learnt) < min(learnFrom, t.alive)
 }
 
 // Own takes in what this sender saw itself; Age and the kind's figures are given by the caller.
--- a/internal/verdicts/tell.go
+++ b/internal/verdicts/tell.go
@@ -29,12 +29,12 @@
 	t.filled = now
 }
 
-// next names up to n of those alive, in turn, but for one.
-func (t *Table) next(n int, but string) []string {
+// next names up to n of those who are told, in turn.
+func (t *Table) next(n int) []string {
 	var to []string
-	for i := 0; i < len(t.alive) && len(to) < n; i++ {
-		t.turn = (t.turn + 1) % len(t.alive)
-		if name := t.alive[t.turn]; name != but && t.peers[name] != nil {
+	for i := 0; i < len(t.told) && len(to) < n; i++ {
+		t.turn = (t.turn + 1) % len(t.told)
+		if name := t.told[t.turn]; t.peers[name] != nil {
 			to = append(to, name)
 		}
 	}
@@ -44,7 +44,7 @@
 // atOnce sends what is new to a few; without bytes left it waits for its round.
 func (t *Table) atOnce(now int64, hs []*held) []post.Letter[Msg] {
 	t.refill(now)
-	if t.tokens <= 0 || len(t.alive) == 0 {
+	if t.tokens <= 0 || len(t.told) == 0 {
 		return nil
 	}
 	var facts []wire
@@ -54,7 +54,7 @@
 	}
 	var letters []post.Letter[Msg]
 	slot := t.numbered("new/")
-	for _, to := range t.next(fanout, "") {
+	for _, to := range t.next(fanout) {
 		letters = append(letters, t.letter(now, to, slot, Msg{Facts: facts}))
 	}
 	return letters
@@ -72,6 +72,7 @@
 	letters := t.round(now)
 	if t.tokens > 0 && !t.Learning(now) {
 		letters = append(letters, t.acquaint(now)...)
+		letters = append(letters, t.makeUp(now)...)
 	}
 	every := t.t.Exchange
 	if t.Learning(now) {
@@ -85,8 +86,23 @@
 	if t.Learning(now) {
 		n = learnFrom
 	}
-	for _, to := range t.next(n, "") {
-		letters = append(letters, t.letter(now, to, "digest", Msg{Flags: flagEcho, Digest: t.root(now)}))
+	for _, to := range t.next(n) {
+		letters = append(letters, t.compare(now, to))
+	}
+	return letters
+}
+
+func (t *Table) compare(now int64, to string) post.Letter[Msg] {
+	return t.letter(now, to, "digest", Msg{Flags: flagEcho, Digest: t.root(now)})
+}
+
+// makeUp compares with a few who were gone and are back, without waiting for their turn.
+func (t *Table) makeUp(now int64) (letters []post.Letter[Msg]) {
+	for _, name := range t.told {
+		if p := t.peers[name]; p != nil && p.missed && len(letters) < learnFrom {
+			p.missed = false
+			letters = append(letters, t.compare(now, name))
+		}
 	}
 	return letters
 }
@@ -97,7 +113,7 @@
 		h.listed = h.copies > 0
 		return !h.listed
 	})
-	if len(t.hot) == 0 || t.tokens <= 0 || len(t.alive) == 0 {
+	if len(t.hot) == 0 || t.tokens <= 0 || len(t.told) == 0 {
 		return nil
 	}
 	var facts []wire
@@ -112,7 +128,7 @@
 	}
 	var letters []post.Letter[Msg]
 	slot := t.numbered("hot/")
-	for _, to := range t.next(fanout, "") {
+	for _, to := range t.next(fanout) {
 		letters = append(letters, t.letter(now, to, slot, Msg{Facts: facts}))
 	}
 	return letters
@@ -120,9 +136,9 @@
 
 // acquaint asks one whose clock is not known yet for an echo, so that its first facts can be dated when they come.
 func (t *Table) acquaint(now int64) []post.Letter[Msg] {
-	for range t.alive {
-		t.turn = (t.turn + 1) % len(t.alive)
-		if p := t.peers[t.alive[t.turn]]; p != nil && !p.clock.known {
+	for range t.told {
+		t.turn = (t.turn + 1) % len(t.told)
+		if p := t.peers[t.told[t.turn]]; p != nil && !p.clock.known {
 			return []post.Letter[Msg]{t.letter(now, p.name, "echo", Msg{Flags: flagEcho})}
 		}
 	}
