--- a/internal/fleettest/fleet_test.go
+++ b/internal/fleettest/fleet_test.go
@@ -121,16 +121,24 @@
 }
 
 const (
-	settled = 1500 * time.Millisecond // when senders that started with the schedule have learned what the others know
-	heeded  = 2 * time.Second         // after a wait was told to one all heed it, on a machine that is busy as well
+	settled  = 1500 * time.Millisecond // when senders that started with the schedule have learned what the others know
+	hop      = 20 * time.Millisecond   // of one post beside its delay: 2 ms for others to join it, two connections, a worker's turn
+	hotAgain = 100 * time.Millisecond  // between rounds of what is new
+	learns   = time.Second             // of a joiner: a beat of each side to be seen, then four posts each quarter of a second
 )
 
+// heeded is when all heed a wait that was told to one: news go at once, so that is the post that is out on a link and the one after it, for
+// each link on the way, and what a busy machine takes.
+func heeded(linksOnWay int, delay, more time.Duration) time.Duration {
+	return time.Duration(linksOnWay)*2*(delay+hop) + more + travel
+}
+
 // shut is busy, once all have settled, with a destination that lets two calls in five seconds through and tells the others to wait for four.
-// For more than two seconds only a knows that.
-func shut(steps ...Step) (Schedule, Setup) {
+// Until all should heed that only a knows it.
+func shut(by time.Duration, steps ...Step) (Schedule, Setup) {
 	s := busy(7, 3)
 	for i := range s.Steps {
-		if s.Steps[i].At *= 2; s.Steps[i].At < heeded+400*time.Millisecond {
+		if s.Steps[i].At *= 2; s.Steps[i].At < by+400*time.Millisecond {
 			s.Steps[i].Client = 0
 		} else {
 			s.Steps[i].Client = i % 3
@@ -151,35 +159,39 @@
 	t.Parallel()
 	for name, c := range map[string]struct {
 		late  string
+		by    time.Duration
 		steps []Step
 	}{
-		"calm":              {"", nil},
-		"slow links":        {"", all(3, Faults{Delay: 150 * time.Millisecond}, 0)},
-		"loss":              {"", all(3, Faults{Loss: 0.1}, 0)},
-		"doubles, disorder": {"", all(3, Faults{Doubles: 0.4, Disorder: 0.4, ReplayWait: 300 * time.Millisecond}, 0)},
-		"b killed":          {"", []Step{{At: settled + 700*time.Millisecond, Do: DoKill, A: "b"}}},
-		"one link cut":      {"", between("a", "b", Faults{Cut: true}, 0)},
-		"c joins":           {"c", []Step{{At: settled + 100*time.Millisecond, Do: DoStart, A: "c"}}},
+		"calm":              {"", heeded(1, 0, 0), nil},
+		"slow links":        {"", heeded(1, 150*time.Millisecond, 0), all(3, Faults{Delay: 150 * time.Millisecond}, 0)},
+		"loss":              {"", heeded(2, 0, 2*hotAgain), all(3, Faults{Loss: 0.1}, 0)},
+		"doubles, disorder": {"", heeded(1, 0, 0), all(3, Faults{Doubles: 0.4, Disorder: 0.4, ReplayWait: 300 * time.Millisecond}, 0)},
+		"b killed":          {"", heeded(1, 0, 0), []Step{{At: settled + 700*time.Millisecond, Do: DoKill, A: "b"}}},
+		"one link cut":      {"", heeded(2, 0, 0), between("a", "b", Faults{Cut: true}, 0)},
+		"c joins":           {"c", heeded(1, 0, learns), []Step{{At: settled + 100*time.Millisecond, Do: DoStart, A: "c"}}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			s, setup := shut(c.steps...)
+			s, setup := shut(c.by, c.steps...)
 			setup.Operator = inFleet
 			r := New(t, setup)
 			r.Start(c.late)
 			r.Play(s)
 			r.UntilEnded()
-			r.Judge(WaitsOfAll(heeded))
+			r.Judge(WaitsOfAll(c.by))
 		})
 	}
 }
 
 func TestWithoutVerdictsOthersCallIntoTheWait(t *testing.T) {
 	t.Parallel()
-	s, setup := shut()
+	by := heeded(1, 0, 0)
+	s, setup := shut(by)
 	r := New(t, setup)
 	r.Start()
 	r.Play(s)
 	r.UntilEnded()
-	require.NotEmpty(t, WaitsOfAll(heeded)(r.Record()))
+	rec := r.Record()
+	rec.Stalls = nil // none excuses these
+	require.NotEmpty(t, WaitsOfAll(by)(rec))
 }
--- a/internal/fleettest/fleettest_test.go
+++ b/internal/fleettest/fleettest_test.go
@@ -196,7 +196,9 @@
 		t.Run(name, func(t *testing.T) {
 			f := &faulty{T: t, Rig: New(t, Setup{Senders: 3})}
 			c.plant(f)
-			found := c.judge(f.Record())
+			rec := f.Record()
+			rec.Stalls = nil // they would excuse what was planted
+			found := c.judge(rec)
 			require.Len(t, found, 1)
 			require.Contains(t, found[0], c.want)
 		})
@@ -362,3 +364,13 @@
 		require.Equal(t, c.next, s.next, c.answer)
 	}
 }
+
+// TestAStallOfTheRigMovesTheBoundOfAWaitByItsLength: by no more, and only one between the wait and the call.
+func TestAStallOfTheRigMovesTheBoundOfAWaitByItsLength(t *testing.T) {
+	const s = time.Second
+	rec := Record{Calls: []Call{{At: s, Answered: s, Sender: "a", Dst: 7, Status: 429, Wait: 9 * s}, {At: 4 * s, Sender: "b", ID: "m", Dst: 7}}}
+	for stall, faults := range map[Stall]int{{}: 1, {0, s}: 1, {4 * s, 8 * s}: 1, {2 * s, 3 * s}: 1, {s, 3 * s}: 0, {0, 9 * s}: 0} {
+		rec.Stalls = []Stall{stall}
+		require.Len(t, WaitsOfAll(3*s/2)(rec), faults, stall)
+	}
+}
--- a/internal/fleettest/judge.go
+++ b/internal/fleettest/judge.go
@@ -6,6 +6,9 @@
 	"sort"
 	"strings"
 	"time"
+
+	"ravenlink/internal/links"
+	"ravenlink/internal/verdicts"
 )
 
 // Lane is what the judges know of a lane.
@@ -161,13 +164,16 @@
 	return slices.ContainsFunc(r.Acts, func(a Act) bool { return a.Sender == sender && a.What == "start" && a.At >= from && a.At <= to })
 }
 
-// WaitsOfAll is Waits for the whole fleet: a wait told to one is heeded by all once within has passed.
+// WaitsOfAll is Waits for the whole fleet: a wait told to one is heeded by all once within has passed. Stalls of the rig, whose links stand
+// still meanwhile, count not.
 func WaitsOfAll(within time.Duration) Judge {
 	return func(rec Record) (faults []string) {
 		for _, told := range rec.Calls {
 			for _, c := range rec.Calls {
-				if told.Wait > 0 && c.Dst == told.Dst && c.At > told.Answered+within && c.At < told.Answered+told.Wait-time.Millisecond {
-					faults = append(faults, fmt.Sprintf("%s: %s called %d %v into a wait told to %s", c.ID, c.Sender, c.Dst, c.At-told.Answered, told.Sender))
+				if told.Wait > 0 && c.Dst == told.Dst && c.At < told.Answered+told.Wait-time.Millisecond &&
+					c.At > told.Answered+within+rec.stalled(told.Answered, c.At) {
+					faults = append(faults, fmt.Sprintf("%s: %s called %d %v into a wait told to %s, %s", c.ID, c.Sender, c.Dst, c.At-told.Answered,
+						told.Sender, rec.came(told, c)))
 				}
 			}
 		}
@@ -175,6 +181,35 @@
 	}
 }
 
+// stalled sums the stalls between two times.
+func (r Record) stalled(from, to time.Duration) (sum time.Duration) {
+	for _, s := range r.Stalls {
+		sum += max(0, min(s.To, to)-max(s.From, from))
+	}
+	return sum
+}
+
+// came says how long before a call the news of a wait had come to its sender.
+func (r Record) came(told, c Call) string {
+	for _, p := range r.Posts {
+		if p.To != c.Sender || p.Fate != "passed" || p.At < told.Answered || p.At > c.At {
+			continue
+		}
+		for _, f := range p.Frames {
+			m, err := verdicts.Decode(f.Body)
+			if f.Kind != links.Verdicts || err != nil {
+				continue
+			}
+			for _, w := range m.Facts {
+				if w.Dst == told.Dst && w.Kind == uint8(verdicts.Wait) && w.Origin == told.Sender {
+					return fmt.Sprintf("news of which came to it by %s %v before", p.From, c.At-p.At)
+				}
+			}
+		}
+	}
+	return "of which no news had come to it"
+}
+
 // Drains finds calls to a destination that is listed as draining since more than slack.
 func Drains(slack time.Duration) Judge {
 	return func(rec Record) (faults []string) {
--- a/internal/fleettest/record.go
+++ b/internal/fleettest/record.go
@@ -19,6 +19,7 @@
 	Lists   []Listing
 	Acts    []Act
 	Posts   []Post
+	Stalls  []Stall
 }
 
 // HandIn is one message as a client handed it in, and its answer.
@@ -77,6 +78,34 @@
 	Frames   []links.Frame // as they were sent
 }
 
+// Stall is a time in which the machine did not let the rig run, and so no link, receiver or client of it.
+type Stall struct{ From, To time.Duration }
+
+const (
+	pulse      = 20 * time.Millisecond  // of the rig, to find stalls
+	stallLeast = 100 * time.Millisecond // a pulse later than this is one
+)
+
+// watch writes stalls down until done.
+func (r *recorder) watch(done <-chan struct{}) {
+	each := time.NewTicker(pulse)
+	defer each.Stop()
+	for last := r.now(); ; {
+		select {
+		case <-done:
+			return
+		case <-each.C:
+		}
+		now := r.now()
+		if now-last >= pulse+stallLeast {
+			r.mu.Lock()
+			r.rec.Stalls = append(r.rec.Stalls, Stall{last + pulse, now})
+			r.mu.Unlock()
+		}
+		last = now
+	}
+}
+
 // recorder collects a record.
 type recorder struct {
 	start time.Time
@@ -128,6 +157,7 @@
 	c := r.rec
 	c.HandIns, c.Calls = slices.Clone(c.HandIns), slices.Clone(c.Calls) // whose entries still change
 	c.Notices, c.Lists, c.Acts, c.Posts = slices.Clip(c.Notices), slices.Clip(c.Lists), slices.Clip(c.Acts), slices.Clip(c.Posts)
+	c.Stalls = slices.Clip(c.Stalls)
 	return c, r.news
 }
 
--- a/internal/fleettest/rig.go
+++ b/internal/fleettest/rig.go
@@ -54,6 +54,8 @@
 	senders []*Sender
 	dsts    map[int64]*destination
 	links   map[[2]string]*Link
+	done    chan struct{} // closed at the end
+	pulse   sync.WaitGroup
 }
 
 // New sets all up; no process runs yet.
@@ -65,7 +67,9 @@
 	if len(s.Destinations) == 0 {
 		s.Destinations = []int64{7}
 	}
-	r := &Rig{t: t, setup: s, rec: newRecorder(), dsts: map[int64]*destination{}, links: map[[2]string]*Link{}}
+	r := &Rig{t: t, setup: s, rec: newRecorder(), dsts: map[int64]*destination{}, links: map[[2]string]*Link{},
+		done: make(chan struct{})}
+	r.pulse.Go(func() { r.rec.watch(r.done) })
 	for _, dst := range s.Destinations {
 		r.dsts[dst] = &destination{r: r, dst: dst, conduct: Conduct{Window: time.Second}, changed: make(chan struct{}), serving: true}
 	}
@@ -157,6 +161,8 @@
 	for _, l := range r.links {
 		l.close()
 	}
+	close(r.done)
+	r.pulse.Wait()
 	_ = os.RemoveAll(root)
 }
 
