--- a/internal/fleettest/record.go
+++ b/internal/fleettest/record.go
@@ -82,8 +82,8 @@
 type Stall struct{ From, To time.Duration }
 
 const (
-	pulse      = 20 * time.Millisecond  // of the rig, to find stalls
-	stallLeast = 100 * time.Millisecond // a pulse later than this is one
+	pulse      = 5 * time.Millisecond // of the rig, to find stalls
+	stallLeast = 5 * time.Millisecond // a pulse later than this is one; on a full machine what takes ten turns of several processes has ten such
 )
 
 // watch writes stalls down until done.
