Destinations that wait for a free slot set no timer; they turned the sender in circles

Cause: since a turn that leaves destinations due asks for a timer one microsecond on; dispatch leaves all candidates due while every slot is in use (choice.go, dispatch: s.wake(c.m.dst)), so the timer rang without end until an outcome came. Ruled out: other wakes of a turn (each is of a later time or makes progress).

--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -579,3 +579,15 @@
 	}
 	assert.InDelta(t, 10-math.Sqrt(20)/2, p.okPeak, .5)
 }
+
+func TestFullSlotsWaitForAnOutcomeNotForATimer(t *testing.T) {
+	f := begin(t, keyed, 2, 1, aLot, Kind{Batch: 1})
+	f.Listed(Changes, []Entry{{Receiver: 2, Dst: 8, Weight: aLot, Listed: true}, {Receiver: 3, Dst: 9, Weight: aLot, Listed: true}})
+	for i, id := range []string{"a", "b", "c"} {
+		f.Take(id, 0, "", int64(7+i), f.now+28*second)
+	}
+	assert.Equal(t, 2, count(f.after(second), "send"), "as many as slots")
+	assert.Less(t, f.rung, 20)
+	f.ends("a", Delivered, 0)
+	assert.Equal(t, 1, count(f.after(0), "send"), "at the outcome")
+}
--- a/choice/fake_test.go
+++ b/choice/fake_test.go
@@ -14,6 +14,7 @@
 	to   map[string]uint32 // where a message's latest leg went
 	legs map[string]int
 	ring int64
+	rung int // timers asked for
 	seen []Sight
 }
 
@@ -26,7 +27,7 @@
 func (f *fake) Cancel(m string, leg int)    { f.say("cancel %s %d", m, leg) }
 func (f *fake) PushBack(m string, in int64) { f.say("push back %s", m); f.back[m] = in }
 func (f *fake) Fail(m string)               { f.say("fail %s", m) }
-func (f *fake) Timer(in int64, _ uint64)    { f.ring = f.now + in }
+func (f *fake) Timer(in int64, _ uint64)    { f.ring, f.rung = f.now+in, f.rung+1 }
 func (f *fake) Probe(r uint32)              { f.say("probe %d", r) }
 func (f *fake) CloseIdle(r uint32)          { f.say("close %d", r) }
 func (f *fake) Note(string)                 { f.say("note") }
--- a/choice/state.go
+++ b/choice/state.go
@@ -387,7 +387,9 @@
 	if len(s.wakes) > 0 {
 		at = min(at, s.wakes[0].wakeAt)
 	}
-	if len(s.due) > 0 { // what this turn sent woke its destination: its next time to go is not known yet
+	// What this turn sent woke its destination: its next time to go is not known yet. With all slots in use they
+	// wait for an outcome, and a timer would ring again and again.
+	if len(s.due) > 0 && s.calls < s.room.Slots {
 		at = s.now + 1
 	}
 	if at < s.timerAt && at < never {
