An error with several faults stays in its one line of an answer

Seen on processes: a contract with two faults got an -ERR over two lines, and from then on every answer to that client was read one too late. Cause: DecodeContract joins its errors with line breaks, and WriteError and WriteErrorAt wrote them as they were (internal/protocol/resp.go). Line breaks become '; '. The test fails without it.

--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -94,6 +94,10 @@
 	w := bufio.NewWriter(&b)
 	require.NoError(t, errors.Join(WriteOKAt(w, 4), WriteBusyAt(w, 0, 0), WriteBusyAt(w, 30, -1), WriteErrorAt(w, "closed", 4), w.Flush()))
 	assert.Equal(t, "+OK pos=4\r\n-BUSY 1 pos=0\r\n-BUSY 30\r\n-ERR closed pos=4\r\n", b.String())
+	b.Reset()
+	several := errors.Join(errors.New("one"), errors.New("two")).Error()
+	require.NoError(t, errors.Join(WriteError(w, several+"\r\n+OK"), WriteErrorAt(w, several, 4), w.Flush()))
+	assert.Equal(t, "-ERR one; two; +OK\r\n-ERR one; two pos=4\r\n", b.String(), "a client reads a line as the answer to its next command")
 }
 
 func TestAnswersAreReadWhole(t *testing.T) {
--- a/internal/protocol/resp.go
+++ b/internal/protocol/resp.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"strconv"
+	"strings"
 )
 
 // Bounds of what is read.
@@ -139,7 +140,7 @@
 
 // WriteErrorAt fails a hand-in.
 func WriteErrorAt(w *bufio.Writer, what string, pos int64) error {
-	return write(w, "-ERR "+what+at(pos)+"\r\n")
+	return write(w, "-ERR "+oneLine.Replace(what)+at(pos)+"\r\n")
 }
 
 func at(pos int64) string {
@@ -150,7 +151,13 @@
 }
 
 // WriteError fails a command.
-func WriteError(w *bufio.Writer, what string) error { return write(w, "-ERR "+what+"\r\n") }
+func WriteError(w *bufio.Writer, what string) error {
+	return write(w, "-ERR "+oneLine.Replace(what)+"\r\n")
+}
+
+// oneLine keeps an answer in its one line: joined errors have several, and a client would read the next ones as answers to
+// what it says later.
+var oneLine = strings.NewReplacer("\r\n", "; ", "\n", "; ", "\r", "; ")
 
 func write(w *bufio.Writer, s string) error {
 	if _, err := w.WriteString(s); err != nil {
