A copy of a folder from before its latest start is told of what it missed

Seen in virtual time: such a copy starts with the incarnation that is known, its beats lie below those known, so the others ignored it without a word and it stayed gone to them until its beats passed the old ones; its channels would go on by old promises. Cause: Heard answered an older incarnation only, not older beats of the same (internal/members/heard.go). A letter with a beat below the known one is answered with what is known; the copy goes past its last start at once. A late letter costs a word more.

--- a/internal/members/hard_test.go
+++ b/internal/members/hard_test.go
@@ -122,6 +122,13 @@
 		got, _ := f.View().Member("s000")
 		require.Equal(t, [2]uint64{10, uint64(Alive)}, [2]uint64{got.Incarnation, uint64(got.State)})
 	}
+	fs[0] = New("s000", names(3), 10, 1000, Usual(3)) // a copy of the very start that is known: only its beats tell
+	m.Nodes[0] = fs[0]
+	m.Run(m.Now + 10e6)
+	for _, f := range fs {
+		got, _ := f.View().Member("s000")
+		require.Equal(t, [2]uint64{11, uint64(Alive)}, [2]uint64{got.Incarnation, uint64(got.State)})
+	}
 }
 
 func TestLeaving(t *testing.T) {
--- a/internal/members/heard.go
+++ b/internal/members/heard.go
@@ -29,11 +29,15 @@
 		return nil
 	}
 	p.watched = m.Flags&flagWatch != 0
+	var letters []post.Letter[Msg]
+	if m.Beat < p.beat { // late, or of an older copy of its folder, which has to know
+		letters = append(letters, f.reply(p, []Word{f.word(now, p)}))
+	}
 	f.evidence(now, p, m.Beat, now)
 	for _, w := range m.Words {
 		f.take(now, p, w)
 	}
-	return f.answers(now, p, m)
+	return append(letters, f.answers(now, p, m)...)
 }
 
 // current takes in which start of p is spoken of; false for one that is over.
