The first pause at a known limit goes by half the interval of a cold share

Cause: a hanging destination refuses by its full queue, and the second calls of all senders refused once met its return. The fleet test for refusals at a known limit covers it.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -248,8 +248,8 @@
 		return
 	}
 	turn := int64(float64(second) / max(share, leastTrials))
-	if p.share > 0 && p.row+p.bad < badRow { // pace keeps to the limit; a cold share's interval may be minutes
-		turn = 0
+	if p.share > 0 && p.row+p.bad < badRow { // pace keeps to the limit; but a full queue may mean an outage too
+		turn /= 2
 	}
 	first := max(pauseFirst, int64(pauseTurn*float64(turn)))
 	p.pause = now + int64((0.5+chance)*float64(min(max(pauseMost, turn), first<<min(p.row-1, 10))))
