A leg out as the last one may start has its end recorded

And a leg was counted as out only within its own goroutine, so that the drain could see none out while one began, and end the process under it.

The loop now goes on until working has ended and the last leg is over, and takes in the ends those brought. A leg is counted before the look whether it may start. One that was picked, waits for its connection or stands at the gate as picking ends does not begin, and is recorded as never run where it had been begun.

Four tests, each of which fails with the loop as it was; the one for the end times out there.

--- a/internal/relay/channels_test.go
+++ b/internal/relay/channels_test.go
@@ -16,6 +16,11 @@
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
+const (
+	long    = 10 * time.Second // a limit that no good run reaches
+	glimpse = time.Millisecond
+)
+
 const settings = `{"balancers":1,"machine_types":["m"],"zones":["z"],"classes":[{"name":"n","aim":2000,"deadline":8000,"group":"all",` +
 	`"importance":1,"late_worth":0.5,"repeat":"by_key","window":15000}],"family_info":{"max_calls":20},"limits":{"most_held":40,"send_cap":6},` +
 	`"rules":{"start_capacity":0.2,"warm_within":1000,"overload_factor":2}}`
@@ -62,9 +67,17 @@
 	*turns
 	*road
 	ends
+	stopPicking, stopWorking func()
 }
 
 func begin(t *testing.T) *rig {
+	r := prepare(t)
+	r.Run()
+	return r
+}
+
+// prepare makes an engine that does not run yet.
+func prepare(t *testing.T) *rig {
 	s, _, err := spool.Open(t.TempDir(), 1<<20)
 	require.NoError(t, err)
 	r := &rig{turns: &turns{make(chan bool, 9), make(chan [2]bool, 9)}, road: &road{make(chan *spool.Message, 9), make(chan routing.Result, 9)}, ends: make(ends, 9)}
@@ -74,13 +87,15 @@
 	r.Engine = New(zap.NewNop(), clock, router, s, r.road)
 	r.Tell(r.ends)
 	r.Order(r.turns, time.Second)
-	ctx, cancel := context.WithCancel(context.Background())
+	picking, stopPicking := context.WithCancel(context.Background())
+	working, stopWorking := context.WithCancel(context.Background())
+	r.stopPicking, r.stopWorking = stopPicking, stopWorking
 	ticked := make(chan struct{})
-	go func() { router.Tick(ctx); close(ticked) }()
-	r.Begin(ctx, ctx)
-	r.Run()
+	go func() { router.Tick(working); close(ticked) }()
+	r.Begin(picking, working)
 	t.Cleanup(func() {
-		cancel()
+		stopPicking()
+		stopWorking()
 		close(r.how)
 		close(r.open)
 		r.Wait()
@@ -141,7 +156,7 @@
 	require.NoError(t, r.Keep(resumed))
 	r.open <- false
 	r.Resume(resumed)
-	require.Eventually(t, func() bool { return len(r.open) == 0 }, 10*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return len(r.open) == 0 }, long, glimpse)
 	r.Abandon("b", 7)
 	require.True(t, (<-r.ends).PushedBack)
 	require.Equal(t, [2]bool{false, false}, <-r.ended)
--- a/internal/relay/courier.go
+++ b/internal/relay/courier.go
@@ -35,6 +35,7 @@
 	picking context.Context // ends when no leg may start any more
 	working context.Context // ends when those out are given up
 	out     atomic.Int64    // legs out, as many as the settings' slots at most
+	legs    sync.WaitGroup  // the same, for run alone
 	running sync.WaitGroup
 
 	mu   sync.Mutex
@@ -142,28 +143,55 @@
 	e.router.Carry(m.ID)
 }
 
-// Run carries out what is decided until no leg may start any more.
+// Run carries out what is decided: legs until none may start any more, ends until the last leg is over.
 func (e *Engine) Run() { e.running.Go(e.run) }
 
 func (e *Engine) run() {
+	e.picks()
+	e.legs.Wait()
+	e.picks() // the ends that the last legs brought
+}
+
+// picks carries out what is decided until working has ended and nothing is queued.
+func (e *Engine) picks() {
 	for {
-		p, err := e.router.Pick(e.picking)
+		p, err := e.router.Pick(e.working)
 		if err != nil {
 			return
 		}
-		c := e.carried(p)
-		e.watched(c.msg.Dst, p.Way)
-		switch p.Way {
-		case routing.Leg:
-			e.running.Go(func() { e.leg(c, p) })
-		case routing.Over:
-			e.over(c)
-		default:
-			e.undelivered(c, p.Way == routing.PushedBack, p.Advice)
+		if p.Way != routing.Leg || e.mayStart() {
+			e.carryOut(p)
 		}
 	}
 }
 
+// mayStart counts a leg as out, if one may still start. It counts before it looks: whoever ends picking and then sees none out knows
+// that there will be none.
+func (e *Engine) mayStart() bool {
+	e.out.Add(1)
+	if e.picking.Err() != nil {
+		e.out.Add(-1)
+		return false
+	}
+	return true
+}
+
+func (e *Engine) carryOut(p routing.Pick) {
+	c := e.carried(p)
+	e.watched(c.msg.Dst, p.Way)
+	switch p.Way {
+	case routing.Leg:
+		e.legs.Go(func() {
+			defer e.out.Add(-1)
+			e.leg(c, p)
+		})
+	case routing.Over:
+		e.over(c)
+	default:
+		e.undelivered(c, p.Way == routing.PushedBack, p.Advice)
+	}
+}
+
 // watched tells who watches that a leg begins, or that a message ends.
 func (e *Engine) watched(dst int64, way routing.Way) {
 	switch {
@@ -219,8 +247,6 @@
 
 // leg carries out one leg and reports how it went.
 func (e *Engine) leg(c *carried, p routing.Pick) {
-	e.out.Add(1)
-	defer e.out.Add(-1)
 	m := c.msg
 	ctx, cancel := context.WithCancel(p.Ctx)
 	defer cancel()
@@ -230,7 +256,7 @@
 	patience := e.patience(m, p)
 	j := e.carrier.Carry(ctx, Leg{Msg: m, To: p.Receiver, Patience: patience, Until: began + patience.Microseconds(),
 		Ready: func() bool {
-			if !e.router.Stands(p) || !e.begins(m) {
+			if e.picking.Err() != nil || !e.router.Stands(p) || e.picking.Err() != nil || !e.begins(m) { // Stands may have taken a moment
 				return false
 			}
 			recorded = e.record(m, p, false)
--- /dev/null
+++ b/internal/relay/drain_test.go
@@ -0,0 +1,92 @@
+package relay
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"ravenlink/internal/routing"
+)
+
+// counted notes how many legs are counted as one begins.
+type counted struct {
+	*Engine
+	out chan int64
+}
+
+func (c counted) Came(int64)       {}
+func (c counted) Began(int64)      { c.out <- c.Out() }
+func (c counted) Paused(int64)     {}
+func (c counted) TurnedAway(int64) {}
+func (c counted) Ended(int64)      {}
+
+// The program ends once no leg is counted: one that begins must be before anybody can look.
+func TestALegCountsBeforeItBegins(t *testing.T) {
+	r := prepare(t)
+	seen := counted{r.Engine, make(chan int64, 9)}
+	r.Watch = seen
+	r.open <- true
+	r.how <- routing.Delivered
+	m := r.message("a")
+	require.NoError(t, r.Keep(m))
+	r.Resume(m)
+	r.Run()
+	require.EqualValues(t, 1, <-seen.out)
+	require.Equal(t, [2]bool{true, false}, <-r.ended)
+}
+
+func TestALegOutAsPickingEndsHasItsEndRecorded(t *testing.T) {
+	for _, late := range []bool{false, true} { // its end comes before that of working, or after
+		r := begin(t)
+		m := r.message("a")
+		require.NoError(t, r.Keep(m))
+		r.open <- true
+		r.Resume(m)
+		<-r.gone
+		r.stopPicking()
+		if late {
+			r.stopWorking()
+		}
+		r.how <- routing.Delivered
+		require.Equal(t, [2]bool{true, false}, <-r.ended)
+		r.stopWorking()
+		r.Wait()
+		require.Empty(t, r.spool.Owed(), "a restart would take it for one that may have run")
+		require.Zero(t, r.Out())
+	}
+}
+
+func TestALegPickedBeforePickingEndedDoesNotBegin(t *testing.T) {
+	r := prepare(t)
+	m := r.message("a")
+	require.NoError(t, r.Keep(m))
+	r.Resume(m)
+	r.stopPicking()
+	r.open <- true
+	r.how <- routing.Delivered
+	r.Run()
+	r.stopWorking()
+	r.Wait()
+	require.Empty(t, r.gone)
+	require.Len(t, r.spool.Owed(), 1)
+	require.Empty(t, m.Legs)
+	require.Zero(t, r.Out())
+}
+
+// A leg may wait long for its connection, or at the gate.
+func TestALegWithoutItsFirstByteAsPickingEndsIsNotSent(t *testing.T) {
+	r := prepare(t)
+	r.router.Gate = func(int64) bool { r.stopPicking(); return true }
+	m := r.message("a")
+	require.NoError(t, r.Keep(m))
+	r.Resume(m)
+	r.open <- true
+	r.how <- routing.Delivered
+	r.Run()
+	require.Eventually(t, func() bool { return r.picking.Err() != nil && r.Out() == 0 }, long, glimpse)
+	r.stopWorking()
+	r.Wait()
+	require.Empty(t, r.gone)
+	require.Len(t, m.Legs, 1)
+	require.True(t, m.Legs[0].NeverRan)
+}
