A leg halted right before its first byte is not sent

The connection now asks once more right before the first byte leaves, also where the call is longer than its rings: not called off, its patience not over, and the leg's own word: before the deadline, and found to stand not more than 0.1 s ago. Else the leg is not sent, is recorded as never run, and is not held against its receiver (an over-long patience was taken for a failed connect before).

The new test of the pool fails with the code as it was where the caller says no and where time is up; called off, a leg was not sent before either.

--- a/internal/platform/calls.go
+++ b/internal/platform/calls.go
@@ -29,6 +29,7 @@
 	var answer protocol.Answer
 	stage := c.pool.Do(ctx, l.To.ID, l.To.Addr, l.Patience, transport.Exchange{
 		Ready: l.Ready,
+		Still: l.Still,
 		Write: func(w *bufio.Writer) error {
 			wait := max(1, (l.Until-c.clock.Now())/microsInMilli)
 			return protocol.WriteCall(w, l.To.Addr, l.Msg.ID, l.Msg.Key, wait, l.Msg.Body)
--- a/internal/relay/courier.go
+++ b/internal/relay/courier.go
@@ -252,16 +252,19 @@
 	defer cancel()
 	defer context.AfterFunc(e.working, cancel)()
 	began := e.clock.Now()
-	recorded := false
+	recorded, stood := false, int64(0)
 	patience := e.patience(m, p)
-	j := e.carrier.Carry(ctx, Leg{Msg: m, To: p.Receiver, Patience: patience, Until: began + patience.Microseconds(),
+	until := began + patience.Microseconds()
+	j := e.carrier.Carry(ctx, Leg{Msg: m, To: p.Receiver, Patience: patience, Until: until,
 		Ready: func() bool {
-			if e.picking.Err() != nil || !e.router.Stands(p) || e.picking.Err() != nil || !e.begins(m) { // Stands may have taken a moment
+			if e.picking.Err() != nil || !e.router.Stands(p) || e.picking.Err() != nil { // Stands may have taken a moment
 				return false
 			}
-			recorded = e.record(m, p, false)
+			stood = e.clock.Now()
+			recorded = e.begins(m) && e.record(m, p, false)
 			return recorded
-		}})
+		},
+		Still: func() bool { return stillStands(e.clock.Now(), stood, min(until, m.Expires)) }})
 	if e.working.Err() != nil && j.Result == routing.CalledOff {
 		return // the process ends: the leg may have run, and the record says so
 	}
@@ -284,6 +287,13 @@
 	e.legOver(c)
 }
 
+// standsFor is how long it counts that a leg stands and that the gate let it go, in µs. Only a record is written meanwhile: longer, and
+// the process was stopped, or its machine has no time for it. What the gate gave may be over by then, and a wait be told or a window have ended.
+const standsFor = 100_000
+
+// stillStands tells whether a leg that stood may have its first byte now; all in µs since 1970.
+func stillStands(now, stood, until int64) bool { return now < until && now-stood <= standsFor }
+
 // settle counts a leg and puts on record that it never ran, where that is sure.
 func (e *Engine) settle(m *spool.Message, p routing.Pick, res routing.Result, recorded bool) {
 	e.Tally.Legs[res].Add(1)
--- a/internal/relay/drain_test.go
+++ b/internal/relay/drain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -90,3 +91,30 @@
 	require.Len(t, m.Legs, 1)
 	require.True(t, m.Legs[0].NeverRan)
 }
+
+// A stop of the process, right after the record: what stood then may be over.
+func TestALegHaltedBeforeItsFirstByteIsNotSent(t *testing.T) {
+	r := prepare(t)
+	r.halt = 2 * standsFor * time.Microsecond
+	m := r.message("a")
+	require.NoError(t, r.Keep(m))
+	r.Resume(m)
+	r.open <- true // one only
+	r.how <- routing.Delivered
+	r.Run()
+	require.Eventually(t, func() bool { return r.Tally.Legs[routing.NotSent].Load() > 0 }, long, glimpse)
+	r.stopPicking()
+	r.stopWorking()
+	r.Wait()
+	require.Empty(t, r.gone)
+	require.NotEmpty(t, m.Legs)
+	for _, l := range m.Legs {
+		require.True(t, l.NeverRan)
+	}
+}
+
+func TestWhatStoodCountsForAMomentAndNotPastItsTime(t *testing.T) {
+	require.True(t, stillStands(standsFor, 0, standsFor+1))
+	require.False(t, stillStands(standsFor+1, 0, standsFor+2), "it stood too long ago")
+	require.False(t, stillStands(5, 4, 5), "its time is up")
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -61,7 +61,8 @@
 	To       routing.Receiver
 	Patience time.Duration
 	Until    int64       // µs; when patience ends
-	Ready    func() bool // asked right before the first byte: whether the leg may still begin, and is on record
+	Ready    func() bool // asked with the way open: whether the leg may still begin, and is on record
+	Still    func() bool // asked last, right before the first byte: whether what Ready said still counts. It does not wait
 }
 
 // Journey is how a leg went.
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -19,8 +19,12 @@
 	in, out ring
 	R       *bufio.Reader
 	W       *bufio.Writer
+
+	first func() bool // asked once, right before the next byte goes out: whether it may; nil for no question
 }
 
+var errNotNow = errors.New("write: not any more")
+
 // Over gives a connection its rings.
 func Over(c net.Conn) *Conn { return newConn(c) }
 
@@ -61,6 +65,12 @@
 }
 
 func (c *Conn) drain() error {
+	if ask := c.first; ask != nil && c.out.held > 0 {
+		if !ask() {
+			return errNotNow
+		}
+		c.first = nil
+	}
 	for c.out.held > 0 {
 		n, err := c.Conn.Write(c.out.front())
 		c.out.drained(n)
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -27,7 +27,8 @@
 
 // Exchange is one call on a connection.
 type Exchange struct {
-	Ready func() bool // asked right before the first byte
+	Ready func() bool // asked with the connection up, before anything is written; may take a moment
+	Still func() bool // asked last, right before the first byte leaves; nil for no question. It must not wait
 	Write func(w *bufio.Writer) error
 	Read  func(r *bufio.Reader) (keep bool, err error)
 }
@@ -238,12 +239,12 @@
 	stop := context.AfterFunc(j.ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
 	_ = conn.SetDeadline(j.until)
-	if j.ctx.Err() != nil {
-		j.stage = NotReady
-		return false
-	}
+	begun := false
+	conn.first = func() bool { begun = j.still(); return begun }
 	if err := j.x.Write(conn.W); err != nil || conn.Flush() != nil {
-		j.stage = NotWritten
+		if j.stage = NotWritten; !begun {
+			j.stage = NotReady
+		}
 		return false
 	}
 	keep, err := j.x.Read(conn.R)
@@ -261,6 +262,12 @@
 	return false
 }
 
+// still tells whether the first byte may leave. All before it may have taken long, and so may a stop of the process: time limits on the
+// connection are looked at by timers, which come late then.
+func (j *job) still() bool {
+	return j.ctx.Err() == nil && time.Now().Before(j.until) && (j.x.Still == nil || j.x.Still())
+}
+
 func (l *link) dial(j *job) bool {
 	c, err := connect(j.ctx, j.addr, earlier(j.until, time.Now().Add(l.pool.upWithin)))
 	l.conn = c
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -172,6 +172,44 @@
 	assert.Equal(t, NotReady, p.Do(ctx, "silent", silent.addr, long, whole()))
 }
 
+// What is asked last is asked before any byte has left, however much there is to write, and what it keeps back is as good as not begun.
+func TestNoByteLeavesOnceItNoLongerStands(t *testing.T) {
+	var came atomic.Int64
+	f := farSide(t, func(c net.Conn, _ int64) {
+		n, _ := io.Copy(io.Discard, c)
+		came.Add(n)
+		_ = c.Close()
+	})
+	p := pool(t, long, 9)
+	const patience = time.Second // a connection is up well before
+	for name, spoil := range map[string]func(x *Exchange, cancel func()){
+		"its caller says no": func(x *Exchange, _ func()) { x.Still = func() bool { return false } },
+		"called off": func(x *Exchange, cancel func()) {
+			x.Ready = func() bool { cancel(); return true }
+		},
+		"time is up": func(x *Exchange, _ func()) { // as after a stop of the process
+			x.Ready = func() bool { time.Sleep(patience); return true }
+		},
+	} {
+		for _, size := range []int{1, 1 << 20} { // the rings grow to 64 KiB
+			var got string
+			ctx, cancel := context.WithCancel(context.Background())
+			x := say(strings.Repeat("x", size), &got)
+			spoil(&x, cancel)
+			assert.Equal(t, NotReady, p.Do(ctx, "r", f.addr, patience, x), name)
+			cancel()
+		}
+	}
+	require.Eventually(t, func() bool { return p.Open() == 0 }, long, time.Millisecond, "what holds bytes is not used again")
+	var got string
+	x := say("call", &got)
+	asked := 0
+	x.Still = func() bool { asked++; return true }
+	assert.Equal(t, Done, p.Do(context.Background(), "e", farSide(t, echo).addr, long, x))
+	assert.Equal(t, 1, asked)
+	assert.Zero(t, came.Load())
+}
+
 func TestLateAnswerIsNotTheNextOnes(t *testing.T) {
 	release := make(chan struct{})
 	f := farSide(t, func(c net.Conn, n int64) {
