A message given up as a leg of it is picked has one end, by what that leg came to

Giving a message up looks whether a leg is out, and withdraws it if none is. A leg picked in between was out as the withdrawal's end came: that end read the message's legs while the leg wrote to them (the race detector finds it in TestGivenUpBeforeItsTurn), and could call a message pushed back of which a leg was on its way. And as the decisions hear of a giving up only once no leg is out, they picked the next leg of it before the last one was counted in, again and again, until they pushed it back themselves: TestGivenUpWithALegOut saw that now and then.

An end that finds a leg out now waits for it. A leg of what was given up is not begun, and no end of the decisions' own goes past the giving up: pushed back only if no leg can have run.

--- a/internal/relay/channels.go
+++ b/internal/relay/channels.go
@@ -91,11 +91,17 @@
 	return false
 }
 
-// over takes a message's end without a notice from the decisions: delivered, or given up.
+// over takes a message's end without a notice from the decisions: delivered, or given up. A leg may have been picked between a look that
+// saw none out and the giving up: what it comes to counts, and its end brings this about again.
 func (e *Engine) over(c *carried) {
 	e.mu.Lock()
 	given, advice := c.given && !c.delivered, c.advice
+	c.late = given && c.out > 0
+	late := c.late
 	e.mu.Unlock()
+	if late {
+		return
+	}
 	if given {
 		e.undelivered(c, !mayHaveRun(c.msg), advice)
 		return
@@ -133,10 +139,12 @@
 func (e *Engine) legOver(c *carried) {
 	e.mu.Lock()
 	c.out--
-	ended, given, out := c.ended, c.given && !c.delivered, c.out
+	ended, late, given, out := c.ended, c.late, c.given && !c.delivered, c.out
 	e.mu.Unlock()
 	switch {
 	case out > 0:
+	case late:
+		e.over(c)
 	case ended && e.turns != nil && c.msg.Channel != "":
 		e.turns.Ended(c.msg, c.delivered, e.mayRun(c))
 	case given:
@@ -151,9 +159,13 @@
 	return c.running
 }
 
-// begins is asked right before a leg's first byte.
-func (e *Engine) begins(m *spool.Message) bool {
-	if e.turns == nil || m.Channel == "" || e.turns.MayBegin(m) {
+// begins is asked right before a leg's first byte. What was given up does not begin.
+func (e *Engine) begins(c *carried) bool {
+	e.mu.Lock()
+	given := c.given
+	e.mu.Unlock()
+	m := c.msg
+	if !given && (e.turns == nil || m.Channel == "" || e.turns.MayBegin(m)) {
 		return true
 	}
 	e.log.Debug("not its turn", zap.String("id", m.ID), zap.String("channel", m.Channel))
--- a/internal/relay/channels_test.go
+++ b/internal/relay/channels_test.go
@@ -165,3 +165,59 @@
 	require.True(t, (<-r.ends).PushedBack)
 	require.Equal(t, [2]bool{false, false}, <-r.ended)
 }
+
+// A leg is picked after the look that saw none out, and the message is given up before it is over: its one end waits for that leg.
+func TestGivenUpAsALegIsPicked(t *testing.T) {
+	for how, want := range map[routing.Result][2]bool{routing.Delivered: {true, false}, routing.TimedOut: {false, true}} {
+		r := prepare(t)
+		m := r.message("a")
+		require.NoError(t, r.Keep(m))
+		r.Resume(m)
+		r.open <- true
+		p, err := r.router.Pick(r.picking)
+		require.NoError(t, err)
+		r.carryOut(p)
+		<-r.gone
+		c := r.held["a"]
+		r.mu.Lock()
+		c.given = true // as by an Abandon that looked before
+		r.mu.Unlock()
+		r.router.Withdraw("a")
+		p, err = r.router.Pick(r.picking)
+		require.NoError(t, err)
+		r.carryOut(p)
+		require.Empty(t, r.ends, "its leg is out")
+		require.Empty(t, r.ended)
+		r.how <- how
+		require.Equal(t, want, <-r.ended)
+		if how != routing.Delivered {
+			require.False(t, (<-r.ends).PushedBack, "it may have run")
+		}
+		require.Empty(t, r.ends)
+		r.Run()
+	}
+}
+
+// The decisions may go on with a message that was given up, until they hear of it: no leg begins, and how it ends goes by the giving up.
+func TestDecisionsOnWhatWasGivenUp(t *testing.T) {
+	r := prepare(t)
+	m := r.message("a")
+	require.NoError(t, r.Keep(m))
+	r.Resume(m)
+	require.NoError(t, r.spool.Leg(m, spool.Leg{SentAt: r.Now()}))
+	r.held["a"].given = true
+	r.open <- true
+	r.carryOut(routing.Pick{Way: routing.Leg, ID: "a"})
+	require.Zero(t, r.Out())
+	require.Zero(t, r.held["a"].out)
+	r.carryOut(routing.Pick{Way: routing.PushedBack, ID: "a"})
+	require.False(t, (<-r.ends).PushedBack, "it may have run")
+	require.Equal(t, [2]bool{false, false}, <-r.ended)
+}
+
+func TestWhatWasGivenUpDoesNotBegin(t *testing.T) {
+	r := prepare(t)
+	r.open <- true
+	require.False(t, r.begins(&carried{msg: r.message("a"), given: true}))
+	require.True(t, r.begins(&carried{msg: r.message("a")}))
+}
--- a/internal/relay/courier.go
+++ b/internal/relay/courier.go
@@ -53,6 +53,7 @@
 	delivered bool
 	ended     bool // its channel is to hear once no leg is out
 	given     bool // up, by its channel
+	late      bool // its end has come, and waits for the leg that is out
 	advice    int64
 }
 
@@ -159,9 +160,7 @@
 		if err != nil {
 			return
 		}
-		if p.Way != routing.Leg || e.mayStart() {
-			e.carryOut(p)
-		}
+		e.carryOut(p)
 	}
 }
 
@@ -177,15 +176,22 @@
 }
 
 func (e *Engine) carryOut(p routing.Pick) {
-	c := e.carried(p)
+	if p.Way == routing.Leg && !e.mayStart() {
+		return
+	}
+	c, given := e.carried(p)
+	if p.Way == routing.Leg && given { // its end follows
+		e.out.Add(-1)
+		return
+	}
 	e.watched(c.msg.Dst, p.Way)
-	switch p.Way {
-	case routing.Leg:
+	switch {
+	case p.Way == routing.Leg:
 		e.legs.Go(func() {
 			defer e.out.Add(-1)
 			e.leg(c, p)
 		})
-	case routing.Over:
+	case p.Way == routing.Over || given:
 		e.over(c)
 	default:
 		e.undelivered(c, p.Way == routing.PushedBack, p.Advice)
@@ -203,17 +209,18 @@
 	}
 }
 
-// carried finds the message of a decision; with its end it is let go.
-func (e *Engine) carried(p routing.Pick) *carried {
+// carried finds the message of a decision, and tells whether it was given up; with its end it is let go.
+func (e *Engine) carried(p routing.Pick) (c *carried, given bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	c := e.held[p.ID]
-	if p.Way == routing.Leg {
-		c.out++
-	} else {
+	c = e.held[p.ID]
+	switch {
+	case p.Way != routing.Leg:
 		delete(e.held, p.ID)
+	case !c.given:
+		c.out++
 	}
-	return c
+	return c, c.given
 }
 
 // Over puts on record that nothing is owed for a message any more.
@@ -261,7 +268,7 @@
 				return false
 			}
 			stood = e.clock.Now()
-			recorded = e.begins(m) && e.record(m, p, false)
+			recorded = e.begins(c) && e.record(m, p, false)
 			return recorded
 		},
 		Still: func() bool { return stillStands(e.clock.Now(), stood, min(until, m.Expires)) }})
