--- a/internal/relay/channels_test.go
+++ b/internal/relay/channels_test.go
@@ -16,6 +16,11 @@
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
+const (
+	long    = 10 * time.Second // a limit that no good run reaches
+	glimpse = time.Millisecond
+)
+
 const settings = `{"balancers":1,"machine_types":["m"],"zones":["z"],"classes":[{"name":"n","aim":2000,"deadline":8000,"group":"all",` +
 	`"importance":1,"late_worth":0.5,"repeat":"by_key","window":15000}],"family_info":{"max_calls":20},"limits":{"most_held":40,"send_cap":6},` +
 	`"rules":{"start_capacity":0.2,"warm_within":1000,"overload_factor":2}}`
@@ -43,12 +48,16 @@
 type road struct {
 	gone chan *spool.Message
 	how  chan routing.Result
+	halt time.Duration // for which the process stands between what is asked first and what is asked last; 0 to ask nothing last
 }
 
 func (r *road) Carry(_ context.Context, l Leg) Journey {
 	if !l.Ready() {
 		return Journey{Result: routing.NotSent}
 	}
+	if time.Sleep(r.halt); r.halt > 0 && !l.Still() {
+		return Journey{Result: routing.NotSent}
+	}
 	r.gone <- l.Msg
 	return Journey{Result: <-r.how}
 }
@@ -62,25 +71,35 @@
 	*turns
 	*road
 	ends
+	stopPicking, stopWorking func()
 }
 
 func begin(t *testing.T) *rig {
+	r := prepare(t)
+	r.Run()
+	return r
+}
+
+// prepare makes an engine that does not run yet.
+func prepare(t *testing.T) *rig {
 	s, _, err := spool.Open(t.TempDir(), 1<<20)
 	require.NoError(t, err)
-	r := &rig{turns: &turns{make(chan bool, 9), make(chan [2]bool, 9)}, road: &road{make(chan *spool.Message, 9), make(chan routing.Result, 9)}, ends: make(ends, 9)}
+	r := &rig{turns: &turns{make(chan bool, 9), make(chan [2]bool, 9)}, road: &road{make(chan *spool.Message, 9), make(chan routing.Result, 9), 0}, ends: make(ends, 9)}
 	clock := NewClock()
 	router := routing.New(1, gjson.Parse(settings), clock.Now, func(string) {}, func(string) {})
 	router.List([]routing.Listing{{ID: "s", Addr: "h:1", Dst: 7, Kind: "m", Zone: "z", Listed: true}}, true, true)
 	r.Engine = New(zap.NewNop(), clock, router, s, r.road)
 	r.Tell(r.ends)
 	r.Order(r.turns, time.Second)
-	ctx, cancel := context.WithCancel(context.Background())
+	picking, stopPicking := context.WithCancel(context.Background())
+	working, stopWorking := context.WithCancel(context.Background())
+	r.stopPicking, r.stopWorking = stopPicking, stopWorking
 	ticked := make(chan struct{})
-	go func() { router.Tick(ctx); close(ticked) }()
-	r.Begin(ctx, ctx)
-	r.Run()
+	go func() { router.Tick(working); close(ticked) }()
+	r.Begin(picking, working)
 	t.Cleanup(func() {
-		cancel()
+		stopPicking()
+		stopWorking()
 		close(r.how)
 		close(r.open)
 		r.Wait()
@@ -141,8 +160,64 @@
 	require.NoError(t, r.Keep(resumed))
 	r.open <- false
 	r.Resume(resumed)
-	require.Eventually(t, func() bool { return len(r.open) == 0 }, 10*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return len(r.open) == 0 }, long, glimpse)
 	r.Abandon("b", 7)
 	require.True(t, (<-r.ends).PushedBack)
 	require.Equal(t, [2]bool{false, false}, <-r.ended)
 }
+
+// A leg is picked after the look that saw none out, and the message is given up before it is over: its one end waits for that leg.
+func TestGivenUpAsALegIsPicked(t *testing.T) {
+	for how, want := range map[routing.Result][2]bool{routing.Delivered: {true, false}, routing.TimedOut: {false, true}} {
+		r := prepare(t)
+		m := r.message("a")
+		require.NoError(t, r.Keep(m))
+		r.Resume(m)
+		r.open <- true
+		p, err := r.router.Pick(r.picking)
+		require.NoError(t, err)
+		r.carryOut(p)
+		<-r.gone
+		c := r.held["a"]
+		r.mu.Lock()
+		c.given = true // as by an Abandon that looked before
+		r.mu.Unlock()
+		r.router.Withdraw("a")
+		p, err = r.router.Pick(r.picking)
+		require.NoError(t, err)
+		r.carryOut(p)
+		require.Empty(t, r.ends, "its leg is out")
+		require.Empty(t, r.ended)
+		r.how <- how
+		require.Equal(t, want, <-r.ended)
+		if how != routing.Delivered {
+			require.False(t, (<-r.ends).PushedBack, "it may have run")
+		}
+		require.Empty(t, r.ends)
+		r.Run()
+	}
+}
+
+// The decisions may go on with a message that was given up, until they hear of it: no leg begins, and how it ends goes by the giving up.
+func TestDecisionsOnWhatWasGivenUp(t *testing.T) {
+	r := prepare(t)
+	m := r.message("a")
+	require.NoError(t, r.Keep(m))
+	r.Resume(m)
+	require.NoError(t, r.spool.Leg(m, spool.Leg{SentAt: r.Now()}))
+	r.held["a"].given = true
+	r.open <- true
+	r.carryOut(routing.Pick{Way: routing.Leg, ID: "a"})
+	require.Zero(t, r.Out())
+	require.Zero(t, r.held["a"].out)
+	r.carryOut(routing.Pick{Way: routing.PushedBack, ID: "a"})
+	require.False(t, (<-r.ends).PushedBack, "it may have run")
+	require.Equal(t, [2]bool{false, false}, <-r.ended)
+}
+
+func TestWhatWasGivenUpDoesNotBegin(t *testing.T) {
+	r := prepare(t)
+	r.open <- true
+	require.False(t, r.begins(&carried{msg: r.message("a"), given: true}))
+	require.True(t, r.begins(&carried{msg: r.message("a")}))
+}
--- a/internal/relay/courier.go
+++ b/internal/relay/courier.go
@@ -35,6 +35,7 @@
 	picking context.Context // ends when no leg may start any more
 	working context.Context // ends when those out are given up
 	out     atomic.Int64    // legs out, as many as the settings' slots at most
+	legs    sync.WaitGroup  // the same, for run alone
 	running sync.WaitGroup
 
 	mu   sync.Mutex
@@ -52,6 +53,7 @@
 	delivered bool
 	ended     bool // its channel is to hear once no leg is out
 	given     bool // up, by its channel
+	late      bool // its end has come, and waits for the leg that is out
 	advice    int64
 }
 
@@ -142,25 +144,57 @@
 	e.router.Carry(m.ID)
 }
 
-// Run carries out what is decided until no leg may start any more.
+// Run carries out what is decided: legs until none may start any more, ends until the last leg is over.
 func (e *Engine) Run() { e.running.Go(e.run) }
 
 func (e *Engine) run() {
+	e.picks()
+	e.legs.Wait()
+	e.picks() // the ends that the last legs brought
+}
+
+// picks carries out what is decided until working has ended and nothing is queued.
+func (e *Engine) picks() {
 	for {
-		p, err := e.router.Pick(e.picking)
+		p, err := e.router.Pick(e.working)
 		if err != nil {
 			return
 		}
-		c := e.carried(p)
-		e.watched(c.msg.Dst, p.Way)
-		switch p.Way {
-		case routing.Leg:
-			e.running.Go(func() { e.leg(c, p) })
-		case routing.Over:
-			e.over(c)
-		default:
-			e.undelivered(c, p.Way == routing.PushedBack, p.Advice)
-		}
+		e.carryOut(p)
+	}
+}
+
+// mayStart counts a leg as out, if one may still start. It counts before it looks: whoever ends picking and then sees none out knows
+// that there will be none.
+func (e *Engine) mayStart() bool {
+	e.out.Add(1)
+	if e.picking.Err() != nil {
+		e.out.Add(-1)
+		return false
+	}
+	return true
+}
+
+func (e *Engine) carryOut(p routing.Pick) {
+	if p.Way == routing.Leg && !e.mayStart() {
+		return
+	}
+	c, given := e.carried(p)
+	if p.Way == routing.Leg && given { // its end follows
+		e.out.Add(-1)
+		return
+	}
+	e.watched(c.msg.Dst, p.Way)
+	switch {
+	case p.Way == routing.Leg:
+		e.legs.Go(func() {
+			defer e.out.Add(-1)
+			e.leg(c, p)
+		})
+	case p.Way == routing.Over || given:
+		e.over(c)
+	default:
+		e.undelivered(c, p.Way == routing.PushedBack, p.Advice)
 	}
 }
 
@@ -175,17 +209,18 @@
 	}
 }
 
-// carried finds the message of a decision; with its end it is let go.
-func (e *Engine) carried(p routing.Pick) *carried {
+// carried finds the message of a decision, and tells whether it was given up; with its end it is let go.
+func (e *Engine) carried(p routing.Pick) (c *carried, given bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	c := e.held[p.ID]
-	if p.Way == routing.Leg {
-		c.out++
-	} else {
+	c = e.held[p.ID]
+	switch {
+	case p.Way != routing.Leg:
 		delete(e.held, p.ID)
+	case !c.given:
+		c.out++
 	}
-	return c
+	return c, c.given
 }
 
 // Over puts on record that nothing is owed for a message any more.
@@ -219,23 +254,24 @@
 
 // leg carries out one leg and reports how it went.
 func (e *Engine) leg(c *carried, p routing.Pick) {
-	e.out.Add(1)
-	defer e.out.Add(-1)
 	m := c.msg
 	ctx, cancel := context.WithCancel(p.Ctx)
 	defer cancel()
 	defer context.AfterFunc(e.working, cancel)()
 	began := e.clock.Now()
-	recorded := false
+	recorded, stood := false, int64(0)
 	patience := e.patience(m, p)
-	j := e.carrier.Carry(ctx, Leg{Msg: m, To: p.Receiver, Patience: patience, Until: began + patience.Microseconds(),
+	until := began + patience.Microseconds()
+	j := e.carrier.Carry(ctx, Leg{Msg: m, To: p.Receiver, Patience: patience, Until: until,
 		Ready: func() bool {
-			if !e.router.Stands(p) || !e.begins(m) {
+			if e.picking.Err() != nil || !e.router.Stands(p) || e.picking.Err() != nil { // Stands may have taken a moment
 				return false
 			}
-			recorded = e.record(m, p, false)
+			stood = e.clock.Now()
+			recorded = e.begins(c) && e.record(m, p, false)
 			return recorded
-		}})
+		},
+		Still: func() bool { return stillStands(e.clock.Now(), stood, min(until, m.Expires)) }})
 	if e.working.Err() != nil && j.Result == routing.CalledOff {
 		return // the process ends: the leg may have run, and the record says so
 	}
@@ -258,6 +294,13 @@
 	e.legOver(c)
 }
 
+// standsFor is how long it counts that a leg stands and that the gate let it go, in µs. Only a record is written meanwhile: longer, and
+// the process was stopped, or its machine has no time for it. What the gate gave may be over by then, and a wait be told or a window have ended.
+const standsFor = 100_000
+
+// stillStands tells whether a leg that stood may have its first byte now; all in µs since 1970.
+func stillStands(now, stood, until int64) bool { return now < until && now-stood <= standsFor }
+
 // settle counts a leg and puts on record that it never ran, where that is sure.
 func (e *Engine) settle(m *spool.Message, p routing.Pick, res routing.Result, recorded bool) {
 	e.Tally.Legs[res].Add(1)
