The noise of a best span is that of one sender's part of the team: less in small teams

What a sender does not know is which part of the team's calls fell to it: n successes of n x senders have the deviation sqrt(n (1 - 1/senders)), none for a sender alone, a whole square root in a large fleet, where the mended rules lean on it.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -264,14 +264,15 @@
 	}
 }
 
-// succeeded ends such rows, and keeps the best rate over a span, less the noise: where spans hold few, the
-// best of many lies far above the mean.
-func (p *route) succeeded(now int64, open bool) {
+// succeeded ends such rows, and keeps the best rate over a span, less the noise of which sender got a call:
+// the best of many thin spans lies far above the mean. A sender alone gets all, so none is noise.
+func (p *route) succeeded(now int64, open bool, senders int) {
 	p.row, p.bad, p.oks = 0, 0, p.oks+1
 	if !open || p.okFrom == 0 { // a ramp's own restraint is no measure
 		p.okFrom, p.okNow = now, 0
 	} else if now-p.okFrom > okSpan && p.okNow >= okLeast {
-		p.okPeak = max(p.okPeak, (p.okNow-math.Sqrt(p.okNow))*float64(second)/float64(now-p.okFrom))
+		sure := p.okNow - math.Sqrt(p.okNow*(1-1/float64(max(1, senders))))
+		p.okPeak = max(p.okPeak, sure*float64(second)/float64(now-p.okFrom))
 		p.okFrom, p.okNow = now, 0
 	}
 	p.okNow++
@@ -576,7 +577,7 @@
 		d.told.deposit(s.now, percentCanRetry*toldWaitBonus)
 		d.timed(float64(s.now - c.sentAt))
 		s.mean += (float64(s.now-c.sentAt) - s.mean) * meanStep
-		r.route.succeeded(s.now, r.health == open)
+		r.route.succeeded(s.now, r.health == open, s.team.Senders)
 		s.answered(r, c.sentAt)
 	case Full:
 		if r.route.pressed(s.now, s.target(), s.chance()) && s.allowed.Notes {
@@ -789,8 +790,7 @@
 	case s.trust == RoughWeight && r.weight > 0:
 		return r.weight * roughLow
 	}
-	// What this sender delivered while it stood: over all senders the sum is right, however thin each. Danger:
-	// the best of many spans is twice the mean, and what arrives counts each time that clients come again.
+	// What it delivered while it stood: in sum right. Danger: what arrives counts each time clients come again.
 	stood := max(s.now-s.startAt-r.dst.downFor(s.now), rateSpan)
 	return float64(s.team.Senders) * max(r.route.okPeak, max(1, r.route.oks)*float64(second)/float64(stood))
 }
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -573,11 +573,13 @@
 }
 
 func TestBestSpanCountsLessItsNoise(t *testing.T) {
-	p := &route{}
-	for i := range int64(200) {
-		p.succeeded(second+i*second/10, true)
+	for senders, noise := range map[int]float64{1: 0, 2: math.Sqrt(10), 1000: math.Sqrt(20)} {
+		p := &route{}
+		for i := range int64(200) {
+			p.succeeded(second+i*second/10, true, senders)
+		}
+		assert.InDelta(t, 10-noise/2, p.okPeak, .3, senders)
 	}
-	assert.InDelta(t, 10-math.Sqrt(20)/2, p.okPeak, .5)
 }
 
 func TestFullSlotsWaitForAnOutcomeNotForATimer(t *testing.T) {
