The roster of a purge lists a folder in one place

Need: see and hear each had the same lines for a folder not on the list. Behaviour as it was; the purge's tests and its process plays pass with -race.

--- a/internal/purge/roster.go
+++ b/internal/purge/roster.go
@@ -47,14 +47,7 @@
 	case s.Folder == 0 && r.known(s.Name):
 		return false
 	case old == nil:
-		if !r.room() {
-			return false
-		}
-		if s.Folder != 0 {
-			delete(r.all, place{s.Name, 0})
-		}
-		r.all[at] = &Seen{Name: s.Name, Folder: s.Folder, Incarnation: s.Incarnation}
-		return true
+		return r.admit(Seen{Name: s.Name, Folder: s.Folder, Incarnation: s.Incarnation})
 	case s.Folder != 0 && old.Destroyed != "": // it is back: the word was wrong
 		old.Destroyed, old.Returns, old.Incarnation = "", old.Returns+1, s.Incarnation
 		return true
@@ -65,6 +58,18 @@
 	return false
 }
 
+// admit puts a folder on the list, in the place of its sender's unknown one. It tells whether there was room.
+func (r *roster) admit(s Seen) bool {
+	if !r.room() {
+		return false
+	}
+	if s.Folder != 0 {
+		delete(r.all, place{s.Name, 0})
+	}
+	r.all[place{s.Name, s.Folder}] = &s
+	return true
+}
+
 // hear takes in what another sender knows of folders. It tells whether anything of it is new.
 func (r *roster) hear(s Seen) bool {
 	at := place{s.Name, s.Folder}
@@ -73,14 +78,7 @@
 	case old == nil && s.Folder == 0 && r.known(s.Name):
 		return false
 	case old == nil:
-		if !r.room() {
-			return false
-		}
-		if s.Folder != 0 {
-			delete(r.all, place{s.Name, 0})
-		}
-		r.all[at] = &s
-		return true
+		return r.admit(s)
 	case old.Returns < s.Returns:
 		old.Returns, old.Destroyed = s.Returns, s.Destroyed
 		old.Incarnation = max(old.Incarnation, s.Incarnation)
