--- a/internal/fleettest/transcript_process_test.go
+++ b/internal/fleettest/transcript_process_test.go
@@ -76,11 +76,7 @@
 
 func TestTranscriptOfAKillInAFleet(t *testing.T) {
 	t.Parallel()
-	r := New(t, Setup{Senders: 3, Operator: inFleet, Destinations: []int64{8}})
-	r.Start()
-	s := r.Transcript()
-	s.Phase("three senders start, and see one another")
-	s.allSee()
+	r, s := threeTogether(t)
 	r.Conduct(8, Conduct{Silent: true})
 	r.Client(0).HandIn(Message{ID: "m1", Lane: "notice", Key: "5c0f", Dst: 8, Within: 20 * time.Second, Body: "may run twice"})
 	r.Until("the leg is out", func(rec Record) bool { return len(rec.Calls) == 1 })
@@ -100,13 +96,20 @@
 	s.Compare("fleet-kill")
 }
 
-func TestTranscriptOfDrainingInAFleet(t *testing.T) {
-	t.Parallel()
+// threeTogether starts three senders of a fleet, which see one another.
+func threeTogether(t *testing.T) (*Rig, *Transcript) {
+	t.Helper()
 	r := New(t, Setup{Senders: 3, Operator: inFleet, Destinations: []int64{8}})
 	r.Start()
 	s := r.Transcript()
 	s.Phase("three senders start, and see one another")
 	s.allSee()
+	return r, s
+}
+
+func TestTranscriptOfDrainingInAFleet(t *testing.T) {
+	t.Parallel()
+	r, s := threeTogether(t)
 	r.Conduct(8, Conduct{Silent: true})
 	r.Client(1).HandIn(Message{ID: "m1", Lane: "again", Dst: 8, Within: 20 * time.Second, Body: "under way"})
 	r.Until("the leg is out", func(rec Record) bool { return len(rec.Calls) == 1 })
@@ -127,11 +130,7 @@
 
 func TestTranscriptOfANewFolder(t *testing.T) {
 	t.Parallel()
-	r := New(t, Setup{Senders: 3, Operator: inFleet, Destinations: []int64{8}})
-	r.Start()
-	s := r.Transcript()
-	s.Phase("three senders start, and see one another")
-	s.allSee()
+	r, s := threeTogether(t)
 	r.Conduct(8, Conduct{Silent: true})
 	r.Client(2).HandIn(Message{ID: "m1", Lane: "again", Dst: 8, Body: "owed by the old folder"})
 	r.Until("the leg is out", func(rec Record) bool { return len(rec.Calls) == 1 })
