Give up a hung post of notices after 80 ms, and tell the others of one that gets 400

A message is lost 300 ms after its time is up, and its notice is born 10 ms before that time. A post that got no answer (its connection had died, or the platform stopped) was waited for for 1 s, and everything behind it with it, so one hang lost each message that ended within it; after quick errors the pause grew to 0.5 s. Posts now have 80 ms, doubled by each that hung, and the next follows at once on a new connection; other pauses end at 0.1 s. Asked of a platform on the sender's own machine, which answers at once, the further posts cost nothing, and a notice told twice does no harm.

A 400 ended all notices of the post, up to 200, though one line was at fault; and an id with a quote or a backslash, which hand-ins may have, made such a line. Posts are halved at 400 until the one that cannot be read stands alone, and ids are quoted.

--- a/internal/platform/notices.go
+++ b/internal/platform/notices.go
@@ -14,11 +14,14 @@
 	"ravenlink/internal/transport"
 )
 
+// A message is lost 300 ms after its time is up, and the module ends it 10 ms before. So two posts in a row may hang, and the third
+// is in time; one that is answered anything else is made again as soon as the platform can be better.
 const (
-	noticePatience = time.Second            // for the platform to answer, which it does at once
-	mostInPost     = 200                    // notices in one post
-	retryFirst     = 30 * time.Millisecond  // after a post without 204, doubled up to
-	retryMost      = 500 * time.Millisecond // this; each by a draw from half to all
+	noticePatience = 80 * time.Millisecond  // for the platform to answer, which it does at once; doubled by each post that hung, up to
+	patienceMost   = time.Second            // this: else one that is slow would be asked for ever
+	mostInPost     = 200                    // notices in one post; halved by each 400, doubled by each 204
+	retryFirst     = 30 * time.Millisecond  // from a post without 204 to the next, doubled up to
+	retryMost      = 100 * time.Millisecond // this; each by a draw from half to all
 	platform       = "platform"
 )
 
@@ -27,7 +30,9 @@
 	log   *zap.Logger
 	over  func([]relay.Undelivered) // they are told
 	pool  *transport.Pool
+	do    func(ctx context.Context, receiver, addr string, patience time.Duration, x transport.Exchange) transport.Stage // the pool's
 	agent *Agent
+	most  int // notices in the next post; Run's alone
 
 	mu      sync.Mutex
 	waiting []relay.Undelivered // bounded by the spool's room
@@ -36,7 +41,8 @@
 
 // NewNotices makes the teller; over hears of those that the platform knows.
 func NewNotices(log *zap.Logger, agent *Agent, up time.Duration, over func([]relay.Undelivered)) *Notices {
-	return &Notices{log: log, over: over, pool: transport.NewPool(up, time.Second, 1), agent: agent, more: make(chan struct{}, 1)}
+	pool := transport.NewPool(up, time.Second, 1)
+	return &Notices{log: log, over: over, pool: pool, do: pool.Do, agent: agent, most: mostInPost, more: make(chan struct{}, 1)}
 }
 
 // Undelivered is for the engine.
@@ -59,7 +65,7 @@
 
 // Run posts what waits until ctx ends.
 func (n *Notices) Run(ctx context.Context) {
-	pause := retryFirst
+	pause, patience := retryFirst, noticePatience
 	for {
 		if n.Owed() == 0 {
 			select {
@@ -69,38 +75,47 @@
 				continue
 			}
 		}
-		posted := false
-		moved := n.agent.during(ctx, func(here context.Context, addr string) { posted = n.post(here, addr) })
+		begun, posted := time.Now(), false
+		moved := n.agent.during(ctx, func(here context.Context, addr string) { posted = n.post(here, addr, patience) })
 		if posted || moved && ctx.Err() == nil { // a post cut short by a move goes to the new address at once
-			pause = retryFirst
+			pause, patience = retryFirst, noticePatience
 			continue
 		}
+		took := time.Since(begun)
+		if took >= patience {
+			patience = min(2*patience, patienceMost)
+		}
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(pause/2 + rand.N(pause/2)):
+		case <-time.After(pause/2 + rand.N(pause/2) - took): // at once after one that hung
 		}
 		pause = min(2*pause, retryMost)
 	}
 }
 
-// post sends the oldest notices on one post; with 204, or 400 that no repeat would mend, they are over.
-func (n *Notices) post(ctx context.Context, addr string) bool {
+// post sends the oldest notices on one post, and tells whether the next may follow at once. With 204 they are over, and so is a single
+// one with 400 that no repeat would mend. Danger: of several that get 400 one cannot be read, and the others' ends would never be told.
+func (n *Notices) post(ctx context.Context, addr string, patience time.Duration) bool {
 	n.mu.Lock()
-	batch := n.waiting[:min(len(n.waiting), mostInPost)]
+	batch := n.waiting[:min(len(n.waiting), n.most)]
 	n.mu.Unlock()
 	var lines []byte
 	for _, one := range batch {
 		lines = protocol.AppendNotice(lines, one.Msg.ID, one.PushedBack, millisUp(one.Advice))
 	}
 	var a protocol.Answer
-	stage := n.pool.Do(ctx, platform, addr, noticePatience, transport.Exchange{
+	stage := n.do(ctx, platform, addr, patience, transport.Exchange{
 		Ready: func() bool { return true },
 		Write: func(w *bufio.Writer) error { return protocol.WriteNotices(w, addr, lines) },
 		Read:  into(&a),
 	})
 	switch {
 	case stage == transport.Done && a.Status == 204:
+		n.most = min(2*n.most, mostInPost)
+	case stage == transport.Done && a.Status == 400 && len(batch) > 1:
+		n.most = len(batch) / 2
+		return true
 	case stage == transport.Done && a.Status == 400:
 		n.log.Error("the platform cannot read a notice", zap.ByteString("lines", lines))
 	default:
--- a/internal/protocol/http.go
+++ b/internal/protocol/http.go
@@ -55,7 +55,13 @@
 
 // AppendNotice appends the notice of a message's end: pushed back, or failed.
 func AppendNotice(b []byte, id string, pushedBack bool, afterMillis int64) []byte {
-	b = append(append(b, `{"id":"`...), id...) // ids are plain text
+	b = append(b, `{"id":"`...)
+	for i := range len(id) { // plain text, as clients name messages; a quote would make all lines of the post unreadable
+		if id[i] == '"' || id[i] == '\\' {
+			b = append(b, '\\')
+		}
+		b = append(b, id[i])
+	}
 	switch {
 	case !pushedBack:
 		return append(b, `","state":"failed"}`+"\n"...)
