Close a connection that gives way before the next one to a receiver is opened

At the bound of connections the longest idle one was woken to close itself, and the new one counted and dialled at once: with the goroutines of several still to run, open connections and descriptors passed the bound by as many (at most the number of idle ones). One that closed by itself was counted off before its descriptor was closed. Now the new one takes the place of the old, waits until it is closed and only then dials; a connection is counted off after its close; and one that is about to close leaves its place to the next call, which was told that there is no room.

The test holds the lock that the old one's goroutine needs: two open of one before, and the second up beside the first if the wait is left out.

--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -37,10 +37,12 @@
 type Pool struct {
 	upWithin, idleFor time.Duration
 	most              int
+	connect           func(ctx context.Context, addr string, until time.Time) (*Conn, error)
 
 	mu   sync.Mutex
 	idle map[string][]*link // by receiver, newest last; emptied as connections close
-	open int                // bounded by most
+	left []*link            // were idle, are about to close, and nobody has their place yet
+	open int                // bounded by most; a connection counts until it is closed
 }
 
 // link is one connection and its goroutine.
@@ -51,7 +53,10 @@
 	conn     *Conn
 	job      *job // handed over under the pool's lock
 	closing  bool // likewise
+	followed bool // likewise: another one has its place among the open ones
 	since    time.Time
+	follows  *link         // whose place it has; nil if there was room
+	gone     chan struct{} // closed once its connection is
 }
 
 type job struct {
@@ -65,13 +70,16 @@
 
 // NewPool makes a pool of at most so many connections, which are kept for idleFor when idle.
 func NewPool(upWithin, idleFor time.Duration, most int) *Pool {
-	return &Pool{upWithin: upWithin, idleFor: idleFor, most: most, idle: map[string][]*link{}}
+	return &Pool{upWithin: upWithin, idleFor: idleFor, most: most, connect: connect, idle: map[string][]*link{}}
 }
 
 // Do makes one exchange with a receiver and waits for its end. Ending ctx calls it off.
 func (p *Pool) Do(ctx context.Context, receiver, addr string, patience time.Duration, x Exchange) Stage {
 	j := &job{ctx: ctx, addr: addr, until: time.Now().Add(patience), x: x, done: make(chan struct{})}
-	if !p.hand(receiver, j) {
+	p.mu.Lock()
+	handed := p.hand(receiver, j)
+	p.mu.Unlock()
+	if !handed {
 		return NoRoom
 	}
 	<-j.done
@@ -79,10 +87,8 @@
 }
 
 // hand gives the job to the newest idle connection, else to a new one. Connections to an address that the
-// receiver no longer has lead to somebody else.
+// receiver no longer has lead to somebody else. The lock is held.
 func (p *Pool) hand(receiver string, j *job) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	for _, l := range slices.Clone(p.idle[receiver]) {
 		if l.addr != j.addr {
 			p.shut(l)
@@ -95,11 +101,17 @@
 		l.wake()
 		return true
 	}
-	if p.open >= p.most && !p.closeOldest() {
+	l := &link{pool: p, receiver: receiver, addr: j.addr, gone: make(chan struct{})}
+	switch {
+	case p.open < p.most:
+		p.open++
+	case len(p.left) > 0 || p.shutOldest():
+		l.follows, p.left = p.left[0], p.left[1:]
+		l.follows.followed = true
+	default:
 		return false
 	}
-	p.open++
-	go (&link{pool: p, receiver: receiver, addr: j.addr}).run(j)
+	go l.run(j)
 	return true
 }
 
@@ -113,7 +125,7 @@
 	p.idle[l.receiver] = ls
 }
 
-func (p *Pool) closeOldest() bool {
+func (p *Pool) shutOldest() bool {
 	var oldest *link
 	for _, ls := range p.idle {
 		if oldest == nil || ls[0].since.Before(oldest.since) {
@@ -127,9 +139,11 @@
 	return true
 }
 
+// shut has an idle link's goroutine close it. The lock is held.
 func (p *Pool) shut(l *link) {
 	p.dropIdle(l)
 	l.closing = true
+	p.left = append(p.left, l)
 	l.wake()
 }
 
@@ -165,33 +179,46 @@
 
 // run serves one job after the other until the connection is no good any more.
 func (l *link) run(j *job) {
+	if l.follows != nil {
+		<-l.follows.gone // danger: beside one that is still open a new connection passes the bound on descriptors
+		l.follows = nil
+	}
 	for j != nil {
 		kept := l.serve(j)
-		l.settle(kept)
+		if kept {
+			l.rest()
+		} else {
+			l.leave()
+		}
 		close(j.done)
 		if !kept {
-			break
+			return
 		}
 		j = l.wait()
 	}
+	l.leave()
+}
+
+// leave closes the connection and then counts it off, before anyone hears of a job's end: it frees the slot over there.
+func (l *link) leave() {
 	if l.conn != nil {
 		_ = l.conn.Close()
 	}
+	close(l.gone)
+	l.pool.mu.Lock()
+	defer l.pool.mu.Unlock()
+	l.pool.left = slices.DeleteFunc(l.pool.left, func(o *link) bool { return o == l })
+	if !l.followed {
+		l.pool.open--
+	}
 }
 
-// settle lists the connection as idle, or counts it off, before anyone hears of the job's end.
-func (l *link) settle(kept bool) {
-	if !kept && l.conn != nil {
-		_ = l.conn.Close() // before the end is told: it frees the slot over there
-	}
+// rest lists the connection as idle, before anyone hears of the job's end.
+func (l *link) rest() {
 	p := l.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	l.job = nil
-	if !kept {
-		p.open--
-		return
-	}
 	l.conn.rest()
 	l.since = time.Now()
 	_ = l.conn.SetDeadline(l.since.Add(p.idleFor))
@@ -204,12 +231,8 @@
 	p := l.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if l.job == nil {
-		if !l.closing {
-			p.dropIdle(l)
-		}
-		p.open--
-		return nil
+	if l.job == nil && !l.closing {
+		p.shut(l)
 	}
 	return l.job
 }
@@ -269,7 +292,7 @@
 }
 
 func (l *link) dial(j *job) bool {
-	c, err := connect(j.ctx, j.addr, earlier(j.until, time.Now().Add(l.pool.upWithin)))
+	c, err := l.pool.connect(j.ctx, j.addr, earlier(j.until, time.Now().Add(l.pool.upWithin)))
 	l.conn = c
 	return err == nil
 }
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -246,6 +246,57 @@
 	require.Equal(t, Done, p.Do(context.Background(), "b", f.addr, long, busy))
 }
 
+// heldClose is a connection that closes only once a next one is up, if that does not wait for it.
+type heldClose struct {
+	*net.TCPConn
+	up     chan struct{}
+	closed *atomic.Bool
+}
+
+func (c heldClose) Close() error {
+	select {
+	case <-c.up:
+	case <-time.After(shortly):
+	}
+	defer c.closed.Store(true)
+	return c.TCPConn.Close()
+}
+
+// The lock that the test holds keeps the goroutine of the connection that gives way from running: its descriptor is not free yet.
+func TestConnectionThatGivesWayCountsUntilItIsClosed(t *testing.T) {
+	f := farSide(t, echo)
+	for name, leave := range map[string]func(p *Pool){
+		"room is made for the next": func(*Pool) {},
+		"it is let go just before":  func(p *Pool) { p.shutOldest() },
+	} {
+		p := pool(t, long, 1)
+		var closed atomic.Bool
+		up := make(chan struct{})
+		p.connect = func(ctx context.Context, addr string, until time.Time) (*Conn, error) {
+			c, err := connect(ctx, addr, until)
+			if err == nil {
+				c.Conn = heldClose{c.Conn.(*net.TCPConn), up, &closed}
+			}
+			return c, err
+		}
+		var got, other string
+		require.Equal(t, Done, p.Do(context.Background(), "a", f.addr, long, say("one", &got)))
+		j := &job{ctx: context.Background(), addr: f.addr, until: time.Now().Add(long), x: say("two", &other), done: make(chan struct{})}
+		j.x.Ready = func() bool {
+			close(up)
+			return assert.True(t, closed.Load(), "the first is closed when the second comes up: %s", name)
+		}
+		p.mu.Lock()
+		leave(p)
+		assert.True(t, p.hand("b", j), name)
+		assert.Equal(t, 1, p.open, name)
+		assert.False(t, p.hand("c", j), "its place is taken: %s", name)
+		p.mu.Unlock()
+		<-j.done
+		assert.Equal(t, Done, j.stage, name)
+	}
+}
+
 func TestRingKeepsBytesInOrderWhileItWrapsAndGrows(t *testing.T) {
 	var r ring
 	var in, out []byte
