What a restart finds untried waits for a list that is late

Cause: Router.Take and choice's Take treated a recovered message without an earlier leg like a new hand-in. Where the remembered list did not name its destination (an old or empty `known`, discovery down) it was pushed back on the spot with no call; likewise beyond the holding room.

Lines at fault: routing.go, `len(r.tickets) >= r.room && len(m.Past) == 0`, and the guard against names of nowhere at the head of Take in choice.go, which stays as it is for new hand-ins. Resume now marks a message as owed; the router has its destination known first (Owes, one line in state.go) and does not ask for room. Owed messages stay bounded by the spool's room.

Seen: the new test fails without either half (pushed back, no room). Ran with -race: routing, relay, ordered, choice, internal/lab.

--- a/choice/state.go
+++ b/choice/state.go
@@ -424,6 +424,9 @@
 	s.turn(m, out)
 }
 
+// Owes has a destination known, listed or not: a message for it was taken on before a restart, so it is no name of nowhere.
+func (s *Sender) Owes(to int64) { s.dst(to) }
+
 // sweep drops receivers that no list has named for long and that nothing is out to, and then destinations
 // left with nothing.
 func (s *Sender) sweep() {
--- a/internal/relay/courier.go
+++ b/internal/relay/courier.go
@@ -123,7 +123,9 @@
 	}
 	way, advice := routing.Failed, int64(0)
 	if lane, known := e.router.Lane(m.Lane); known {
-		way, advice = e.router.Take(message(m, lane))
+		owed := message(m, lane)
+		owed.Owed = true
+		way, advice = e.router.Take(owed)
 	}
 	switch way {
 	case routing.Held:
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -24,6 +24,7 @@
 	Dst      int64
 	Expires  int64 // µs of the router's clock
 	Past     []PastLeg
+	Owed     bool // taken on and on record already: it is held, whatever the room, and waits for a list that is late
 }
 
 // PastLeg is a leg from before a restart.
@@ -177,10 +178,13 @@
 		case r.tickets[m.ID] != nil:
 			way = Twice
 			return
-		case len(r.tickets) >= r.room && len(m.Past) == 0:
+		case len(r.tickets) >= r.room && !m.Owed:
 			way = NoRoom
 			return
 		}
+		if m.Owed { // danger: an old or empty list would have all that a restart found untried given up with no call
+			r.sender.Owes(m.Dst)
+		}
 		r.tickets[m.ID] = t
 		r.sender.Take(m.ID, m.Lane, m.OrderKey, m.Dst, m.Expires, m.Past...)
 		r.resume(m)
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -138,6 +138,28 @@
 	assert.Equal(t, Failed, c.pick("spent").Way, "it has had all its legs")
 }
 
+// What a restart finds untried is still tried: neither a list that is late nor a full room has it given up.
+func TestOwedMessagesWaitForALateListAndAreHeldBeyondTheRoom(t *testing.T) {
+	c := begin(t)
+	for i := range 6 { // of a room of four; the module keeps that by giving way itself, the rest is held
+		way, _ := c.Take(Message{ID: fmt.Sprint(i), Dst: 7, Expires: c.now + 8e6, Owed: true})
+		assert.Equal(t, Held, way)
+	}
+	way, _ := c.Take(Message{ID: "new", Dst: 7, Expires: c.now + 8e6})
+	assert.Equal(t, NoRoom, way)
+
+	c = begin(t)
+	way, _ = c.Take(Message{ID: "untried", Dst: 9, Expires: c.now + 8e6, Owed: true})
+	require.Equal(t, Held, way)
+	way, _ = c.Take(Message{ID: "fresh", Dst: 10, Expires: c.now + 8e6})
+	assert.Equal(t, PushedBack, way, "a name of nowhere")
+	c.now += 4e6
+	c.List([]Listing{{ID: "s-9", Addr: "h:9", Dst: 9, Kind: "m", Zone: "z", Listed: true}}, false, false)
+	p := c.pick("untried")
+	assert.Equal(t, Leg, p.Way, "at once, as the list names its destination")
+	assert.Zero(t, p.Number)
+}
+
 func TestReceiversHaveOneNumberAtEverySender(t *testing.T) {
 	a, b := begin(t), begin(t)
 	b.List([]Listing{{ID: "s-0", Dst: 8}, {ID: "s-1", Dst: 7, Addr: "h:2", Listed: true}}, true, false)
