Whether a leg stands is asked once more right before its first byte

Cause: Ready asks the module and then writes the leg down; Still, asked last, looked at the time alone and allowed 0.1 s between the two. The module keeps 50 ms before the end of a key's window for the way there, so a keyed repeat that stood at the last moment could have its first byte up to 50 ms past the window, and one whose receiver was told to drain, or whose destination told a wait, while the record was written went out all the same. On a slow machine others run in that gap.

Lines at fault: courier.go, `Still` of a leg. It now asks the router as well (StandsStill, which is Stands without the fleet's gate); it waits for a running turn at most, and the time is read after.

A test on a clock by hand pins the end of a window over a restart for 1 s and 15 s to the microsecond, counted from the first leg that may have run. Ruled out: the time on record is taken right before the first byte, so never later than it.

--- a/internal/relay/channels_test.go
+++ b/internal/relay/channels_test.go
@@ -49,13 +49,17 @@
 	gone chan *spool.Message
 	how  chan routing.Result
 	halt time.Duration // for which the process stands between what is asked first and what is asked last; 0 to ask nothing last
+	news func()        // what comes between the two
 }
 
 func (r *road) Carry(_ context.Context, l Leg) Journey {
 	if !l.Ready() {
 		return Journey{Result: routing.NotSent}
 	}
-	if time.Sleep(r.halt); r.halt > 0 && !l.Still() {
+	if r.news != nil {
+		r.news()
+	}
+	if time.Sleep(r.halt); (r.halt > 0 || r.news != nil) && !l.Still() {
 		return Journey{Result: routing.NotSent}
 	}
 	r.gone <- l.Msg
@@ -84,7 +88,7 @@
 func prepare(t *testing.T) *rig {
 	s, _, err := spool.Open(t.TempDir(), 1<<20)
 	require.NoError(t, err)
-	r := &rig{turns: &turns{make(chan bool, 9), make(chan [2]bool, 9)}, road: &road{make(chan *spool.Message, 9), make(chan routing.Result, 9), 0}, ends: make(ends, 9)}
+	r := &rig{turns: &turns{make(chan bool, 9), make(chan [2]bool, 9)}, road: &road{make(chan *spool.Message, 9), make(chan routing.Result, 9), 0, nil}, ends: make(ends, 9)}
 	clock := NewClock()
 	router := routing.New(1, gjson.Parse(settings), clock.Now, func(string) {}, func(string) {})
 	router.List([]routing.Listing{{ID: "s", Addr: "h:1", Dst: 7, Kind: "m", Zone: "z", Listed: true}}, true, true)
--- a/internal/relay/courier.go
+++ b/internal/relay/courier.go
@@ -273,7 +273,9 @@
 			recorded = e.begins(c) && e.record(m, p, false)
 			return recorded
 		},
-		Still: func() bool { return stillStands(e.clock.Now(), stood, min(until, m.Expires)) }})
+		Still: func() bool {
+			return e.router.StandsStill(p) && stillStands(e.clock.Now(), stood, min(until, m.Expires))
+		}})
 	if e.working.Err() != nil && j.Result == routing.CalledOff {
 		return // the process ends: the leg may have run, and the record says so
 	}
@@ -296,8 +298,9 @@
 	e.legOver(c)
 }
 
-// standsFor is how long it counts that a leg stands and that the gate let it go, in µs. Only a record is written meanwhile: longer, and
-// the process was stopped, or its machine has no time for it. What the gate gave may be over by then, and a wait be told or a window have ended.
+// standsFor is how long it counts that the gate let a leg go, in µs. Only a record is written meanwhile: longer, and the process was stopped,
+// or its machine has no time for it, and what the gate gave may be over. What the module said is asked again. Danger: the margin at the end
+// of a key's window is half of this span, and on a slow machine a wait or a drain is told meanwhile.
 const standsFor = 100_000
 
 // stillStands tells whether a leg that stood may have its first byte now; all in µs since 1970.
--- a/internal/relay/drain_test.go
+++ b/internal/relay/drain_test.go
@@ -113,6 +113,26 @@
 	}
 }
 
+// Between the record of a leg and its first byte the list says that the receiver drains.
+func TestALegWhoseReceiverDrainsAsItIsRecordedIsNotSent(t *testing.T) {
+	r := prepare(t)
+	r.news = func() {
+		r.router.List([]routing.Listing{{ID: "s", Addr: "h:1", Dst: 7, Kind: "m", Zone: "z"}}, false, false)
+	}
+	m := r.message("a")
+	require.NoError(t, r.Keep(m))
+	r.Resume(m)
+	r.open <- true
+	r.how <- routing.Delivered
+	r.Run()
+	require.Eventually(t, func() bool { return r.Tally.Legs[routing.NotSent].Load()+r.Tally.Legs[routing.Delivered].Load() > 0 }, long, glimpse)
+	r.stopPicking()
+	r.stopWorking()
+	r.Wait()
+	require.Empty(t, r.gone)
+	require.True(t, m.Legs[0].NeverRan)
+}
+
 func TestWhatStoodCountsForAMomentAndNotPastItsTime(t *testing.T) {
 	require.True(t, stillStands(standsFor, 0, standsFor+1))
 	require.False(t, stillStands(standsFor+1, 0, standsFor+2), "it stood too long ago")
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -62,7 +62,7 @@
 	Patience time.Duration
 	Until    int64       // µs; when patience ends
 	Ready    func() bool // asked with the way open: whether the leg may still begin, and is on record
-	Still    func() bool // asked last, right before the first byte: whether what Ready said still counts. It does not wait
+	Still    func() bool // asked last, right before the first byte: whether what Ready said still counts. It waits for no I/O
 }
 
 // Journey is how a leg went.
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -280,13 +280,14 @@
 
 // Stands is asked right before a leg's first byte: no wait has been told meanwhile, no drain, no end.
 func (r *Router) Stands(p Pick) bool {
-	if !r.stands(p) {
+	if !r.StandsStill(p) {
 		return false
 	}
-	return r.Gate == nil || r.Gate(p.Receiver.dst) && r.stands(p) // the gate may have taken a moment
+	return r.Gate == nil || r.Gate(p.Receiver.dst) && r.StandsStill(p) // the gate may have taken a moment
 }
 
-func (r *Router) stands(p Pick) bool {
+// StandsStill is Stands without the gate. It waits for the turn that runs at most.
+func (r *Router) StandsStill(p Pick) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.sender.At(r.clock())
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -29,7 +30,9 @@
 	others []Pick
 }
 
-func begin(t *testing.T) *clocked {
+func begin(t *testing.T) *clocked { return beginWith(t, settings) }
+
+func beginWith(t *testing.T, settings string) *clocked {
 	c := &clocked{t: t, now: 1e12}
 	c.Router = New(1, gjson.Parse(settings), func() int64 { return c.now },
 		func(id string) { c.closed = append(c.closed, id) }, func(string) {})
@@ -77,6 +80,28 @@
 	assert.False(t, c.Stands(b), "drained meanwhile")
 }
 
+// A window of a key counts from the first byte of the first leg that may have run, over a restart too: its repeat stands up to 50 ms
+// before the end, for the way there, and not a microsecond longer.
+func TestRepeatStandsUpToTheEndOfItsWindow(t *testing.T) {
+	for _, window := range []int64{1e6, 15e6} {
+		c := beginWith(t, strings.Replace(settings, `"window":15000`, fmt.Sprintf(`"window":%d`, window/1000), 1))
+		first := c.now
+		c.now += 700_000 // down
+		way, _ := c.Take(Message{ID: "a", Dst: 7, Expires: first + 60e6, Owed: true,
+			Past: []PastLeg{{SentAt: first - 9e6, NeverRan: true}, {SentAt: first}, {SentAt: first + 1, NeverRan: true}}})
+		require.Equal(t, Held, way)
+		p := c.pick("a")
+		require.Equal(t, Leg, p.Way)
+		c.now = first + window - 50_000
+		assert.True(t, c.Stands(p))
+		assert.True(t, c.StandsStill(p))
+		c.now++
+		assert.False(t, c.StandsStill(p))
+		c.Report(p, NotSent, 0, Load{})
+		assert.Equal(t, PushedBack, c.pick("a").Way, "its client may come again, which its key allows")
+	}
+}
+
 func TestHoldingRoomAndDoublesAreTurnedAway(t *testing.T) {
 	c := begin(t)
 	for i := range 4 {
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -28,7 +28,7 @@
 // Exchange is one call on a connection.
 type Exchange struct {
 	Ready func() bool // asked with the connection up, before anything is written; may take a moment
-	Still func() bool // asked last, right before the first byte leaves; nil for no question. It must not wait
+	Still func() bool // asked last, right before the first byte leaves; nil for no question. It must not wait for I/O
 	Write func(w *bufio.Writer) error
 	Read  func(r *bufio.Reader) (keep bool, err error)
 }
