A lookup that failed is repeated within 4.7 s, whatever came of it

Need: where lists are asked for, a change counts as told 6 s after discovery had it and could be reached, also after a failed, refused or given-up call.

Seen: lookupFailed (choice.go) doubled its window up to rules.ask_within and drew half to one and a half times it, so the next call came up to 15 s after a failure. The first lookup was drawn over half of ask_within, whatever that is, and at one beat where it is not told.

Change: the next call begins 4.3 to 4.7 s after the failed one began, so a hung call costs no more than a refused one, and senders keep their places in the span; a watch that had long been up draws over all 4.7 s. First lookups fall over 4.7 s at most. Asked() tells of calls that nobody asked for.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -30,10 +30,11 @@
 	dstShare  = 0.75 // of the slots; one destination stays strictly below (design)
 	sickShare = 0.5  // of the slots; a failing or slow one stays at or below (design)
 
-	answerMargin = second / 100 // µs before the deadline by which we answer: two of a usual turn
-	askSpread    = 0.5          // of the time within which each sender must ask; first lookups fall evenly on it
-	askAgain     = 2 * second   // µs; mean wait after a failed lookup, doubled by each further one
-	keyMargin    = second / 20  // µs; a key counts as forgotten this early, for the way there
+	answerMargin = second / 100     // µs before the deadline by which we answer: two of a usual turn
+	askSpread    = 0.5              // of the time within which each sender must ask; first lookups fall evenly on it
+	askMost      = 47 * second / 10 // µs from a failed lookup's call to the next; what could be had counts as told after 6 s
+	askDraw      = second * 4 / 10  // µs; and by this much less, by a draw: never sooner, discovery bears one call of each in 8 s
+	keyMargin    = second / 20      // µs; a key counts as forgotten this early, for the way there
 
 	strikesToClose = 3.0             // points; three errors in a row, two silent ones or failed connects
 	silentStrike   = 1.5             // points; a leg without any answer says more than an error
@@ -334,15 +335,13 @@
 	}
 }
 
-// lookupFailed draws when to ask again. Danger: what discovery can't answer in time still costs it the work;
-// where all senders come back at one beat, none gets an answer any more.
+// lookupFailed draws when to ask again. Danger: what discovery can't answer in time still costs it the work; where all come back at
+// one beat, none gets an answer. One that had long been answered draws over the whole span; then each keeps its place in it.
 func (s *Sender) lookupFailed() {
-	if s.now-s.askedAt > s.guards.AskWithin { // that lookup had been answered
-		s.misses = 0
+	s.askAt = s.askedAt + askMost - int64(s.chance()*float64(askDraw))
+	if s.now-s.askedAt >= askMost {
+		s.askAt = s.now + int64(s.chance()*float64(askMost))
 	}
-	window := min(max(askAgain, s.guards.AskWithin), askAgain<<min(s.misses, 10)) // untold, no beat of zero
-	s.askAt = s.now + int64((0.5+s.chance())*float64(window))
-	s.misses++
 }
 
 // troubled sees the first signs of an outage, before any receiver need be closed.
--- a/choice/fleet_test.go
+++ b/choice/fleet_test.go
@@ -199,9 +199,15 @@
 	}
 	assert.Equal(t, senders, watching)
 	assert.Less(t, calls, 2*senders)
-	fs[0].guards.AskWithin = 0
-	fs[0].Listed(LookupFailed, nil)
-	assert.GreaterOrEqual(t, fs[0].askAt-fs[0].now, second, "no beat of zero where the settings tell none")
+	busiest := map[int64]int{}
+	for _, f := range fs {
+		f.now, f.guards.AskWithin = 0, 0
+		f.At(second)
+		busiest[f.askAt/second]++
+	}
+	for _, n := range busiest {
+		assert.Less(t, n, senders/2, "no beat of zero where the settings tell none")
+	}
 }
 
 func TestAnOutageIsNoScarcityOfConnections(t *testing.T) {
--- a/choice/state.go
+++ b/choice/state.go
@@ -269,7 +269,6 @@
 	leftTill  int64   // until when that counts
 	askAt     int64   // when to subscribe, never while subscribed
 	askedAt   int64   // when it last did
-	misses    int     // lookups failed in a row
 	stale     int     // legs lost in a row on connections that had stood idle
 	floor     float64 // repeats a second always allowed at a destination
 }
@@ -538,11 +537,22 @@
 // At sets the clock for the events that follow.
 func (s *Sender) At(now int64) {
 	if s.now == 0 {
-		s.startAt, s.takenFrom, s.askAt = now, now, now+int64(s.chance()*askSpread*float64(s.guards.AskWithin))
+		s.startAt, s.takenFrom, s.askAt = now, now, now+int64(s.chance()*s.firstLookups())
 	}
 	s.now = now
 }
 
+// firstLookups is the span in µs over which the first lookups of all senders fall.
+func (s *Sender) firstLookups() float64 {
+	if s.guards.AskWithin <= 0 { // untold: no beat of zero
+		return float64(askMost)
+	}
+	return min(float64(askMost), askSpread*float64(s.guards.AskWithin))
+}
+
+// Asked says that discovery was just called unasked, for a watch that fell silent or because discovery moved.
+func (s *Sender) Asked() { s.askedAt = s.now }
+
 func (d *dst) timed(t float64) {
 	if !d.sampled {
 		d.mean, d.dev, d.sampled = t, t/2, true
