The model of a busy discovery is played after an outage too

The fleet's test of an overbooked discovery began with a common start only. After an outage all senders want their watch at once, and how the next call after a failed one is drawn decides whether they ever get it.

With a discovery of 4 s all have it within 6 s and one call each.

No line of the program changes.

--- a/choice/lookup_test.go
+++ b/choice/lookup_test.go
@@ -37,3 +37,45 @@
 		}
 	}
 }
+
+// After an outage all senders want their watch at once. Discovery works off one call of each in 4 s, or in 8 s, turns away what would take
+// longer than once or twice its patience, and what it cannot answer within that costs it the work and fails.
+func TestAfterAnOutageAllWatchesAreHadFromABusyDiscovery(t *testing.T) {
+	const senders, step, patience, down = 80, 20 * ms, 2 * second, 20 * second
+	for _, c := range []struct{ all, ahead, last, most int64 }{
+		{4 * second, patience, 6 * second, 1}, {8 * second, patience, 11 * second, 2}, {8 * second, 2 * patience, 25 * second, 3},
+	} {
+		fs, fails := fleet(t, senders, 20), map[*fake]int64{}
+		for _, f := range fs {
+			f.allowed.Subscribe, f.askAt = true, never
+			f.after(20 * second) // the watch is up
+			f.Listed(LookupFailed, nil)
+		}
+		back, calls, watching := fs[0].now+down, int64(0), 0
+		for freeAt, now := back, fs[0].now; now < back+c.last; now += step {
+			for _, f := range fs {
+				f.At(now)
+				if fails[f] == now {
+					f.Listed(LookupFailed, nil)
+				}
+				asked := count(f.after(0), "subscribe") > 0
+				switch done := max(freeAt, now) + c.all/senders; {
+				case !asked:
+				case now < back:
+					fails[f] = now + patience
+				case done > now+c.ahead:
+					fails[f] = now + step
+				case done > now+patience:
+					freeAt, fails[f] = done, now+patience
+				default:
+					freeAt, watching = done, watching+1
+				}
+				if asked && now >= back {
+					calls++
+				}
+			}
+		}
+		assert.Equal(t, senders, watching, "%+v", c)
+		assert.LessOrEqual(t, calls, c.most*senders, "%+v", c)
+	}
+}
