Spool: many legs leave a message readable, and an unreadable segment lets the sender start

Two faults found by reading, neither seen in service.

Legs: in memory and in a copied record a message held all its legs, but a reader stopped after 256 and took what followed for the body. Where settings name no most attempts, a message that was copied forward after its 257th leg came back with another body, or not at all; and a leg dropped on replay had the next "never ran" mark an earlier leg, which may have run. Lines: readMessage, replay (spool.go), Leg (write.go). Now both sides remember 256 by one rule: the oldest that never ran goes, the first that may have run and the latest stay.

Start: a segment that could not be read left its number unknown, so the next one might be created under the same name, which fails, and the process refused to start. The number is taken first.

Forced too, and held as it was: a kill at every byte while what is owed is copied forward, with the old segment still there; the next process owes the same, and what is over then stays over.

The two tests of the faults fail without the mend.

--- a/internal/spool/spool.go
+++ b/internal/spool/spool.go
@@ -103,16 +103,16 @@
 // recover reads one segment up to the first torn record. What it cannot read it leaves as it is.
 func (s *Spool) recover(name string) (note string) {
 	seg := &segment{}
+	_, misnamed := fmt.Sscanf(filepath.Base(name), "%d"+extension, &seg.number)
+	s.last = max(s.last, seg.number) // of an unreadable one too, or the next segment would bear its number
 	data, err := os.ReadFile(name)
 	if err != nil {
 		s.strange = append(s.strange, filepath.Base(name))
 		return "left alone, not readable: " + err.Error()
 	}
 	seg.size = int64(len(data))
-	_, err = fmt.Sscanf(filepath.Base(name), "%d"+extension, &seg.number)
-	s.last = max(s.last, seg.number)
 	left, known := strings.CutPrefix(string(data), magic)
-	if err != nil || !known && seg.size >= int64(len(magic)) {
+	if misnamed != nil || !known && seg.size >= int64(len(magic)) {
 		s.foreign += seg.blocks()
 		s.strange = append(s.strange, filepath.Base(name))
 		return "left alone, of an unknown version: " + filepath.Base(name)
@@ -147,8 +147,8 @@
 	}
 	switch record[0] {
 	case recLeg:
-		if l := readLeg(d); !d.bad && len(m.Legs) < mostLegs {
-			m.Legs = append(m.Legs, l)
+		if l := readLeg(d); !d.bad {
+			m.addLeg(l)
 		}
 	case recUnrun:
 		if n := len(m.Legs); n > 0 {
@@ -161,6 +161,19 @@
 	}
 }
 
+// addLeg remembers a leg. Of too many the oldest that never ran goes, else the second: the first that may have run opens its key's window,
+// and the latest is the one whose outcome may follow.
+func (m *Message) addLeg(l Leg) {
+	if len(m.Legs) >= mostLegs {
+		i := slices.IndexFunc(m.Legs, func(o Leg) bool { return o.NeverRan })
+		if i < 0 {
+			i = 1
+		}
+		m.Legs = slices.Delete(m.Legs, i, i+1)
+	}
+	m.Legs = append(m.Legs, l)
+}
+
 // place has a message stand in a segment, and no longer in the one it stood in.
 func (s *Spool) place(m *Message, seg *segment, length int64) {
 	if old := s.owed[m.ID]; old != nil {
@@ -188,8 +201,8 @@
 	m := &Message{ID: id, Lane: string(d.text()), Key: string(d.text()), OrderKey: string(d.text()), Dst: d.number(),
 		Expires: d.number()}
 	m.Ended, m.PushedBack, m.Advice = d.number() != 0, d.number() != 0, d.number()
-	for n := d.number(); n > 0 && !d.bad && len(m.Legs) < mostLegs; n-- {
-		m.Legs = append(m.Legs, readLeg(d))
+	for n := d.number(); n > 0 && !d.bad; n-- { // all of them, or the rest would be taken for the body
+		m.addLeg(readLeg(d))
 	}
 	m.Body = slices.Clone(d.text())
 	if len(d.left) > 0 { // older versions wrote no more
--- a/internal/spool/spool_test.go
+++ b/internal/spool/spool_test.go
@@ -176,3 +176,77 @@
 	require.Error(t, s.Take(message("a", 1)))
 	assert.Empty(t, s.Owed())
 }
+
+// Settings may bound the legs of a message at nothing.
+func TestManyLegsLeaveTheMessageAsItIs(t *testing.T) {
+	dir := t.TempDir()
+	s := open(t, dir, plenty)
+	m := message("a", 300)
+	require.NoError(t, s.Take(m))
+	for i := range int64(3 * mostLegs) {
+		require.NoError(t, s.Leg(m, Leg{SentAt: i + 1, NeverRan: i != 7 && i%2 == 1}))
+	}
+	require.NoError(t, s.Leg(m, Leg{SentAt: 1e6}))
+	require.NoError(t, s.NeverRan(m))
+	for range 2 { // off the single records, then off a copy that holds all
+		again := open(t, dir, plenty)
+		require.Len(t, again.Owed(), 1)
+		got := again.Owed()[0]
+		require.Equal(t, m.Body, got.Body)
+		require.Equal(t, m.Legs, got.Legs)
+		require.Len(t, got.Legs, mostLegs)
+		require.Equal(t, int64(1), got.Legs[0].SentAt, "the first that may have run")
+		require.Equal(t, Leg{SentAt: 1e6, NeverRan: true}, got.Legs[mostLegs-1])
+		again.forward(again.order[0])
+	}
+}
+
+func TestSegmentThatCannotBeReadKeepsNoSenderFromStarting(t *testing.T) {
+	dir := t.TempDir()
+	name := filepath.Join(dir, "000000000001.seg")
+	require.NoError(t, os.Mkdir(name, 0o700)) // a read of it fails
+	s, notes, err := Open(dir, plenty)
+	require.NoError(t, err)
+	require.Len(t, notes, 1)
+	require.NoError(t, s.Take(message("a", 1)))
+	require.NoError(t, s.Close())
+	require.DirExists(t, name)
+}
+
+// A kill between the first copy of what is owed and the removal of the segment that it stood in, at every byte.
+func TestKilledWhileCopyingForwardOwesTheSame(t *testing.T) {
+	dir := t.TempDir()
+	s := open(t, dir, plenty)
+	for i, m := range []*Message{message("over", 9), message("a", 40), message("out", 20), message("unrun", 0), message("told", 70)} {
+		require.NoError(t, s.Take(m))
+		require.NoError(t, s.Leg(m, Leg{SentAt: int64(i), Zone: 1}))
+		switch m.ID {
+		case "over":
+			require.NoError(t, s.Over(m))
+		case "unrun":
+			require.NoError(t, s.NeverRan(m))
+		case "told":
+			require.NoError(t, s.End(m, true, 5))
+		}
+	}
+	want := bare(s.Owed())
+	require.NoError(t, s.startSegment())
+	oldest, newest := s.order[0], s.order[1]
+	from := newest.size
+	require.True(t, s.forward(oldest))
+	data, err := os.ReadFile(s.path(newest))
+	require.NoError(t, err)
+	for cut := from; cut <= int64(len(data)); cut++ {
+		killed := t.TempDir()
+		old, err := os.ReadFile(s.path(oldest))
+		require.NoError(t, err)
+		require.NoError(t, os.WriteFile(filepath.Join(killed, filepath.Base(s.path(oldest))), old, 0o600))
+		require.NoError(t, os.WriteFile(filepath.Join(killed, filepath.Base(s.path(newest))), data[:cut], 0o600))
+		again := open(t, killed, plenty)
+		require.Equal(t, want, bare(again.Owed()), "cut at %d", cut)
+		for _, m := range again.Owed() {
+			require.NoError(t, again.Over(m))
+		}
+		require.Empty(t, open(t, killed, plenty).Owed(), "what is over stays over, cut at %d", cut)
+	}
+}
--- a/internal/spool/write.go
+++ b/internal/spool/write.go
@@ -157,7 +157,7 @@
 
 // Leg records a leg before its first byte goes out, or one that surely never ran.
 func (s *Spool) Leg(m *Message, l Leg) error {
-	return s.note(m, begin(recLeg, m.ID).leg(l).seal(), func() { m.Legs = append(m.Legs, l) })
+	return s.note(m, begin(recLeg, m.ID).leg(l).seal(), func() { m.addLeg(l) })
 }
 
 // NeverRan records that the latest leg surely never ran.
