After a write that cannot be cut off the spool goes on in a new segment

Cause: a record that failed to be written is cut off again; where that failed too, the spool refused every later record of the process (append in write.go, `broken`). All hand-ins were then refused, no leg could begin, so each message held used up its attempts in a moment and was returned, and no end was recorded: a fault of one moment lasted until the next start.

What follows a torn record in a segment is not believed, but a new segment is. So the next record opens one; a disk that still fails gives the same error again, and the room bounds the segments.

Test: each kind of record fails once on a full device, counts for nothing in this process and the next, and counts when it is written again. It fails without the mend.

--- a/internal/spool/spool.go
+++ b/internal/spool/spool.go
@@ -75,7 +75,7 @@
 	foreign int64               // bytes of files that are not ours to read
 	strange []string            // their names
 	file    *os.File
-	broken  error
+	torn    bool // the newest segment ends in part of a record: what follows there would not be believed
 }
 
 // Open reads back what is owed and starts a new segment. It says in notes what it could not read.
--- a/internal/spool/spool_test.go
+++ b/internal/spool/spool_test.go
@@ -177,6 +177,46 @@
 	assert.Empty(t, s.Owed())
 }
 
+// killed is what the next process owes if this one is killed now.
+func killed(t *testing.T, dir string) []Message {
+	t.Helper()
+	next := t.TempDir()
+	require.NoError(t, os.CopyFS(next, os.DirFS(dir)))
+	return bare(open(t, next, plenty).Owed())
+}
+
+// full has the next write fail as on a full disk, so that not even what was begun can be cut off again.
+func full(t *testing.T, s *Spool) {
+	t.Helper()
+	require.NoError(t, s.file.Close())
+	var err error
+	s.file, err = os.OpenFile("/dev/full", os.O_WRONLY, 0)
+	require.NoError(t, err)
+}
+
+// Each kind of record once more, after a write of it failed: it counts from the second time on, and not before.
+func TestAfterAFailedWriteRecordsCountAgain(t *testing.T) {
+	dir := t.TempDir()
+	s := open(t, dir, plenty)
+	m := message("a", 10)
+	for _, write := range []func() error{
+		func() error { return s.Take(m) },
+		func() error { return s.Leg(m, Leg{SentAt: 5}) },
+		func() error { return s.NeverRan(m) },
+		func() error { return s.End(m, true, 7) },
+		func() error { return s.Over(m) },
+	} {
+		before := bare(s.Owed())
+		full(t, s)
+		require.Error(t, write())
+		require.Equal(t, before, bare(s.Owed()))
+		require.Equal(t, before, killed(t, dir))
+		require.NoError(t, write())
+		require.Equal(t, bare(s.Owed()), killed(t, dir))
+	}
+	require.Empty(t, s.Owed())
+}
+
 // Settings may bound the legs of a message at nothing.
 func TestManyLegsLeaveTheMessageAsItIs(t *testing.T) {
 	dir := t.TempDir()
--- a/internal/spool/write.go
+++ b/internal/spool/write.go
@@ -24,7 +24,7 @@
 	if s.file != nil {
 		_ = s.file.Close()
 	}
-	s.last = seg.number
+	s.last, s.torn = seg.number, false
 	seg.size = int64(len(magic))
 	s.file = f
 	s.order = append(s.order, seg)
@@ -46,11 +46,8 @@
 
 // append writes one record to the newest segment, and opens a further one when that is full.
 func (s *Spool) append(record []byte) error {
-	if s.broken != nil {
-		return s.broken
-	}
 	seg := s.now()
-	if seg.size >= s.room/segments {
+	if seg.size >= s.room/segments || s.torn {
 		if err := s.startSegment(); err != nil {
 			return err
 		}
@@ -61,10 +58,11 @@
 		seg.size += int64(n)
 		return nil
 	}
-	if cut := s.file.Truncate(seg.size); cut != nil { // else a torn record would hide all that follow
-		s.broken = fmt.Errorf("spool: %w", cut)
-	} else if _, cut = s.file.Seek(seg.size, 0); cut != nil {
-		s.broken = fmt.Errorf("spool: %w", cut)
+	if s.file.Truncate(seg.size) == nil {
+		_, cut := s.file.Seek(seg.size, 0)
+		s.torn = cut != nil
+	} else {
+		s.torn = true
 	}
 	return fmt.Errorf("spool: %w", err)
 }
