Bytes without an end of line are no beat of a watch

Cause: Watch.Next (internal/protocol/discovery.go) took whatever blank bytes lines.line gave for a beat: a part of 4 KiB of a longer line, and, worse, a part that came before the read's time limit, whose error line() puts off while it has bytes.

Change: a beat is a line that is blank up to its end. TestBlanksWithoutAnEndOfLineAreNoBeat fails without it.

--- a/internal/protocol/discovery.go
+++ b/internal/protocol/discovery.go
@@ -83,6 +83,22 @@
 	return err
 }
 
+// beat takes in a line that is blank up to its end. Danger: blanks without an end, however many, are no beat.
+func (l *lines) beat() (whole bool, err error) {
+	for {
+		if err := l.line(); err != nil {
+			return false, fmt.Errorf("watch: %w", err)
+		}
+		if !blank(l.next) {
+			return false, nil
+		}
+		whole = l.next[len(l.next)-1] == '\n'
+		if l.next = nil; whole {
+			return true, nil
+		}
+	}
+}
+
 // Read is for the decoder.
 func (l *lines) Read(p []byte) (int, error) {
 	if err := l.line(); err != nil {
@@ -114,12 +130,8 @@
 		if blank(w.lines.next) {
 			w.lines.next = nil // the end of that line
 		}
-		if err := w.lines.line(); err != nil {
-			return l, false, fmt.Errorf("watch: %w", err)
-		}
-		if blank(w.lines.next) {
-			w.lines.next = nil
-			return l, true, nil
+		if beat, err = w.lines.beat(); err != nil || beat {
+			return l, beat, err
 		}
 	}
 	var object json.RawMessage
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -253,3 +253,19 @@
 		bounded(t, err)
 	})
 }
+
+func TestBlanksWithoutAnEndOfLineAreNoBeat(t *testing.T) {
+	blanks := strings.Repeat(" ", 3*watchLine)
+	for _, text := range []string{" ", blanks} {
+		w, err := NewWatch(reader(fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(text), text)))
+		require.NoError(t, err)
+		_, beat, err := w.Next()
+		assert.Error(t, err, "the connection ends")
+		assert.False(t, beat)
+	}
+	w, err := NewWatch(reader(fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\n\r\n", len(blanks)+1, blanks)))
+	require.NoError(t, err)
+	_, beat, err := w.Next()
+	assert.NoError(t, err)
+	assert.True(t, beat, "a long empty line is one")
+}
