The module's word to watch the list is not dropped among chores

Cause: host.Subscribe queued it with notes and probes (mostChores, 256) and dropped it where they were full. The module asks once and waits for the outcome, so a sender where lists are asked for would never have watched again. Not seen in a log; found by reading.

Change: the word has a place of its own, looked at beside the chores. TestTheWatchIsAskedForHoweverManyChoresWait fails without it.

--- a/internal/routing/host.go
+++ b/internal/routing/host.go
@@ -85,8 +85,13 @@
 // Note asks for a note to all fellows.
 func (h host) Note(text string) { h.chore(Chore{Kind: Note, Text: text}) }
 
-// Subscribe asks for the watch on the list.
-func (h host) Subscribe() { h.chore(Chore{Kind: Watch}) }
+// Subscribe asks for the watch on the list. Danger: the module asks once; dropped with other chores, it would never be opened.
+func (h host) Subscribe() {
+	select {
+	case h.watch <- struct{}{}:
+	default:
+	}
+}
 
 // Log writes a line for people.
 func (h host) Log(text string) { h.log(text) }
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -113,6 +113,7 @@
 	numbers   map[string]uint32   // as many as receivers that the module knows
 	receivers map[uint32]Receiver // the same by number
 	chores    chan Chore
+	watch     chan struct{} // the watch is asked for
 	timer     *time.Timer
 
 	// Gate, where set before the first message, is asked last before a leg's first byte: may a call go to this destination now?
@@ -135,7 +136,8 @@
 	r := &Router{clock: clock, closeIdle: closeIdle, log: log,
 		lanes: startup.LaneNames(settings), kinds: startup.KindNames(settings), zones: startup.ZoneNames(settings),
 		room: startup.MostHeld(settings), tickets: map[string]*ticket{}, numbers: map[string]uint32{},
-		receivers: map[uint32]Receiver{}, picked: make(chan struct{}, 1), chores: make(chan Chore, mostChores), timer: time.NewTimer(0)}
+		receivers: map[uint32]Receiver{}, picked: make(chan struct{}, 1), chores: make(chan Chore, mostChores),
+		watch: make(chan struct{}, 1), timer: time.NewTimer(0)}
 	r.inCalls, r.inProbes = startup.Reports(settings)
 	r.sender = startup.Sender(host{r}, seed, settings, 1)
 	return r
@@ -318,6 +320,8 @@
 	select {
 	case <-ctx.Done():
 		return Chore{}, ctx.Err()
+	case <-r.watch:
+		return Chore{Kind: Watch}, nil
 	case c := <-r.chores:
 		return c, nil
 	}
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -197,3 +197,20 @@
 	c.Report(c.pick("a"), Reset, 0, Load{})
 	assert.Equal(t, []string{"s-1"}, c.closed)
 }
+
+// Where lists are asked for the module asks once. Notes and probes that nobody has carried out yet must not take that word away.
+func TestTheWatchIsAskedForHoweverManyChoresWait(t *testing.T) {
+	r := New(1, gjson.Parse(`{"discovery":"subscribe"}`), func() int64 { return 1e12 }, func(string) {}, func(string) {})
+	for range mostChores {
+		host{r}.Note("n")
+	}
+	r.turn(func() {}) // no receiver is known: the list is asked for at once
+	soon, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	for range mostChores + 1 {
+		if c, err := r.Chore(soon); err == nil && c.Kind == Watch {
+			return
+		}
+	}
+	assert.Fail(t, "never asked for")
+}
