After whatever call to discovery the next one is out in time, pushed or asked for

Need: what the agent holds counts as told at once where lists are pushed; where they are asked for, a change counts as told 6 s after discovery had it and could be reached, after a watch fell silent 6 s from then, after SIGHUP 4 s.

Lists asked for: first calls that hung for 5 s, and the list 8.2 s after the watch fell silent.

Lines at fault, internal/platform/discovery.go: pause() between calls, with none out; askedFirst 5 s; Run heard of a move only while a call was out and gave a call that failed after it to the module's pace (14 s in the test); a word of the module's that came while a watch was up let the next call go without a draw; beats alone passed for a first answer.

Change: where lists are pushed a call goes out every 0.1 to 0.2 s beside the earlier ones until one brings an object. Where they are asked for one call is out at a time, for 2.2 s (discovery fails what it cannot answer in 2 s); two calls are made unasked after silence and after a move, the second 2.2 to 2.5 s after the first, then the module says when. A watch is silent after 2.5 s (was 3). The start file is followed before the operator's file.

Tests: TestAfterFailedCallsTheListIsHereInTime, TestWhatABrokenWatchMissedIsHereInTime, TestWhereListsArePushedACallIsAlwaysOut, TestAfterAMoveTheListIsHereInTime, TestAnOldAskDoesNotHurryTheNextCall fail on the old lines. TestAFullQueueOfConnectionsIsGotOver (real sockets) passes there too. They take the place of TestSilentWatchIsOpenedAnewInTime and its twin, whose deeds and limits they hold.

--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -16,17 +16,22 @@
 		case <-ctx.Done():
 			return
 		case <-p.reload:
+			p.reloadStart()
 			p.reloadOperators()
-			addr, err := startup.Moved(p.env)
-			if err != nil {
-				p.log.Error("start file not taken, the old one stays in force", zap.Error(err))
-				continue
-			}
-			p.log.Info("start file read again", zap.String("discovery", addr), zap.Bool("moved", p.agent.Move(addr)))
 		}
 	}
 }
 
+// reloadStart comes first: what discovery has at its new address counts as told 4 s after the signal.
+func (p *Program) reloadStart() {
+	addr, err := startup.Moved(p.env)
+	if err != nil {
+		p.log.Error("start file not taken, the old one stays in force", zap.Error(err))
+		return
+	}
+	p.log.Info("start file read again", zap.String("discovery", addr), zap.Bool("moved", p.agent.Move(addr)))
+}
+
 func (p *Program) reloadOperators() {
 	if p.opFile == "" {
 		return
--- a/internal/platform/agent.go
+++ b/internal/platform/agent.go
@@ -20,16 +20,29 @@
 	return a
 }
 
+// place is an address where the agent is, until stays ends.
+type place struct {
+	addr  string
+	stays context.Context
+}
+
+func (a *Agent) place() place {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return place{a.addr, a.here}
+}
+
 // during does something at the address, within a context that ends with ctx or when the address is no longer the
 // one, and tells whether that was cut short.
 func (a *Agent) during(ctx context.Context, do func(here context.Context, addr string)) (cut bool) {
-	a.mu.Lock()
-	addr, stays := a.addr, a.here
-	a.mu.Unlock()
+	return a.place().during(ctx, do)
+}
+
+func (p place) during(ctx context.Context, do func(here context.Context, addr string)) (cut bool) {
 	here, cancel := context.WithCancel(ctx)
 	defer cancel()
-	defer context.AfterFunc(stays, cancel)()
-	do(here, addr)
+	defer context.AfterFunc(p.stays, cancel)()
+	do(here, p.addr)
 	return here.Err() != nil
 }
 
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -16,14 +16,17 @@
 	"ravenlink/internal/transport"
 )
 
-// What a silent watch misses counts as told 6 s after it fell silent: within that it has to be seen, opened anew and answered,
-// also when the first call to do so hangs: 3 s, twice 0.5 s and 1 s.
+// Where lists are pushed, what the agent holds counts as told at once: while no watch is up a call is always out, and the next begins beside
+// it. Where they are asked for, what discovery has counts as told 6 s after it could be reached, and 6 s after a watch fell silent: that has to
+// be seen, one call may hang, and the next is answered (2.5 + 0.3 + 2.2 + 0.3 s); 4 s after a move (0.8 + 2.2 + 0.3 s).
 const (
-	silence     = 3 * time.Second        // without an object or a beat, which comes every 2 s, after which a watch is opened anew
-	pushedFirst = time.Second            // for the first answer where the agent holds the list; it answers at once
-	askedFirst  = 5 * time.Second        // where a call goes through to discovery, which may be busy
-	watchAgain  = 500 * time.Millisecond // after a watch broke, by a draw from a tenth to all
-	askedAgain  = 2 * time.Second        // likewise, where all senders' calls for silent watches sum up at discovery
+	silence      = 2500 * time.Millisecond // without an object or a beat, which comes every 2 s, after which a watch is opened anew
+	pushedFirst  = time.Second             // for the first answer where the agent holds the list; it answers at once
+	pushedNext   = 200 * time.Millisecond  // from a call to the next beside it, by a draw from half to all: some ten are out at most
+	askedFirst   = 2200 * time.Millisecond // where a call goes through to discovery, which fails it after 2 s if it is busy
+	askedSoon    = 300 * time.Millisecond  // before a call that nobody asks for, by a draw: the watch fell silent, the call before failed
+	movedSoon    = 800 * time.Millisecond  // likewise when discovery moved: all senders hear of that at once
+	unaskedCalls = 2                       // then the module says when
 )
 
 var errSilent = errors.New("the watch fell silent")
@@ -38,6 +41,11 @@
 	ask       chan struct{} // it said so
 	revision  int64
 
+	at      place     // of the latest call
+	next    time.Time // no call begins before
+	unasked int       // calls left that nobody needs to ask for
+	calls   sync.WaitGroup
+
 	dial      func(ctx context.Context, addr string, within time.Duration) (*transport.Conn, error)
 	heard     chan struct{} // closed at the first answer
 	heardOnce sync.Once
@@ -74,44 +82,78 @@
 
 // Run keeps a watch open until ctx ends.
 func (d *Discovery) Run(ctx context.Context) {
-	again := false // a watch that was up fell silent
-	for ctx.Err() == nil {
-		if d.onlyAsked && !again {
-			select {
-			case <-ctx.Done():
-				return
-			case <-d.ask:
-			}
-		}
+	defer d.calls.Wait()
+	d.at = d.agent.place()
+	for d.due(ctx) {
 		var err error
-		moved := d.agent.during(ctx, func(here context.Context, addr string) { err = d.watch(here, addr) })
+		began := time.Now()
+		d.at = d.agent.place()
+		moved := d.at.during(ctx, func(here context.Context, addr string) { err = d.follow(here, addr) })
 		if ctx.Err() != nil {
 			return
 		}
-		again = errors.Is(err, errSilent)
-		if moved { // the list is not lost: the new address goes on from the same revision, and nobody need ask
-			d.Asked()
-			continue
+		if !moved {
+			d.log.Warn("watch on the list broke", zap.Error(err), zap.Int64("revision", d.revision))
+		}
+		if d.onlyAsked {
+			d.broke(moved, err, began)
 		}
-		d.log.Warn("watch on the list broke", zap.Error(err), zap.Int64("revision", d.revision))
-		if d.onlyAsked && !again {
-			d.router.ListLost()
-			continue
+	}
+}
+
+// due waits until a call may begin: where lists are pushed, after a moment; else the module asks, or one is due unasked.
+func (d *Discovery) due(ctx context.Context) bool {
+	for {
+		var asked <-chan struct{}
+		var soon <-chan time.Time
+		if d.onlyAsked && d.unasked == 0 {
+			asked = d.ask
+		} else {
+			soon = time.After(time.Until(d.next))
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(d.pause()):
+			return false
+		case <-asked:
+			return true
+		case <-soon:
+			if d.onlyAsked {
+				d.unasked--
+				d.router.ListAsked()
+			}
+			return true
+		case <-d.at.stays.Done(): // discovery moved with no call out
+			d.at = d.agent.place()
+			if d.onlyAsked {
+				d.again(movedSoon)
+			}
 		}
 	}
 }
 
-// pause is drawn: all senders' watches may break at once.
-func (d *Discovery) pause() time.Duration {
-	most := watchAgain
-	if d.onlyAsked {
-		most = askedAgain
+// broke says when the next call is due where lists are asked for. Danger: the module's span is too long for a watch that fell silent, whose
+// loss counts from then, and for a move; and a call that failed at once must come back no sooner than one that hung, for discovery's sake.
+func (d *Discovery) broke(moved bool, err error, began time.Time) {
+	switch {
+	case moved: // the list is not lost: the new address goes on from the same revision
+		d.at = d.agent.place()
+		d.again(movedSoon)
+	case errors.Is(err, errSilent):
+		d.again(askedSoon)
+	case d.unasked > 0:
+		d.next = began.Add(askedFirst + rand.N(askedSoon))
+	default:
+		select {
+		case <-d.ask: // said while a watch was up; it is the module's to say when
+		default:
+		}
+		d.router.ListLost()
 	}
-	return most/10 + rand.N(most*9/10)
+}
+
+// again has calls made that nobody asks for, the first within a time, by a draw.
+func (d *Discovery) again(within time.Duration) {
+	d.next, d.unasked = time.Now().Add(rand.N(within)), unaskedCalls
 }
 
 // Asked says that the module wants a watch.
@@ -122,53 +164,123 @@
 	}
 }
 
-// watch follows the list at one address until that watch breaks.
-func (d *Discovery) watch(ctx context.Context, addr string) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	first := time.Now().Add(pushedFirst)
-	if d.onlyAsked {
-		first = time.Now().Add(askedFirst)
-	}
-	c, err := d.dial(ctx, addr, min(d.within, time.Until(first)))
-	if err != nil {
-		return err
-	}
-	_ = c.SetDeadline(first)
-	if err := protocol.WriteWatch(c.W, addr, d.revision); err != nil {
-		return err
-	}
-	if err := c.Flush(); err != nil {
-		return err
-	}
-	w, err := protocol.NewWatch(c.R)
+// watch is an open one that has brought its first object.
+type watch struct {
+	conn    *transport.Conn
+	objects *protocol.Watch
+	first   protocol.List
+	close   context.CancelFunc
+}
+
+// follow follows the list at one address until its watch breaks.
+func (d *Discovery) follow(ctx context.Context, addr string) error {
+	w, err := d.open(ctx, addr)
 	if err != nil {
 		return err
 	}
-	if err := d.next(w); err != nil {
-		return err
-	}
+	defer w.close()
+	d.unasked = 0
+	d.take(w.first)
 	d.heardOnce.Do(func() { close(d.heard) })
 	for {
-		_ = c.SetDeadline(time.Now().Add(silence))
-		if err := d.next(w); errors.Is(err, os.ErrDeadlineExceeded) {
+		_ = w.conn.SetDeadline(time.Now().Add(silence)) // for a whole object or beat: bytes alone show no life
+		l, beat, err := w.objects.Next()
+		switch {
+		case errors.Is(err, os.ErrDeadlineExceeded):
 			return errSilent
-		} else if err != nil {
+		case err != nil:
 			return err
+		case !beat:
+			d.take(l)
 		}
 	}
 }
 
-// next takes in what the watch brings next.
-func (d *Discovery) next(w *protocol.Watch) error {
-	l, beat, err := w.Next()
-	if err != nil || beat {
-		return err
+// open opens a watch, by one call where lists are asked for.
+func (d *Discovery) open(ctx context.Context, addr string) (w *watch, err error) {
+	if !d.onlyAsked {
+		return d.race(ctx, addr)
+	}
+	here, leave := context.WithCancel(ctx)
+	if w, err = d.call(here, addr, d.revision, askedFirst); err != nil {
+		leave()
+		return nil, err
+	}
+	w.close = leave
+	return w, nil
+}
+
+// race makes one call beside the other until one is answered. Danger: the agent is silent while discovery is down, and what it gets at
+// the return counts as told at once, so no moment may be without a call, and a call that it has lost must not be waited for.
+func (d *Discovery) race(ctx context.Context, addr string) (*watch, error) {
+	race, over := context.WithCancel(ctx)
+	defer over()
+	won, warned := make(chan *watch), &sync.Once{}
+	for {
+		from := d.revision
+		d.calls.Go(func() { d.enter(ctx, race, addr, from, won, warned) })
+		d.next = time.Now().Add(pushedNext/2 + rand.N(pushedNext/2))
+		select {
+		case w := <-won:
+			return w, nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-time.After(time.Until(d.next)):
+		}
+	}
+}
+
+// enter makes a call that ends with the race, unless it has won it.
+func (d *Discovery) enter(ctx, race context.Context, addr string, from int64, won chan<- *watch, warned *sync.Once) {
+	here, leave := context.WithCancel(ctx)
+	out := context.AfterFunc(race, leave)
+	w, err := d.call(here, addr, from, pushedFirst)
+	if in := out(); in && err == nil {
+		w.close = leave
+		select {
+		case won <- w:
+			return
+		case <-race.Done():
+		}
 	}
+	leave()
+	if err != nil && race.Err() == nil {
+		warned.Do(func() { d.log.Warn("call for the list failed, others follow", zap.Error(err)) })
+	}
+}
+
+// call makes one call for the changes after a revision. It is over within a time, connecting and first object included, whatever comes. Its
+// connection closes with ctx.
+func (d *Discovery) call(ctx context.Context, addr string, from int64, within time.Duration) (*watch, error) {
+	until := time.Now().Add(within)
+	c, err := d.dial(ctx, addr, min(d.within, within))
+	if err != nil {
+		return nil, err
+	}
+	_ = c.SetDeadline(until)
+	if err := protocol.WriteWatch(c.W, addr, from); err != nil {
+		return nil, err
+	}
+	if err := c.Flush(); err != nil {
+		return nil, err
+	}
+	w := &watch{conn: c}
+	if w.objects, err = protocol.NewWatch(c.R); err != nil {
+		return nil, err
+	}
+	for beat := true; beat; { // beats alone tell nothing
+		if w.first, beat, err = w.objects.Next(); err != nil {
+			return nil, err
+		}
+	}
+	return w, nil
+}
+
+// take takes in what a watch has brought.
+func (d *Discovery) take(l protocol.List) {
 	d.log.Info("list", zap.Int64("revision", l.Revision), zap.Bool("whole", l.Whole), zap.Int("members", len(l.Members)))
 	d.revision = l.Revision
 	d.router.List(listings(l), l.Whole, false)
-	return nil
 }
 
 func listings(l protocol.List) (ls []routing.Listing) {
--- a/internal/routing/report.go
+++ b/internal/routing/report.go
@@ -103,6 +103,9 @@
 // ListLost says that a watch could not be had or broke.
 func (r *Router) ListLost() { r.turn(func() { r.sender.Listed(choice.LookupFailed, nil) }) }
 
+// ListAsked says that discovery is called for the list although the module has not asked.
+func (r *Router) ListAsked() { r.turn(func() { r.sender.Asked() }) }
+
 // number gives a receiver its number, the same at every sender, for notes name receivers by it; and keeps its
 // newest address.
 func (r *Router) number(l Listing) uint32 {
