Keys keep their order while the platform has not heard of an end, and over restarts

Causes: (1) forget in choice/state.go let the next of a key go in the turn that decided an end, which the platform hears of with the notice, later; (2) Spool.Owed gave what is owed back by deadline, not as it was taken on; (3) a message that had ended before a restart was not in its key's line, and (4) what the process before had out left no rest on its key. Ruled out: the rest after resets and time-outs (kept in all cases read).

Now a line waits until the end is known (EndKnown, from the platform's 204), what is owed comes back in the order taken, ended messages stand in their lines until told, and keys rest once after a restart.

TestKeysKeepTheirOrderUntilThePlatformKnowsOfEachEnd holds the platform's answer on sockets and over a kill; it fails without each of (1) to (3). Left: two messages of one key handed in at the same moment on two connections may be written down in the other order.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -368,11 +368,7 @@
 		s.taken, s.takenFrom = s.taken/2, (s.now+s.takenFrom)/2
 	}
 	if m.lane.InOrder && key != "" {
-		m.line = s.lines[key]
-		if m.line == nil {
-			m.line = &keyLine{key: key}
-			s.lines[key] = m.line
-		}
+		m.line = s.lineOf(key)
 		m.line.msgs = append(m.line.msgs, m)
 		m.notBefore = m.line.rest
 	}
--- a/choice/state.go
+++ b/choice/state.go
@@ -54,6 +54,7 @@
 	at        int   // place in the expiry heap, -1 for none
 	legs      []leg // at most Room.Legs
 	recalled  bool  // no further leg
+	told      bool  // whoever handed it in knows its end
 }
 
 func (m *msg) over() bool { return m.state >= delivered }
@@ -272,6 +273,9 @@
 	misses    int     // lookups failed in a row
 	stale     int     // legs lost in a row on connections that had stood idle
 	floor     float64 // repeats a second always allowed at a destination
+
+	tellsLater bool
+	restTill   int64 // until when keys new to this process rest
 }
 
 // hasIdle tells whether a connection to a receiver stands idle that may be trusted.
@@ -348,9 +352,44 @@
 	}
 }
 
-// forget drops a message that is over once nothing of it is out, and lets the next of its key go.
+// lineOf is the line of a key.
+func (s *Sender) lineOf(key string) *keyLine {
+	l := s.lines[key]
+	if l == nil {
+		l = &keyLine{key: key, rest: s.restTill}
+		s.lines[key] = l
+	}
+	return l
+}
+
+// TellsLater says that an end is not known to others as it is decided, but from EndKnown on; until then its line waits. Danger: the next
+// of a key overtakes the news that the one before it is over, and runs before it as far as anybody can tell.
+func (s *Sender) TellsLater() { s.tellsLater = true }
+
+// EndKnown says that whoever handed a message in knows its end.
+func (s *Sender) EndKnown(id string) {
+	if m := s.msgs[id]; m != nil && m.over() {
+		m.told = true
+		s.forget(m)
+	}
+}
+
+// Owes brings in a message of a lane in order that ended before a restart, while its end is not told yet.
+func (s *Sender) Owes(id string, lane int, key string, to int64) {
+	if s.lanes[lane].InOrder && key != "" {
+		m := &msg{id: id, lane: &s.lanes[lane], dst: s.dst(to), state: failed, at: -1, line: s.lineOf(key)}
+		m.line.msgs = append(m.line.msgs, m)
+		s.msgs[id] = m
+	}
+}
+
+// Restarted says that a process before this one served here: its attempts may still run, so every key rests.
+func (s *Sender) Restarted() { s.restTill = s.now + s.guards.KeyRest }
+
+// forget drops a message that is over once nothing of it is out and its end is known, and lets the next of its key go.
 func (s *Sender) forget(m *msg) {
-	if !m.over() || m.openLegs() > 0 {
+	ended := m.state == pushedBack || m.state == failed
+	if !m.over() || m.openLegs() > 0 || ended && m.line != nil && s.tellsLater && !m.told {
 		return
 	}
 	delete(s.msgs, m.id)
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -66,6 +66,9 @@
 
 // recover takes up what is owed: messages of channels wait there for their turn.
 func (p *Program) recover(picking context.Context) {
+	if p.spool.Earlier() {
+		p.router.Restarted()
+	}
 	owed := p.spool.Owed()
 	if p.eraser != nil {
 		owed = p.eraser.giveUp(owed)
--- a/internal/daemon/program_test.go
+++ b/internal/daemon/program_test.go
@@ -378,6 +378,55 @@
 	assert.Equal(t, 1, w.calls["a"])
 }
 
+// The platform hears of an end later than it is decided here. Until it does the next of the key must not go, in this process and after a
+// restart, when the messages of a key also have to keep their order.
+func TestKeysKeepTheirOrderUntilThePlatformKnowsOfEachEnd(t *testing.T) {
+	t.Parallel()
+	var ran []string // in the order of their calls; under the world's lock
+	var w *world
+	w = newWorld(t, func(id string, _ int, out http.ResponseWriter) {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if id == "second" || id == "third" {
+			ran = append(ran, id)
+		}
+		if id == "first" {
+			out.WriteHeader(500)
+		}
+	})
+	w.settings = strings.Replace(w.settings, `"repeat":"once"`, `"repeat":"once","sequential":true`, 1)
+	inTurn := func(id, millis string) string {
+		return command("ENQUEUE", "00k1", id, "c=once,dest=7,d="+millis, "x")
+	}
+	w.mute = true
+	cmd := spawn(w)
+	c := w.dial()
+	for _, hand := range []string{inTurn("first", "8000"), inTurn("second", "8000"), inTurn("third", "7000")} {
+		require.Equal(t, "+OK", c.say(hand))
+	}
+	w.soon(func() bool { return w.calls["first"] == 1 })
+	others := func(life string) {
+		for i := range 9 { // each decided on after the turn that would let the next of the key go
+			id := fmt.Sprint(life, i)
+			require.Equal(t, "+OK", w.dial().say(handIn(id, keyed, "")))
+			w.soon(func() bool { return w.calls[id] == 1 })
+		}
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		assert.Zero(t, w.calls["second"]+w.calls["third"])
+	}
+	others("before")
+	kill(t, cmd)
+	w.start()
+	others("after")
+	w.mu.Lock()
+	w.mute = false
+	w.mu.Unlock()
+	w.soon(func() bool { return w.calls["second"] == 1 && w.calls["third"] == 1 })
+	assert.Equal(t, "failed", w.notices["first"])
+	assert.Equal(t, []string{"second", "third"}, ran)
+}
+
 func TestExpiredWhileDownGetsItsNoticeAtOnce(t *testing.T) {
 	t.Parallel()
 	w := newWorld(t, ok)
--- a/internal/relay/courier.go
+++ b/internal/relay/courier.go
@@ -117,12 +117,16 @@
 
 // Resume takes up a message that the sender owed before its restart.
 func (e *Engine) Resume(m *spool.Message) {
+	lane, known := e.router.Lane(m.Lane)
 	if m.Ended {
+		if known {
+			e.router.Owes(message(m, lane))
+		}
 		e.ends.Undelivered(Undelivered{Msg: m, PushedBack: m.PushedBack, Advice: m.Advice, Bare: e.spool.Stripped(m)})
 		return
 	}
 	way, advice := routing.Failed, int64(0)
-	if lane, known := e.router.Lane(m.Lane); known {
+	if known {
 		way, advice = e.router.Take(message(m, lane))
 	}
 	switch way {
@@ -228,6 +232,7 @@
 	if err := e.spool.Over(m); err != nil {
 		e.log.Error("end not recorded", zap.String("id", m.ID), zap.Error(err))
 	}
+	e.router.EndKnown(m.ID)
 }
 
 func (e *Engine) undelivered(c *carried, pushedBack bool, advice int64) {
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -100,6 +100,7 @@
 	room      int
 	inCalls   bool // reports come with answers to calls
 	inProbes  bool // and to probes
+	inOrder   bool // some lane keeps an order
 
 	queueMu sync.Mutex
 	queue   []func() // events waiting for a turn
@@ -137,6 +138,8 @@
 		receivers: map[uint32]Receiver{}, picked: make(chan struct{}, 1), chores: make(chan Chore, mostChores), timer: time.NewTimer(0)}
 	r.inCalls, r.inProbes = startup.Reports(settings)
 	r.sender = startup.Sender(host{r}, seed, settings, 1)
+	r.sender.TellsLater()
+	r.inOrder = startup.KeepsOrder(settings)
 	return r
 }
 
@@ -192,13 +195,29 @@
 		return way, r.sender.ComeBackIn(0)
 	case way != Held:
 		return way, 0
-	case t.ended != Held && t.legs == 0:
+	case t.ended != Held && t.legs == 0: // the answer to its client tells it
+		r.sender.EndKnown(m.ID)
 		delete(r.tickets, m.ID)
 		return t.ended, t.advice
 	}
 	return Held, 0
 }
 
+// EndKnown says that whoever handed a message in knows its end.
+func (r *Router) EndKnown(id string) {
+	if r.inOrder {
+		r.turn(func() { r.sender.EndKnown(id) })
+	}
+}
+
+// Owes brings in a message that ended before a restart and of whose end nobody knows yet.
+func (r *Router) Owes(m Message) {
+	r.turn(func() { r.sender.Owes(m.ID, m.Lane, m.OrderKey, m.Dst) })
+}
+
+// Restarted says that an earlier process of this sender may have left attempts behind.
+func (r *Router) Restarted() { r.turn(r.sender.Restarted) }
+
 // resume brings in how the last leg of a recovered message went: it was cut short, or never ran.
 func (r *Router) resume(m Message) {
 	if len(m.Past) == 0 {
--- a/internal/spool/spool.go
+++ b/internal/spool/spool.go
@@ -3,6 +3,7 @@
 package spool
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"os"
@@ -76,6 +77,7 @@
 	strange []string            // their names
 	file    *os.File
 	broken  error
+	earlier bool // a process wrote here before this one
 }
 
 // Open reads back what is owed and starts a new segment. It says in notes what it could not read.
@@ -91,6 +93,7 @@
 			notes = append(notes, note)
 		}
 	}
+	s.earlier = s.last > 0
 	if err := s.startSegment(); err != nil {
 		return nil, notes, err
 	}
@@ -228,7 +231,10 @@
 	return e.text(body).text([]byte(channel)).number(m.Pos).number(m.Taken).number(flag(m.Bare)).seal()
 }
 
-// Owed lists what is owed, those that end first first.
+// Earlier tells whether a process wrote here before this one.
+func (s *Spool) Earlier() bool { return s.earlier }
+
+// Owed lists what is owed in the order in which it was taken on. Danger: given back in another one, the messages of a key change places.
 func (s *Spool) Owed() []*Message {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -237,10 +243,7 @@
 		ms = append(ms, m)
 	}
 	slices.SortFunc(ms, func(a, b *Message) int {
-		if a.Expires != b.Expires {
-			return int(max(-1, min(1, a.Expires-b.Expires)))
-		}
-		return strings.Compare(a.ID, b.ID)
+		return cmp.Or(cmp.Compare(a.Taken, b.Taken), cmp.Compare(a.Expires, b.Expires), strings.Compare(a.ID, b.ID))
 	})
 	return ms
 }
--- a/internal/spool/spool_test.go
+++ b/internal/spool/spool_test.go
@@ -55,6 +55,23 @@
 	assert.True(t, got[2].Ended && got[2].PushedBack)
 }
 
+func TestRestartKeepsTheOrderInWhichMessagesWereTakenOn(t *testing.T) {
+	dir := t.TempDir()
+	for life, ids := range [][]string{{"d", "b"}, {"c", "a"}} { // each with less time than the one before
+		s := open(t, dir, plenty)
+		for i, id := range ids {
+			m := message(id, 1)
+			m.Expires -= int64(10*life + i)
+			require.NoError(t, s.Take(m))
+		}
+	}
+	var got []string
+	for _, m := range open(t, dir, plenty).Owed() {
+		got = append(got, m.ID)
+	}
+	assert.Equal(t, []string{"d", "b", "c", "a"}, got)
+}
+
 func TestCutAtEveryByteLosesNothingWhole(t *testing.T) {
 	dir := t.TempDir()
 	s := open(t, dir, plenty)
--- a/internal/startup/startup.go
+++ b/internal/startup/startup.go
@@ -85,6 +85,11 @@
 // Subscribes tells whether changes of the list come only to a sender that has asked.
 func Subscribes(c gjson.Result) bool { return c.Get("discovery").String() == "subscribe" }
 
+// KeepsOrder tells whether the messages of a key take turns in some lane.
+func KeepsOrder(c gjson.Result) bool {
+	return slices.ContainsFunc(lanes(c), func(l choice.Lane) bool { return l.InOrder })
+}
+
 // Notes tells whether senders may write to one another.
 func Notes(c gjson.Result) bool { return c.Get("limits.peers").Bool() }
 
