--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -127,7 +127,7 @@
 	f := begin(t, inOrder, 20, 1, aLot, Kind{Batch: 1})
 	f.TellsLater()
 	f.Restarted()
-	f.Owes("ended", 0, "k", 7)
+	f.Unheard("ended", 0, "k", 7)
 	f.Take("a", 0, "k", 7, f.now+10*second)
 	f.Take("b", 0, "k", 7, f.now+28*second)
 	f.Take("other", 0, "l", 7, f.now+28*second)
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -24,6 +24,7 @@
 	Dst      int64
 	Expires  int64 // µs of the router's clock
 	Past     []PastLeg
+	Owed     bool // taken on and on record already: it is held, whatever the room, and waits for a list that is late
 }
 
 // PastLeg is a leg from before a restart.
@@ -180,10 +181,13 @@
 		case r.tickets[m.ID] != nil:
 			way = Twice
 			return
-		case len(r.tickets) >= r.room && len(m.Past) == 0:
+		case len(r.tickets) >= r.room && !m.Owed:
 			way = NoRoom
 			return
 		}
+		if m.Owed { // danger: an old or empty list would have all that a restart found untried given up with no call
+			r.sender.Owes(m.Dst)
+		}
 		r.tickets[m.ID] = t
 		r.sender.Take(m.ID, m.Lane, m.OrderKey, m.Dst, m.Expires, m.Past...)
 		r.resume(m)
@@ -210,9 +214,9 @@
 	}
 }
 
-// Owes brings in a message that ended before a restart and of whose end nobody knows yet.
-func (r *Router) Owes(m Message) {
-	r.turn(func() { r.sender.Owes(m.ID, m.Lane, m.OrderKey, m.Dst) })
+// Unheard brings in a message that ended before a restart and of whose end nobody knows yet.
+func (r *Router) Unheard(m Message) {
+	r.turn(func() { r.sender.Unheard(m.ID, m.Lane, m.OrderKey, m.Dst) })
 }
 
 // Restarted says that an earlier process of this sender may have left attempts behind.
@@ -295,13 +299,14 @@
 
 // Stands is asked right before a leg's first byte: no wait has been told meanwhile, no drain, no end.
 func (r *Router) Stands(p Pick) bool {
-	if !r.stands(p) {
+	if !r.StandsStill(p) {
 		return false
 	}
-	return r.Gate == nil || r.Gate(p.Receiver.dst) && r.stands(p) // the gate may have taken a moment
+	return r.Gate == nil || r.Gate(p.Receiver.dst) && r.StandsStill(p) // the gate may have taken a moment
 }
 
-func (r *Router) stands(p Pick) bool {
+// StandsStill is Stands without the gate. It waits for the turn that runs at most.
+func (r *Router) StandsStill(p Pick) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.sender.At(r.clock())
