A message forgotten after it had ended lets its key go on

Read in the code, not seen: between Take and a record that fails, the module may end a message; Forget then left it untold, and its key waited for ever. Likewise Take counted the end of a recovered message as known before its notice. The test hangs without the line in Forget.

--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -199,8 +199,10 @@
 		return way, r.sender.ComeBackIn(0)
 	case way != Held:
 		return way, 0
-	case t.ended != Held && t.legs == 0: // the answer to its client tells it
-		r.sender.EndKnown(m.ID)
+	case t.ended != Held && t.legs == 0:
+		if !m.Owed { // the answer to its client tells it; of one from before a restart the platform hears
+			r.sender.EndKnown(m.ID)
+		}
 		delete(r.tickets, m.ID)
 		return t.ended, t.advice
 	}
@@ -250,6 +252,7 @@
 		if t := r.tickets[id]; t != nil && t.legs > 0 {
 			r.sender.Settled(id, t.legs-1, choice.Skipped, 0, true, choice.Report{})
 		}
+		r.sender.EndKnown(id) // danger: it may have ended meanwhile, nobody would tell that, and its key would wait for ever
 		delete(r.tickets, id)
 	})
 }
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -185,6 +185,22 @@
 	assert.Zero(t, p.Number)
 }
 
+// Ended before it could be written down, a message is nobody's to tell of, and its key goes on.
+func TestKeyOfAForgottenMessageGoesOn(t *testing.T) {
+	c := beginWith(t, strings.Replace(settings, `"repeat":"once"`, `"repeat":"once","sequential":true`, 1))
+	c.List([]Listing{{ID: "s-1", Dst: 7}}, false, false)
+	in := func(id string) Message { return Message{ID: id, Lane: 1, OrderKey: "k", Dst: 7, Expires: c.now + 8e6} }
+	way, _ := c.Take(in("a"))
+	require.Equal(t, Held, way)
+	c.now += 9e6
+	c.Noted("") // a turn, in which its time is up
+	c.Forget("a")
+	way, _ = c.Take(in("b"))
+	require.Equal(t, Held, way)
+	c.List([]Listing{{ID: "s-1", Addr: "h:1", Dst: 7, Kind: "m", Zone: "z", Listed: true}}, false, false)
+	assert.Equal(t, Leg, c.pick("b").Way)
+}
+
 func TestReceiversHaveOneNumberAtEverySender(t *testing.T) {
 	a, b := begin(t), begin(t)
 	b.List([]Listing{{ID: "s-0", Dst: 8}, {ID: "s-1", Dst: 7, Addr: "h:2", Listed: true}}, true, false)
