--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -29,7 +30,9 @@
 	others []Pick
 }
 
-func begin(t *testing.T) *clocked {
+func begin(t *testing.T) *clocked { return beginWith(t, settings) }
+
+func beginWith(t *testing.T, settings string) *clocked {
 	c := &clocked{t: t, now: 1e12}
 	c.Router = New(1, gjson.Parse(settings), func() int64 { return c.now },
 		func(id string) { c.closed = append(c.closed, id) }, func(string) {})
@@ -77,6 +80,28 @@
 	assert.False(t, c.Stands(b), "drained meanwhile")
 }
 
+// A window of a key counts from the first byte of the first leg that may have run, over a restart too: its repeat stands up to 50 ms
+// before the end, for the way there, and not a microsecond longer.
+func TestRepeatStandsUpToTheEndOfItsWindow(t *testing.T) {
+	for _, window := range []int64{1e6, 15e6} {
+		c := beginWith(t, strings.Replace(settings, `"window":15000`, fmt.Sprintf(`"window":%d`, window/1000), 1))
+		first := c.now
+		c.now += 700_000 // down
+		way, _ := c.Take(Message{ID: "a", Dst: 7, Expires: first + 60e6, Owed: true,
+			Past: []PastLeg{{SentAt: first - 9e6, NeverRan: true}, {SentAt: first}, {SentAt: first + 1, NeverRan: true}}})
+		require.Equal(t, Held, way)
+		p := c.pick("a")
+		require.Equal(t, Leg, p.Way)
+		c.now = first + window - 50_000
+		assert.True(t, c.Stands(p))
+		assert.True(t, c.StandsStill(p))
+		c.now++
+		assert.False(t, c.StandsStill(p))
+		c.Report(p, NotSent, 0, Load{})
+		assert.Equal(t, PushedBack, c.pick("a").Way, "its client may come again, which its key allows")
+	}
+}
+
 func TestHoldingRoomAndDoublesAreTurnedAway(t *testing.T) {
 	c := begin(t)
 	for i := range 4 {
@@ -160,6 +185,22 @@
 	assert.Zero(t, p.Number)
 }
 
+// Ended before it could be written down, a message is nobody's to tell of, and its key goes on.
+func TestKeyOfAForgottenMessageGoesOn(t *testing.T) {
+	c := beginWith(t, strings.Replace(settings, `"repeat":"once"`, `"repeat":"once","sequential":true`, 1))
+	c.List([]Listing{{ID: "s-1", Dst: 7}}, false, false)
+	in := func(id string) Message { return Message{ID: id, Lane: 1, OrderKey: "k", Dst: 7, Expires: c.now + 8e6} }
+	way, _ := c.Take(in("a"))
+	require.Equal(t, Held, way)
+	c.now += 9e6
+	c.Noted("") // a turn, in which its time is up
+	c.Forget("a")
+	way, _ = c.Take(in("b"))
+	require.Equal(t, Held, way)
+	c.List([]Listing{{ID: "s-1", Addr: "h:1", Dst: 7, Kind: "m", Zone: "z", Listed: true}}, false, false)
+	assert.Equal(t, Leg, c.pick("b").Way)
+}
+
 func TestReceiversHaveOneNumberAtEverySender(t *testing.T) {
 	a, b := begin(t), begin(t)
 	b.List([]Listing{{ID: "s-0", Dst: 8}, {ID: "s-1", Dst: 7, Addr: "h:2", Listed: true}}, true, false)
