--- a/internal/spool/spool.go
+++ b/internal/spool/spool.go
@@ -3,6 +3,7 @@
 package spool
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"os"
@@ -75,6 +76,7 @@
 	foreign int64               // bytes of files that are not ours to read
 	strange []string            // their names
 	file    *os.File
+	earlier bool // a process wrote here before this one
 	torn    bool // the newest segment ends in part of a record: what follows there would not be believed
 }
 
@@ -91,6 +93,7 @@
 			notes = append(notes, note)
 		}
 	}
+	s.earlier = s.last > 0
 	if err := s.startSegment(); err != nil {
 		return nil, notes, err
 	}
@@ -241,7 +244,10 @@
 	return e.text(body).text([]byte(channel)).number(m.Pos).number(m.Taken).number(flag(m.Bare)).seal()
 }
 
-// Owed lists what is owed, those that end first first.
+// Earlier tells whether a process wrote here before this one.
+func (s *Spool) Earlier() bool { return s.earlier }
+
+// Owed lists what is owed in the order in which it was taken on. Danger: given back in another one, the messages of a key change places.
 func (s *Spool) Owed() []*Message {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -250,10 +256,7 @@
 		ms = append(ms, m)
 	}
 	slices.SortFunc(ms, func(a, b *Message) int {
-		if a.Expires != b.Expires {
-			return int(max(-1, min(1, a.Expires-b.Expires)))
-		}
-		return strings.Compare(a.ID, b.ID)
+		return cmp.Or(cmp.Compare(a.Taken, b.Taken), cmp.Compare(a.Expires, b.Expires), strings.Compare(a.ID, b.ID))
 	})
 	return ms
 }
