--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -101,6 +101,7 @@
 	room      int
 	inCalls   bool // reports come with answers to calls
 	inProbes  bool // and to probes
+	inOrder   bool // some lane keeps an order
 
 	queueMu sync.Mutex
 	queue   []func() // events waiting for a turn
@@ -113,6 +114,7 @@
 	numbers   map[string]uint32   // as many as receivers that the module knows
 	receivers map[uint32]Receiver // the same by number
 	chores    chan Chore
+	watch     chan struct{} // the watch is asked for
 	timer     *time.Timer
 
 	// Gate, where set before the first message, is asked last before a leg's first byte: may a call go to this destination now?
@@ -135,9 +137,12 @@
 	r := &Router{clock: clock, closeIdle: closeIdle, log: log,
 		lanes: startup.LaneNames(settings), kinds: startup.KindNames(settings), zones: startup.ZoneNames(settings),
 		room: startup.MostHeld(settings), tickets: map[string]*ticket{}, numbers: map[string]uint32{},
-		receivers: map[uint32]Receiver{}, picked: make(chan struct{}, 1), chores: make(chan Chore, mostChores), timer: time.NewTimer(0)}
+		receivers: map[uint32]Receiver{}, picked: make(chan struct{}, 1), chores: make(chan Chore, mostChores),
+		watch: make(chan struct{}, 1), timer: time.NewTimer(0)}
 	r.inCalls, r.inProbes = startup.Reports(settings)
 	r.sender = startup.Sender(host{r}, seed, settings, 1)
+	r.sender.TellsLater()
+	r.inOrder = startup.KeepsOrder(settings)
 	return r
 }
 
@@ -197,12 +202,30 @@
 	case way != Held:
 		return way, 0
 	case t.ended != Held && t.legs == 0:
+		if !m.Owed { // the answer to its client tells it; of one from before a restart the platform hears
+			r.sender.EndKnown(m.ID)
+		}
 		delete(r.tickets, m.ID)
 		return t.ended, t.advice
 	}
 	return Held, 0
 }
 
+// EndKnown says that whoever handed a message in knows its end.
+func (r *Router) EndKnown(id string) {
+	if r.inOrder {
+		r.turn(func() { r.sender.EndKnown(id) })
+	}
+}
+
+// Unheard brings in a message that ended before a restart and of whose end nobody knows yet.
+func (r *Router) Unheard(m Message) {
+	r.turn(func() { r.sender.Unheard(m.ID, m.Lane, m.OrderKey, m.Dst) })
+}
+
+// Restarted says that an earlier process of this sender may have left attempts behind.
+func (r *Router) Restarted() { r.turn(r.sender.Restarted) }
+
 // resume brings in how the last leg of a recovered message went: it was cut short, or never ran.
 func (r *Router) resume(m Message) {
 	if len(m.Past) == 0 {
@@ -231,6 +254,7 @@
 		if t := r.tickets[id]; t != nil && t.legs > 0 {
 			r.sender.Settled(id, t.legs-1, choice.Skipped, 0, true, choice.Report{})
 		}
+		r.sender.EndKnown(id) // danger: it may have ended meanwhile, nobody would tell that, and its key would wait for ever
 		delete(r.tickets, id)
 	})
 }
@@ -319,6 +343,8 @@
 	select {
 	case <-ctx.Done():
 		return Chore{}, ctx.Err()
+	case <-r.watch:
+		return Chore{Kind: Watch}, nil
 	case c := <-r.chores:
 		return c, nil
 	}
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -185,6 +185,22 @@
 	assert.Zero(t, p.Number)
 }
 
+// Ended before it could be written down, a message is nobody's to tell of, and its key goes on.
+func TestKeyOfAForgottenMessageGoesOn(t *testing.T) {
+	c := beginWith(t, strings.Replace(settings, `"repeat":"once"`, `"repeat":"once","sequential":true`, 1))
+	c.List([]Listing{{ID: "s-1", Dst: 7}}, false, false)
+	in := func(id string) Message { return Message{ID: id, Lane: 1, OrderKey: "k", Dst: 7, Expires: c.now + 8e6} }
+	way, _ := c.Take(in("a"))
+	require.Equal(t, Held, way)
+	c.now += 9e6
+	c.Noted("") // a turn, in which its time is up
+	c.Forget("a")
+	way, _ = c.Take(in("b"))
+	require.Equal(t, Held, way)
+	c.List([]Listing{{ID: "s-1", Addr: "h:1", Dst: 7, Kind: "m", Zone: "z", Listed: true}}, false, false)
+	assert.Equal(t, Leg, c.pick("b").Way)
+}
+
 func TestReceiversHaveOneNumberAtEverySender(t *testing.T) {
 	a, b := begin(t), begin(t)
 	b.List([]Listing{{ID: "s-0", Dst: 8}, {ID: "s-1", Dst: 7, Addr: "h:2", Listed: true}}, true, false)
@@ -222,3 +238,20 @@
 	c.Report(c.pick("a"), Reset, 0, Load{})
 	assert.Equal(t, []string{"s-1"}, c.closed)
 }
+
+// Where lists are asked for the module asks once. Notes and probes that nobody has carried out yet must not take that word away.
+func TestTheWatchIsAskedForHoweverManyChoresWait(t *testing.T) {
+	r := New(1, gjson.Parse(`{"discovery":"subscribe"}`), func() int64 { return 1e12 }, func(string) {}, func(string) {})
+	for range mostChores {
+		host{r}.Note("n")
+	}
+	r.turn(func() {}) // no receiver is known: the list is asked for at once
+	soon, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	for range mostChores + 1 {
+		if c, err := r.Chore(soon); err == nil && c.Kind == Watch {
+			return
+		}
+	}
+	assert.Fail(t, "never asked for")
+}
