--- a/internal/platform/calls_test.go
+++ b/internal/platform/calls_test.go
@@ -58,9 +58,9 @@
 // How an answer goes on after its first bytes.
 const (
 	holds    = "holds the connection and says no more"
-	closes   = "closes"
+	leaves   = "ends its connection"
 	resets   = "resets"
-	trickles = "sends one more byte now and then, for ever"
+	dribbles = "sends one more byte now and then, for ever"
 )
 
 // receiverOf is a receiver that answers one call. It holds its connection until the sender ends it, where it does not end it itself.
@@ -84,7 +84,7 @@
 			_ = c.(*net.TCPConn).SetLinger(0)
 		case holds:
 			_, _ = io.Copy(io.Discard, c)
-		case trickles:
+		case dribbles:
 			for err == nil {
 				time.Sleep(time.Millisecond)
 				_, err = io.WriteString(c, "x")
@@ -105,26 +105,26 @@
 	}{
 		{"HTTP/1.1 200 OK\r\n", holds, routing.Delivered, 0},
 		{"HTTP/1.1 200 OK\r\n", resets, routing.Delivered, 0},
-		{"HTTP/1.1 200 OK\r\nX: ", trickles, routing.Delivered, 0},
-		{"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n", trickles, routing.Delivered, 0},
-		{"HTTP/1.1 200 OK", closes, routing.Reset, 0},
-		{told + "\r\n", closes, routing.TurnedAway, 2_000_000},
-		{told + "Content-Length: 60000\r\n\r\n", trickles, routing.TurnedAway, 2_000_000},
+		{"HTTP/1.1 200 OK\r\nX: ", dribbles, routing.Delivered, 0},
+		{"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n", dribbles, routing.Delivered, 0},
+		{"HTTP/1.1 200 OK", leaves, routing.Reset, 0},
+		{told + "\r\n", leaves, routing.TurnedAway, 2_000_000},
+		{told + "Content-Length: 60000\r\n\r\n", dribbles, routing.TurnedAway, 2_000_000},
 		{told + "Transfer-Encoding: Chunked\r\n\r\n", holds, routing.TurnedAway, 2_000_000},
-		{told + "X: ", trickles, routing.TurnedAway, 2_000_000},
+		{told + "X: ", dribbles, routing.TurnedAway, 2_000_000},
 		{told + "Content-Le", resets, routing.TurnedAway, 2_000_000},
 		{told + "no field\r\n\r\n", holds, routing.TurnedAway, 2_000_000},
-		{"HTTP/1.1 429 Too Many\r\nRetry-Aft", closes, routing.Reset, 0},
-		{"HTTP/1.1 503 Busy\r\nContent-Length: 9\r\n\r\nab", closes, routing.TurnedAway, 0},
+		{"HTTP/1.1 429 Too Many\r\nRetry-Aft", leaves, routing.Reset, 0},
+		{"HTTP/1.1 503 Busy\r\nContent-Length: 9\r\n\r\nab", leaves, routing.TurnedAway, 0},
 		{"HTTP/1.1 503 Busy\r\nContent-Length: 9\r\n\r\nab", resets, routing.TurnedAway, 0},
 		{"HTTP/1.1 503 Busy\r\nX-Line-Busy: 1\r\nContent-Length: 9\r\n\r\n", holds, routing.NotSent, 0},
-		{"HTTP/1.1 503 Busy\r\nX-Line-B", closes, routing.Reset, 0},
+		{"HTTP/1.1 503 Busy\r\nX-Line-B", leaves, routing.Reset, 0},
 		{"HTTP/1.1 503 Busy\r\nContent-Length: -9\r\n\r\n", holds, routing.Reset, 0},
 		{"HTTP/1.1 504 No\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", holds, routing.NotSent, 0},
 		{"HTTP/1.1 410 Gone\r\nContent-Length: 1\r\n\r\nmore than it says", holds, routing.GoneThere, 0},
 		{"HTTP/1.1 500 Oh\r\nContent-Length: 9\r\n\r\n", holds, routing.Errored, 0},
 		{"HTTP/1.1 200 OHTTP/1.1 503 Busy\r\n\r\n", holds, routing.Reset, 0},
-		{"", closes, routing.Reset, 0},
+		{"", leaves, routing.Reset, 0},
 		{"", resets, routing.Reset, 0},
 	} {
 		pool := transport.NewPool(time.Second, time.Second, 9)
@@ -146,7 +146,7 @@
 	calls := NewCalls(pool, relay.NewClock(), nil, false)
 	yes := func() bool { return true }
 	for _, answer := range []string{"", "HTTP/1.1 503 Busy\r\nX: ", "HTTP/1.1 100 Go on\r\n\r\nHTTP/1.1 103 x\r\nX: "} {
-		then := trickles
+		then := dribbles
 		if answer == "" {
 			then = holds
 		}
