A call given up resets its connection, so that nothing of it arrives later

A call that timed out, was called off or met nonsense had its connection closed the usual way. The system then goes on sending what it holds of the call and ends the connection after it: a machine that was cut off gets the whole call once it is back, after the message has gone elsewhere or its key's window is over. Now such a connection is closed without lingering, which drops what has not gone out (Conn.drop in conn.go). What the other side's system has already is past reach, as before, and counts as one that may have run.

Nothing changes for connections on which no byte of a call went out.

--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -89,6 +89,14 @@
 	return c.drain()
 }
 
+// drop has Close reset the connection. Danger: closed the usual way, the system goes on sending what it still holds of a call that was
+// given up, and a machine that was cut off gets it whole long after, when its message may have gone elsewhere.
+func (c *Conn) drop() {
+	if l, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = l.SetLinger(0)
+	}
+}
+
 // rest gives back the memory that an idle connection does not need.
 func (c *Conn) rest() {
 	c.in.release()
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -280,8 +280,9 @@
 		return begun
 	}
 	if err := j.x.Write(conn.W); err != nil || conn.Flush() != nil {
-		if j.stage = NotWritten; !begun {
-			j.stage = NotReady
+		if j.stage = NotReady; begun {
+			j.stage = NotWritten
+			conn.drop()
 		}
 		return false, spoilt
 	}
@@ -305,6 +306,7 @@
 	default:
 		j.stage = Broken
 	}
+	conn.drop()
 	return false, false
 }
 
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -313,6 +313,28 @@
 	}
 }
 
+// The system has taken the whole call, and a machine that was cut off is back after it was given up.
+func TestCallThatIsGivenUpDoesNotArriveLater(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	raw, err := l.(*net.TCPListener).SyscallConn()
+	require.NoError(t, err)
+	require.NoError(t, raw.Control(func(fd uintptr) {
+		_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 1<<10) // little gets through at first
+	}))
+	p := pool(t, long, 9)
+	var got string
+	call := strings.Repeat("x", 60<<10)
+	require.Equal(t, TimedOut, p.Do(context.Background(), "r", l.Addr().String(), shortly, say(call, &got)))
+	c, err := l.Accept()
+	require.NoError(t, err)
+	came, err := io.ReadAll(c)
+	assert.Less(t, len(came), len(call))
+	assert.ErrorIs(t, err, syscall.ECONNRESET)
+	require.NoError(t, c.Close())
+}
+
 // A machine takes no connection, and then all at once, when the call has long been given up.
 func TestCallWhoseConnectionNeverCameUpSendsNothingLater(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
