SIGTERM while a sender recovers has its end counted from the signal

Cause: drain began its times as it was entered. A signal during recovering (up to 0.3 s for the first list, longer on a slow machine) was acted on only then, so a process told to end at once after its start was gone 3.6 s and more after the signal, with SIGKILL from 3.7 s on. Nothing owed was lost by that, but legs out at the kill count as such that may have run. Lines: Run and drain in program.go. The doors stay open for 0.6 s from serving on as before, for who waits at them.

Tests: the signal comes 1.5 s before the first list; the drain ends 2.4 s after the signal (fails without the mend).

--- a/internal/daemon/program.go
+++ b/internal/daemon/program.go
@@ -152,6 +152,8 @@
 	working, stopWorking := context.WithCancel(context.Background())
 	defer stopWorking()
 	defer stopPicking()
+	asked := make(chan time.Time, 1) // to end; SIGKILL follows by that time, also where it came before serving
+	defer context.AfterFunc(ctx, func() { asked <- time.Now() })()
 	p.engine.Begin(picking, working)
 	p.enter(recovering)
 	if p.fleet != nil {
@@ -175,7 +177,7 @@
 	})
 	<-ctx.Done()
 	p.enter(draining)
-	p.drain(stopPicking)
+	p.drain(<-asked, stopPicking)
 	stopPicking()
 	stopWorking()
 	p.close()
@@ -207,13 +209,13 @@
 	}
 }
 
-// drain keeps on for a while, then lets go of the clients, then starts no more legs, then waits for those out.
-func (p *Program) drain(stopPicking context.CancelFunc) {
-	begun := time.Now()
+// drain keeps on for a while, then lets go of the clients, then starts no more legs, then waits for those out. The ends count from
+// when it was asked for; the doors stay open from now on, for who waits at them while a sender recovers.
+func (p *Program) drain(begun time.Time, stopPicking context.CancelFunc) {
 	if p.ordered != nil {
 		p.ordered.Leave()
 	}
-	p.until(begun.Add(doorsOpen), func() bool { return false })
+	p.until(time.Now().Add(doorsOpen), func() bool { return false })
 	var gone atomic.Bool // the clients
 	p.goWork(func() {
 		p.server.Close()
--- a/internal/daemon/program_test.go
+++ b/internal/daemon/program_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -19,8 +20,11 @@
 	"github.com/stretchr/testify/require"
 	"github.com/tidwall/gjson"
 	"go.uber.org/goleak"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"ravenlink/internal/protocol"
+	"ravenlink/internal/spool"
 )
 
 const (
@@ -491,3 +495,58 @@
 	w.soon(func() bool { return w.calls["held"] == 1 })
 	assert.Equal(t, 1, w.calls["slow"])
 }
+
+// The folder is kept, discovery is silent, and the list from before the start names no destination.
+func TestSilentDiscoveryHoldsUpNoStartAndGivesUpNothing(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, ok)
+	cmd := spawn(w)
+	assert.Equal(t, "+OK", w.dial().say(handIn("a", "c=notice,d=60000,dest=9", "")))
+	kill(t, cmd)
+	back := make(chan struct{})
+	w.held = func() string {
+		<-back
+		return strings.Replace(w.member("SERVING"), `"cell":7`, `"cell":9`, 1)
+	}
+	w.writeConfig()
+	text, err := os.ReadFile(w.env("RELAY_CONFIG"))
+	require.NoError(t, err)
+	known := gjson.GetBytes(text, "known").Raw
+	text = []byte(strings.Replace(string(text), known, `{"revision":0,"complete":true,"members":[]}`, 1))
+	require.NoError(t, os.WriteFile(w.env("RELAY_CONFIG"), text, 0o600))
+	cmd = sender(w)
+	require.NoError(t, cmd.Start())
+	assert.Equal(t, "+PONG", w.dial().say(command("PING")), "it waits for no list")
+	close(back)
+	w.soon(func() bool { return w.calls["a"] == 1 })
+	assert.Empty(t, w.notices)
+	require.NoError(t, cmd.Process.Signal(syscall.SIGTERM))
+	require.NoError(t, cmd.Wait())
+}
+
+// SIGTERM comes while the first list is waited for: SIGKILL counts from there.
+func TestToldToEndWhileItRecoversItDrainsFromThen(t *testing.T) {
+	t.Parallel()
+	const early = 1500 * time.Millisecond
+	w := newWorld(t, ok)
+	heard := make(chan struct{})
+	w.held = func() string { <-heard; return w.member("SERVING") }
+	w.writeConfig()
+	log := &lines{}
+	p, err := New(w.env, zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), zapcore.AddSync(log), zap.InfoLevel)), nil)
+	require.NoError(t, err)
+	p.listWait = long
+	require.NoError(t, p.spool.Take(&spool.Message{ID: "held", Lane: "notice", Dst: 9, Expires: p.clock.Now() + 60e6}))
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- p.Run(ctx) }()
+	w.soon(func() bool { return len(w.watches) == 1 })
+	asked := time.Now()
+	cancel()
+	require.Eventually(t, func() bool { return time.Since(asked) >= early }, long, glimpse)
+	drains := time.Now()
+	close(heard)
+	require.NoError(t, <-done)
+	assert.Less(t, time.Since(drains), picksEnd-early/2, "what is held might go out until then, counted from the signal")
+	assert.Equal(t, 1, log.count(`"to":"draining"`))
+}
