An error in the place of a datagram no longer ends the hearing of notes

Receive returned at any error, for the rest of the process: a passing one (no memory, a refusal that the system hands to the socket) made the sender deaf to its fellows. It now ends only when closed, counts the error as dropped and looks again 10 ms later. The test has reads fail for a while: the text before no longer hears.

--- a/internal/transport/datagram.go
+++ b/internal/transport/datagram.go
@@ -1,15 +1,19 @@
 package transport
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"net/netip"
 	"sync/atomic"
+	"time"
 )
 
 // MostNote is the longest datagram between senders, in bytes.
 const MostNote = 256
 
+const hearAgain = 10 * time.Millisecond // after an error, so that one that stays does not spin
+
 // Datagrams carries notes between senders.
 type Datagrams struct {
 	conn    *net.UDPConn
@@ -57,9 +61,14 @@
 	buf := make([]byte, MostNote+1)
 	for {
 		n, from, err := d.conn.ReadFromUDPAddrPort(buf)
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil { // one that was refused, or no memory just now. Danger: to end here is to hear no fellow any more
+			d.dropped.Add(1)
+			time.Sleep(hearAgain)
+			continue
+		}
 		if n > MostNote || !d.fellows[netip.AddrPortFrom(from.Addr().Unmap(), from.Port())] {
 			d.dropped.Add(1)
 			continue
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -671,6 +671,17 @@
 	n, _, err := fellow.ReadFrom(buf)
 	require.NoError(t, err)
 	assert.Equal(t, "+8", string(buf[:n]))
+	require.NoError(t, d.conn.SetReadDeadline(time.Unix(1, 0))) // an error that passes
+	require.Eventually(t, func() bool { return d.Dropped() > 3 }, long, time.Millisecond)
+	require.NoError(t, d.conn.SetReadDeadline(time.Time{}))
+	_, err = fellow.WriteTo([]byte("+9"), at)
+	require.NoError(t, err)
+	select {
+	case text := <-heard:
+		assert.Equal(t, "+9", text, "it goes on hearing")
+	case <-done:
+		assert.Fail(t, "it no longer hears")
+	}
 	d.Close()
 	<-done
 }
