A field that cannot be read does not change what an answer's status says

A 429 whose Retry-After was no number, or a 503 with a spoilt length, had its head thrown away at that field and counted as one that may have run: a message that must not be repeated failed though it surely had not. The head is now read to its end, the status decides, a wait that cannot be read is none, and the connection is closed as before. A head with a line that is no field at all stays nonsense. Line at fault: the return in ReadHead at the first bad field.

--- a/internal/protocol/http.go
+++ b/internal/protocol/http.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -142,6 +143,7 @@
 	if status == 200 {
 		told()
 	}
+	var spoilt error // of a field: it does not change what the status says
 	for range mostFields {
 		line, err := readLine(r)
 		if err != nil {
@@ -151,15 +153,13 @@
 			if status >= 200 {
 				told()
 			}
-			return a, nil
+			return a, spoilt
 		}
 		name, value, found := strings.Cut(string(line), ":")
 		if !found {
 			return a, malformed("no header field: %.40q", line)
 		}
-		if err := a.field(strings.ToLower(name), strings.TrimSpace(value)); err != nil {
-			return a, err
-		}
+		spoilt = cmp.Or(spoilt, a.field(strings.ToLower(name), strings.TrimSpace(value)))
 		if status == 429 && a.WaitMicros > 0 {
 			told()
 		}
