--- a/internal/daemon/program_test.go
+++ b/internal/daemon/program_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"regexp"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -550,3 +551,25 @@
 	assert.Less(t, time.Since(drains), picksEnd-early/2, "what is held might go out until then, counted from the signal")
 	assert.Equal(t, 1, log.count(`"to":"draining"`))
 }
+
+// SIGHUP may come before the program's first line. By the deploy file's way to start it, it ends nobody, and later ones are heeded.
+func TestSIGHUPRightAtTheStartEndsNoProcess(t *testing.T) {
+	t.Parallel()
+	deploy, err := os.ReadFile("../../deploy/balancer.toml")
+	require.NoError(t, err)
+	run := regexp.MustCompile(`(?m)^run = "(.*)"$`).FindStringSubmatch(string(deploy))
+	require.Len(t, run, 2)
+	early := strings.Replace(run[1], "exec bin/ravenlink", "kill -HUP $$; exec "+os.Args[0], 1)
+	require.NotEqual(t, run[1], early)
+	w := newWorld(t, ok)
+	w.writeConfig()
+	cmd, log := sender(w), &lines{}
+	cmd.Path, cmd.Args, cmd.Stderr = "/bin/sh", []string{"sh", "-c", early}, log
+	require.NoError(t, cmd.Start())
+	assert.Equal(t, "+PONG", w.dial().say(command("PING")))
+	require.NoError(t, os.WriteFile(w.env("RELAY_CONFIG"), []byte("{"), 0o600))
+	require.NoError(t, cmd.Process.Signal(syscall.SIGHUP))
+	require.Eventually(t, func() bool { return log.count("start file not taken") == 1 }, long, glimpse)
+	require.NoError(t, cmd.Process.Signal(syscall.SIGTERM))
+	require.NoError(t, cmd.Wait())
+}
