A probe is asked once more whether it may go, for its connection may be a further one

Where a resting connection goes bad right before the first byte, the exchange opens another one; a leg is asked Still again, a probe had none, so a wait told meanwhile would have been passed over for as long as a connection takes to come up. Tests: a receiver that answers before the call came (never ran, in one write or many), a call called off as it is put in the buffer, both hold as before; Still is asked again for the further connection.

--- a/internal/platform/calls.go
+++ b/internal/platform/calls.go
@@ -45,6 +45,7 @@
 	var a protocol.Answer
 	stage := c.pool.Do(ctx, to.ID, to.Addr, patience, transport.Exchange{
 		Ready: func() bool { return c.router.Reachable(to) },
+		Still: func() bool { return c.router.Reachable(to) }, // a further connection may have been opened since
 		Write: func(w *bufio.Writer) error { return protocol.WriteProbe(w, to.Addr, c.probeLoad) },
 		Read:  into(&a),
 	})
