The wait before a call for the list is never one that is past

Seen: one of 20 rounds of the follower's tests with the race detector ended in a segmentation fault in the runtime, in the select of Discovery.due, on a timer channel that was due when it was made, inside a test's bubble. In runtime/time.go maybeRunChan runs such a timer on the system stack, and unlockAndRun there starts a context of the race detector; without a bubble, or without the detector, that code is not reached.

Change: the wait is a nanosecond at least. 20 rounds of the package with the race detector pass, on a machine with some 30 busy threads.

--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -109,7 +109,7 @@
 		if d.onlyAsked && d.unasked == 0 {
 			asked = d.ask
 		} else {
-			soon = time.After(time.Until(d.next))
+			soon = time.After(max(time.Until(d.next), time.Nanosecond)) // none that is past: in a test's bubble the race detector stumbles over it
 		}
 		select {
 		case <-ctx.Done():
