--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -89,6 +89,14 @@
 	return c.drain()
 }
 
+// drop has Close reset the connection. Danger: closed the usual way, the system goes on sending what it still holds of a call that was
+// given up, and a machine that was cut off gets it whole long after, when its message may have gone elsewhere.
+func (c *Conn) drop() {
+	if l, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = l.SetLinger(0)
+	}
+}
+
 // rest gives back the memory that an idle connection does not need.
 func (c *Conn) rest() {
 	c.in.release()
@@ -96,10 +104,13 @@
 }
 
 // quiet tells whether a connection that waits for nothing is still up and has brought nothing that nobody asked
-// for: such bytes, wherever they stand, must never pass for the next answer.
-func (c *Conn) quiet() bool {
+// for: such bytes, wherever they stand, must never pass for the next answer. It takes off the time limit for reading.
+func (c *Conn) quiet() bool { return c.SetReadDeadline(time.Time{}) == nil && c.empty() }
+
+// empty is quiet within the time limit for reading.
+func (c *Conn) empty() bool {
 	raw, ok := c.Conn.(syscall.Conn)
-	if !ok || c.R.Buffered() > 0 || c.in.held > 0 || c.SetReadDeadline(time.Time{}) != nil {
+	if !ok || c.R.Buffered() > 0 || c.in.held > 0 {
 		return false
 	}
 	under, err := raw.SyscallConn()
