--- a/internal/platform/discovery_test.go
+++ b/internal/platform/discovery_test.go
@@ -145,6 +145,7 @@
 	router := routing.New(uint64(seed), gjson.Parse(fmt.Sprintf(settings, mode)), func() int64 { return time.Now().UnixMicro() }, func(string) {}, func(string) {})
 	p := &play{agent: NewAgent("here"), here: make(chan struct{})}
 	p.Discovery = NewDiscovery(zap.NewNop(), router, p.agent, time.Second, mode == asked)
+	assert.NoError(t, p.Known([]byte(`{"revision":1,"members":[{"id":"s-1","host_port":"r:1","locality":"z","flavor":"m","cell":7,"phase":"SERVING","size":1}]}`)))
 	p.dial = p.connect
 	p.does = func(addr string) deed { return does(p, addr) }
 	go router.Tick(ctx)
