A leg of a message that is over is no fault of the disk; more crossings forced

The message was withdrawn, or its time had run out and its end was told, while a leg of it waited for a connection; the leg then ends as not sent, rightly, and its record is refused, rightly. The page for on-call takes that line for a folder that cannot be written. It is no longer written for a message that is over (spool.ErrOver); other errors are as before.

Forced, and held: a client that resets its connection between the record and +OK has nothing sent, its message leaves the spool and nobody is told; SIGTERM, SIGHUP, SIGTERM, SIGINT, SIGHUP in a row leave what is held in the spool and an exit without error; a message that is over by the gate, or by the record of its leg, has no first byte out.

The test of the line fails without it.

--- a/internal/daemon/life_test.go
+++ b/internal/daemon/life_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -336,6 +337,41 @@
 	}
 }
 
+// A client that is gone before its answer hands in again under another id: nothing is sent for the old one, and nobody is told.
+func TestClientGoneBeforeItsAnswerHasNothingSent(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, ok)
+	d := mortal(w, atTaken)
+	c := w.dial()
+	d.term = func() { // its reset is there before the answer is written
+		_ = c.Conn.(*net.TCPConn).SetLinger(0)
+		_ = c.Close()
+	}
+	_, err := c.Write([]byte(handIn("a", once, "x")))
+	require.NoError(t, err)
+	w.soon(func() bool { return d.p.engine.Tally.Taken.Load() == 1 && len(d.p.spool.Owed()) == 0 })
+	d.stop()
+	require.Zero(t, d.p.router.Owed())
+	require.Empty(t, w.calls)
+	require.Empty(t, w.notices)
+}
+
+// Further signals while it drains change nothing: what is held stays owed, and it ends well.
+func TestFurtherSignalsWhileItDrainsChangeNothing(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, ok)
+	cmd := spawn(w)
+	require.Equal(t, "+OK", w.dial().say(handIn("a", "c=notice,d=60000,dest=9", "x")))
+	for _, s := range []os.Signal{syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP} {
+		require.NoError(t, cmd.Process.Signal(s))
+	}
+	require.NoError(t, cmd.Wait())
+	s, _, err := spool.Open(w.env("RELAY_STATE"), 1<<20)
+	require.NoError(t, err)
+	require.Len(t, s.Owed(), 1)
+	require.NoError(t, s.Close())
+}
+
 func freeAddr(t *testing.T) string {
 	t.Helper()
 	l, err := net.Listen("tcp", ownHost())
--- a/internal/relay/courier.go
+++ b/internal/relay/courier.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -324,14 +325,14 @@
 		e.record(m, p, true)
 		return
 	}
-	if err := e.spool.NeverRan(m); err != nil {
+	if err := e.spool.NeverRan(m); err != nil && !errors.Is(err, spool.ErrOver) {
 		e.log.Warn("leg not recorded as never run", zap.String("id", m.ID), zap.Error(err))
 	}
 }
 
 func (e *Engine) record(m *spool.Message, p routing.Pick, neverRan bool) bool {
 	err := e.spool.Leg(m, spool.Leg{SentAt: e.clock.Now(), Zone: p.Receiver.Zone, NeverRan: neverRan})
-	if err != nil {
+	if err != nil && !errors.Is(err, spool.ErrOver) { // withdrawn, or out of time, while the leg waited for its connection
 		e.log.Error("leg not recorded", zap.String("id", m.ID), zap.Error(err))
 	}
 	return err == nil
--- a/internal/relay/drain_test.go
+++ b/internal/relay/drain_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"ravenlink/internal/routing"
 )
@@ -133,6 +135,34 @@
 	require.True(t, m.Legs[0].NeverRan)
 }
 
+// A message that is over while its leg waits for a connection has neither a leg any more nor a line that says the disk fails.
+func TestALegOfAMessageThatIsOverIsNotSentAndNoFault(t *testing.T) {
+	for _, before := range []bool{true, false} { // its record, or after it
+		r := prepare(t)
+		faults, logged := observer.New(zap.WarnLevel)
+		r.log = zap.New(faults)
+		m := r.message("a")
+		gone := func() { r.router.Withdraw("a"); r.Over(m) }
+		r.news = func() {}
+		if before {
+			r.router.Gate = func(int64) bool { gone(); return true }
+		} else {
+			r.news = gone
+		}
+		require.NoError(t, r.Keep(m))
+		r.Resume(m)
+		r.open <- true
+		r.how <- routing.Delivered
+		r.Run()
+		require.Eventually(t, func() bool { return r.Tally.Legs[routing.NotSent].Load()+r.Tally.Legs[routing.Delivered].Load() > 0 }, long, glimpse)
+		r.stopPicking()
+		r.stopWorking()
+		r.Wait()
+		require.Empty(t, r.gone)
+		require.Zero(t, logged.FilterMessageSnippet("leg").Len())
+	}
+}
+
 func TestWhatStoodCountsForAMomentAndNotPastItsTime(t *testing.T) {
 	require.True(t, stillStands(standsFor, 0, standsFor+1))
 	require.False(t, stillStands(standsFor+1, 0, standsFor+2), "it stood too long ago")
--- a/internal/spool/spool.go
+++ b/internal/spool/spool.go
@@ -26,6 +26,9 @@
 // ErrFull says that the folder has no room for a further message.
 var ErrFull = errors.New("spool is full")
 
+// ErrOver says that a message is not owed, or not any more.
+var ErrOver = errors.New("spool: the message is not owed")
+
 // Leg is one leg of a message.
 type Leg struct {
 	SentAt   int64 // µs since 1970
--- a/internal/spool/write.go
+++ b/internal/spool/write.go
@@ -141,7 +141,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.owed[m.ID] != m {
-		return fmt.Errorf("spool: message %s is not owed", m.ID)
+		return ErrOver
 	}
 	if n := int64(len(record)); !s.fits(n, s.room) && !s.compact(n, s.room) {
 		return ErrFull
