A new connection that the receiver closes before the call is written never ran it

Such a call was written into the closed connection, met a reset and counted as one that may have run, so what must not be repeated failed; the protocol says that a connection that breaks before the last byte is written never ran it. The last look before the first byte now tells quiet, bytes and an end apart, and is taken on new connections too: one that has ended counts as not connected. One that has brought bytes gets its call, for they may be a refusal. The test has the receiver close between the connection's coming up and the first byte: Broken before, NotConnected now.

--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -103,27 +103,48 @@
 	c.out.release()
 }
 
+// sight is what a look at a connection shows that waits for nothing.
+type sight uint8
+
+const (
+	still sight = iota // up, with nothing to read
+	spoke              // it has brought bytes
+	ended              // closed by the other side, or broken
+)
+
 // quiet tells whether a connection that waits for nothing is still up and has brought nothing that nobody asked
 // for: such bytes, wherever they stand, must never pass for the next answer. It takes off the time limit for reading.
-func (c *Conn) quiet() bool { return c.SetReadDeadline(time.Time{}) == nil && c.empty() }
+func (c *Conn) quiet() bool { return c.SetReadDeadline(time.Time{}) == nil && c.look() == still }
 
-// empty is quiet within the time limit for reading.
-func (c *Conn) empty() bool {
+// look is within the time limit for reading: past it, a connection counts as ended.
+func (c *Conn) look() sight {
+	if c.R.Buffered() > 0 || c.in.held > 0 {
+		return spoke
+	}
 	raw, ok := c.Conn.(syscall.Conn)
-	if !ok || c.R.Buffered() > 0 || c.in.held > 0 {
-		return false
+	if !ok {
+		return ended
 	}
 	under, err := raw.SyscallConn()
 	if err != nil {
-		return false
+		return ended
 	}
 	var one [1]byte
+	var n int
 	var got error
 	err = under.Read(func(fd uintptr) bool {
-		_, _, got = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		for got = syscall.EINTR; errors.Is(got, syscall.EINTR); {
+			n, _, got = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		}
 		return true
 	})
-	return err == nil && errors.Is(got, syscall.EAGAIN)
+	switch {
+	case err == nil && got == nil && n > 0:
+		return spoke
+	case err == nil && errors.Is(got, syscall.EAGAIN):
+		return still
+	}
+	return ended
 }
 
 // Dial opens a single connection that is no pool's. It closes when ctx ends.
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -270,19 +270,26 @@
 	stop := context.AfterFunc(j.ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
 	_ = conn.SetDeadline(j.until)
-	begun := false
+	begun, gone := false, false
 	conn.first = func() bool {
-		begun = j.still()
+		if !j.still() {
+			return false
+		}
 		// Looked at last. Danger: bytes that came while the job was written down would pass for its answer, and what is written to a
 		// connection that was closed meanwhile counts as one that may have run.
-		spoilt = begun && used && !(l.young() && conn.empty())
-		begun = begun && !spoilt
+		seen := conn.look()
+		spoilt = used && (seen != still || !l.young())
+		gone = !used && seen == ended // what it has brought may be a refusal, for which no call is needed
+		begun = !spoilt && !gone
 		return begun
 	}
 	if err := j.x.Write(conn.W); err != nil || conn.Flush() != nil {
-		if j.stage = NotReady; begun {
+		switch j.stage = NotReady; {
+		case begun:
 			j.stage = NotWritten
 			conn.drop()
+		case gone:
+			j.stage = NotConnected
 		}
 		return false, spoilt
 	}
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -242,7 +242,7 @@
 		x := say("two", &got)
 		x.Ready = func() bool {
 			close(spoil)
-			return assert.Eventually(t, func() bool { return !resting.empty() }, long, time.Millisecond)
+			return assert.Eventually(t, func() bool { return resting.look() != still }, long, time.Millisecond)
 		}
 		asked := 0
 		x.Still = func() bool { asked++; return true }
@@ -253,6 +253,26 @@
 	}
 }
 
+// A receiver takes a new connection and lets it go at once. Nothing of the call was written, so it never ran.
+func TestNewConnectionThatEndsBeforeTheCallNeverRan(t *testing.T) {
+	shut := make(chan struct{})
+	f := farSide(t, func(c net.Conn, _ int64) { _ = c.Close(); close(shut) })
+	p := pool(t, long, 9)
+	var ours *Conn
+	p.connect = func(ctx context.Context, addr string, until time.Time) (c *Conn, err error) {
+		c, err = connect(ctx, addr, until)
+		ours = c
+		return c, err
+	}
+	var got string
+	x := say("call", &got)
+	x.Ready = func() bool {
+		<-shut
+		return assert.Eventually(t, func() bool { return ours.look() == ended }, long, time.Millisecond)
+	}
+	assert.Equal(t, NotConnected, p.Do(context.Background(), "r", f.addr, long, x))
+}
+
 // A connection that nobody closed in time, for its goroutine has not run, is not used.
 func TestConnectionPastItsTimeIsNotUsedThoughItIsUp(t *testing.T) {
 	f := farSide(t, echo)
