--- a/internal/daemon/program_test.go
+++ b/internal/daemon/program_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -8,6 +9,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"regexp"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -19,8 +21,11 @@
 	"github.com/stretchr/testify/require"
 	"github.com/tidwall/gjson"
 	"go.uber.org/goleak"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"ravenlink/internal/protocol"
+	"ravenlink/internal/spool"
 )
 
 const (
@@ -378,6 +383,55 @@
 	assert.Equal(t, 1, w.calls["a"])
 }
 
+// The platform hears of an end later than it is decided here. Until it does the next of the key must not go, in this process and after a
+// restart, when the messages of a key also have to keep their order.
+func TestKeysKeepTheirOrderUntilThePlatformKnowsOfEachEnd(t *testing.T) {
+	t.Parallel()
+	var ran []string // in the order of their calls; under the world's lock
+	var w *world
+	w = newWorld(t, func(id string, _ int, out http.ResponseWriter) {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if id == "second" || id == "third" {
+			ran = append(ran, id)
+		}
+		if id == "first" {
+			out.WriteHeader(500)
+		}
+	})
+	w.settings = strings.Replace(w.settings, `"repeat":"once"`, `"repeat":"once","sequential":true`, 1)
+	inTurn := func(id, millis string) string {
+		return command("ENQUEUE", "00k1", id, "c=once,dest=7,d="+millis, "x")
+	}
+	w.mute = true
+	cmd := spawn(w)
+	c := w.dial()
+	for _, hand := range []string{inTurn("first", "8000"), inTurn("second", "8000"), inTurn("third", "7000")} {
+		require.Equal(t, "+OK", c.say(hand))
+	}
+	w.soon(func() bool { return w.calls["first"] == 1 })
+	others := func(life string) {
+		for i := range 9 { // each decided on after the turn that would let the next of the key go
+			id := fmt.Sprint(life, i)
+			require.Equal(t, "+OK", w.dial().say(handIn(id, keyed, "")))
+			w.soon(func() bool { return w.calls[id] == 1 })
+		}
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		assert.Zero(t, w.calls["second"]+w.calls["third"])
+	}
+	others("before")
+	kill(t, cmd)
+	w.start()
+	others("after")
+	w.mu.Lock()
+	w.mute = false
+	w.mu.Unlock()
+	w.soon(func() bool { return w.calls["second"] == 1 && w.calls["third"] == 1 })
+	assert.Equal(t, "failed", w.notices["first"])
+	assert.Equal(t, []string{"second", "third"}, ran)
+}
+
 func TestExpiredWhileDownGetsItsNoticeAtOnce(t *testing.T) {
 	t.Parallel()
 	w := newWorld(t, ok)
@@ -442,3 +496,80 @@
 	w.soon(func() bool { return w.calls["held"] == 1 })
 	assert.Equal(t, 1, w.calls["slow"])
 }
+
+// The folder is kept, discovery is silent, and the list from before the start names no destination.
+func TestSilentDiscoveryHoldsUpNoStartAndGivesUpNothing(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, ok)
+	cmd := spawn(w)
+	assert.Equal(t, "+OK", w.dial().say(handIn("a", "c=notice,d=60000,dest=9", "")))
+	kill(t, cmd)
+	back := make(chan struct{})
+	w.held = func() string {
+		<-back
+		return strings.Replace(w.member("SERVING"), `"cell":7`, `"cell":9`, 1)
+	}
+	w.writeConfig()
+	text, err := os.ReadFile(w.env("RELAY_CONFIG"))
+	require.NoError(t, err)
+	known := gjson.GetBytes(text, "known").Raw
+	text = []byte(strings.Replace(string(text), known, `{"revision":0,"complete":true,"members":[]}`, 1))
+	require.NoError(t, os.WriteFile(w.env("RELAY_CONFIG"), text, 0o600))
+	cmd = sender(w)
+	require.NoError(t, cmd.Start())
+	assert.Equal(t, "+PONG", w.dial().say(command("PING")), "it waits for no list")
+	close(back)
+	w.soon(func() bool { return w.calls["a"] == 1 })
+	assert.Empty(t, w.notices)
+	require.NoError(t, cmd.Process.Signal(syscall.SIGTERM))
+	require.NoError(t, cmd.Wait())
+}
+
+// SIGTERM comes while the first list is waited for: SIGKILL counts from there.
+func TestToldToEndWhileItRecoversItDrainsFromThen(t *testing.T) {
+	t.Parallel()
+	const early = 1500 * time.Millisecond
+	w := newWorld(t, ok)
+	heard := make(chan struct{})
+	w.held = func() string { <-heard; return w.member("SERVING") }
+	w.writeConfig()
+	log := &lines{}
+	p, err := New(w.env, zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), zapcore.AddSync(log), zap.InfoLevel)), nil)
+	require.NoError(t, err)
+	p.listWait = long
+	require.NoError(t, p.spool.Take(&spool.Message{ID: "held", Lane: "notice", Dst: 9, Expires: p.clock.Now() + 60e6}))
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- p.Run(ctx) }()
+	w.soon(func() bool { return len(w.watches) == 1 })
+	asked := time.Now()
+	cancel()
+	require.Eventually(t, func() bool { return time.Since(asked) >= early }, long, glimpse)
+	drains := time.Now()
+	close(heard)
+	require.NoError(t, <-done)
+	assert.Less(t, time.Since(drains), picksEnd-early/2, "what is held might go out until then, counted from the signal")
+	assert.Equal(t, 1, log.count(`"to":"draining"`))
+}
+
+// SIGHUP may come before the program's first line. By the deploy file's way to start it, it ends nobody, and later ones are heeded.
+func TestSIGHUPRightAtTheStartEndsNoProcess(t *testing.T) {
+	t.Parallel()
+	deploy, err := os.ReadFile("../../deploy/balancer.toml")
+	require.NoError(t, err)
+	run := regexp.MustCompile(`(?m)^run = "(.*)"$`).FindStringSubmatch(string(deploy))
+	require.Len(t, run, 2)
+	early := strings.Replace(run[1], "exec bin/ravenlink", "kill -HUP $$; exec "+os.Args[0], 1)
+	require.NotEqual(t, run[1], early)
+	w := newWorld(t, ok)
+	w.writeConfig()
+	cmd, log := sender(w), &lines{}
+	cmd.Path, cmd.Args, cmd.Stderr = "/bin/sh", []string{"sh", "-c", early}, log
+	require.NoError(t, cmd.Start())
+	assert.Equal(t, "+PONG", w.dial().say(command("PING")))
+	require.NoError(t, os.WriteFile(w.env("RELAY_CONFIG"), []byte("{"), 0o600))
+	require.NoError(t, cmd.Process.Signal(syscall.SIGHUP))
+	require.Eventually(t, func() bool { return log.count("start file not taken") == 1 }, long, glimpse)
+	require.NoError(t, cmd.Process.Signal(syscall.SIGTERM))
+	require.NoError(t, cmd.Wait())
+}
--- a/internal/platform/calls.go
+++ b/internal/platform/calls.go
@@ -45,6 +45,7 @@
 	var a protocol.Answer
 	stage := c.pool.Do(ctx, to.ID, to.Addr, patience, transport.Exchange{
 		Ready: func() bool { return c.router.Reachable(to) },
+		Still: func() bool { return c.router.Reachable(to) }, // a further connection may have been opened since
 		Write: func(w *bufio.Writer) error { return protocol.WriteProbe(w, to.Addr, c.probeLoad) },
 		Read:  into(&a),
 	})
@@ -61,9 +62,9 @@
 }
 
 // into reads an exchange's answer.
-func into(a *protocol.Answer) func(r *bufio.Reader) (keep bool, err error) {
-	return func(r *bufio.Reader) (keep bool, err error) {
-		*a, err = protocol.ReadAnswer(r)
+func into(a *protocol.Answer) func(r *bufio.Reader, told func()) (keep bool, err error) {
+	return func(r *bufio.Reader, told func()) (keep bool, err error) {
+		*a, err = protocol.ReadAnswer(r, told)
 		return !a.Close, err
 	}
 }
--- a/internal/relay/courier.go
+++ b/internal/relay/courier.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -117,13 +118,19 @@
 
 // Resume takes up a message that the sender owed before its restart.
 func (e *Engine) Resume(m *spool.Message) {
+	lane, known := e.router.Lane(m.Lane)
 	if m.Ended {
+		if known {
+			e.router.Unheard(message(m, lane))
+		}
 		e.ends.Undelivered(Undelivered{Msg: m, PushedBack: m.PushedBack, Advice: m.Advice, Bare: e.spool.Stripped(m)})
 		return
 	}
 	way, advice := routing.Failed, int64(0)
-	if lane, known := e.router.Lane(m.Lane); known {
-		way, advice = e.router.Take(message(m, lane))
+	if known {
+		owed := message(m, lane)
+		owed.Owed = true
+		way, advice = e.router.Take(owed)
 	}
 	switch way {
 	case routing.Held:
@@ -228,6 +235,7 @@
 	if err := e.spool.Over(m); err != nil {
 		e.log.Error("end not recorded", zap.String("id", m.ID), zap.Error(err))
 	}
+	e.router.EndKnown(m.ID)
 }
 
 func (e *Engine) undelivered(c *carried, pushedBack bool, advice int64) {
@@ -271,7 +279,9 @@
 			recorded = e.begins(c) && e.record(m, p, false)
 			return recorded
 		},
-		Still: func() bool { return stillStands(e.clock.Now(), stood, min(until, m.Expires)) }})
+		Still: func() bool {
+			return e.router.StandsStill(p) && stillStands(e.clock.Now(), stood, min(until, m.Expires))
+		}})
 	if e.working.Err() != nil && j.Result == routing.CalledOff {
 		return // the process ends: the leg may have run, and the record says so
 	}
@@ -294,8 +304,9 @@
 	e.legOver(c)
 }
 
-// standsFor is how long it counts that a leg stands and that the gate let it go, in µs. Only a record is written meanwhile: longer, and
-// the process was stopped, or its machine has no time for it. What the gate gave may be over by then, and a wait be told or a window have ended.
+// standsFor is how long it counts that the gate let a leg go, in µs. Only a record is written meanwhile: longer, and the process was stopped,
+// or its machine has no time for it, and what the gate gave may be over. What the module said is asked again. Danger: the margin at the end
+// of a key's window is half of this span, and on a slow machine a wait or a drain is told meanwhile.
 const standsFor = 100_000
 
 // stillStands tells whether a leg that stood may have its first byte now; all in µs since 1970.
@@ -314,14 +325,14 @@
 		e.record(m, p, true)
 		return
 	}
-	if err := e.spool.NeverRan(m); err != nil {
+	if err := e.spool.NeverRan(m); err != nil && !errors.Is(err, spool.ErrOver) {
 		e.log.Warn("leg not recorded as never run", zap.String("id", m.ID), zap.Error(err))
 	}
 }
 
 func (e *Engine) record(m *spool.Message, p routing.Pick, neverRan bool) bool {
 	err := e.spool.Leg(m, spool.Leg{SentAt: e.clock.Now(), Zone: p.Receiver.Zone, NeverRan: neverRan})
-	if err != nil {
+	if err != nil && !errors.Is(err, spool.ErrOver) { // withdrawn, or out of time, while the leg waited for its connection
 		e.log.Error("leg not recorded", zap.String("id", m.ID), zap.Error(err))
 	}
 	return err == nil
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -24,6 +24,7 @@
 	Dst      int64
 	Expires  int64 // µs of the router's clock
 	Past     []PastLeg
+	Owed     bool // taken on and on record already: it is held, whatever the room, and waits for a list that is late
 }
 
 // PastLeg is a leg from before a restart.
@@ -100,6 +101,7 @@
 	room      int
 	inCalls   bool // reports come with answers to calls
 	inProbes  bool // and to probes
+	inOrder   bool // some lane keeps an order
 
 	queueMu sync.Mutex
 	queue   []func() // events waiting for a turn
@@ -112,6 +114,7 @@
 	numbers   map[string]uint32   // as many as receivers that the module knows
 	receivers map[uint32]Receiver // the same by number
 	chores    chan Chore
+	watch     chan struct{} // the watch is asked for
 	timer     *time.Timer
 
 	// Gate, where set before the first message, is asked last before a leg's first byte: may a call go to this destination now?
@@ -134,9 +137,12 @@
 	r := &Router{clock: clock, closeIdle: closeIdle, log: log,
 		lanes: startup.LaneNames(settings), kinds: startup.KindNames(settings), zones: startup.ZoneNames(settings),
 		room: startup.MostHeld(settings), tickets: map[string]*ticket{}, numbers: map[string]uint32{},
-		receivers: map[uint32]Receiver{}, picked: make(chan struct{}, 1), chores: make(chan Chore, mostChores), timer: time.NewTimer(0)}
+		receivers: map[uint32]Receiver{}, picked: make(chan struct{}, 1), chores: make(chan Chore, mostChores),
+		watch: make(chan struct{}, 1), timer: time.NewTimer(0)}
 	r.inCalls, r.inProbes = startup.Reports(settings)
 	r.sender = startup.Sender(host{r}, seed, settings, 1)
+	r.sender.TellsLater()
+	r.inOrder = startup.KeepsOrder(settings)
 	return r
 }
 
@@ -177,10 +183,13 @@
 		case r.tickets[m.ID] != nil:
 			way = Twice
 			return
-		case len(r.tickets) >= r.room && len(m.Past) == 0:
+		case len(r.tickets) >= r.room && !m.Owed:
 			way = NoRoom
 			return
 		}
+		if m.Owed { // danger: an old or empty list would have all that a restart found untried given up with no call
+			r.sender.Owes(m.Dst)
+		}
 		r.tickets[m.ID] = t
 		r.sender.Take(m.ID, m.Lane, m.OrderKey, m.Dst, m.Expires, m.Past...)
 		r.resume(m)
@@ -193,12 +202,30 @@
 	case way != Held:
 		return way, 0
 	case t.ended != Held && t.legs == 0:
+		if !m.Owed { // the answer to its client tells it; of one from before a restart the platform hears
+			r.sender.EndKnown(m.ID)
+		}
 		delete(r.tickets, m.ID)
 		return t.ended, t.advice
 	}
 	return Held, 0
 }
 
+// EndKnown says that whoever handed a message in knows its end.
+func (r *Router) EndKnown(id string) {
+	if r.inOrder {
+		r.turn(func() { r.sender.EndKnown(id) })
+	}
+}
+
+// Unheard brings in a message that ended before a restart and of whose end nobody knows yet.
+func (r *Router) Unheard(m Message) {
+	r.turn(func() { r.sender.Unheard(m.ID, m.Lane, m.OrderKey, m.Dst) })
+}
+
+// Restarted says that an earlier process of this sender may have left attempts behind.
+func (r *Router) Restarted() { r.turn(r.sender.Restarted) }
+
 // resume brings in how the last leg of a recovered message went: it was cut short, or never ran.
 func (r *Router) resume(m Message) {
 	if len(m.Past) == 0 {
@@ -227,6 +254,7 @@
 		if t := r.tickets[id]; t != nil && t.legs > 0 {
 			r.sender.Settled(id, t.legs-1, choice.Skipped, 0, true, choice.Report{})
 		}
+		r.sender.EndKnown(id) // danger: it may have ended meanwhile, nobody would tell that, and its key would wait for ever
 		delete(r.tickets, id)
 	})
 }
@@ -276,13 +304,14 @@
 
 // Stands is asked right before a leg's first byte: no wait has been told meanwhile, no drain, no end.
 func (r *Router) Stands(p Pick) bool {
-	if !r.stands(p) {
+	if !r.StandsStill(p) {
 		return false
 	}
-	return r.Gate == nil || r.Gate(p.Receiver.dst) && r.stands(p) // the gate may have taken a moment
+	return r.Gate == nil || r.Gate(p.Receiver.dst) && r.StandsStill(p) // the gate may have taken a moment
 }
 
-func (r *Router) stands(p Pick) bool {
+// StandsStill is Stands without the gate. It waits for the turn that runs at most.
+func (r *Router) StandsStill(p Pick) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.sender.At(r.clock())
@@ -314,6 +343,8 @@
 	select {
 	case <-ctx.Done():
 		return Chore{}, ctx.Err()
+	case <-r.watch:
+		return Chore{Kind: Watch}, nil
 	case c := <-r.chores:
 		return c, nil
 	}
--- a/internal/spool/spool.go
+++ b/internal/spool/spool.go
@@ -3,6 +3,7 @@
 package spool
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"os"
@@ -25,6 +26,9 @@
 // ErrFull says that the folder has no room for a further message.
 var ErrFull = errors.New("spool is full")
 
+// ErrOver says that a message is not owed, or not any more.
+var ErrOver = errors.New("spool: the message is not owed")
+
 // Leg is one leg of a message.
 type Leg struct {
 	SentAt   int64 // µs since 1970
@@ -75,7 +79,8 @@
 	foreign int64               // bytes of files that are not ours to read
 	strange []string            // their names
 	file    *os.File
-	broken  error
+	earlier bool // a process wrote here before this one
+	torn    bool // the newest segment ends in part of a record: what follows there would not be believed
 }
 
 // Open reads back what is owed and starts a new segment. It says in notes what it could not read.
@@ -91,6 +96,7 @@
 			notes = append(notes, note)
 		}
 	}
+	s.earlier = s.last > 0
 	if err := s.startSegment(); err != nil {
 		return nil, notes, err
 	}
@@ -103,16 +109,16 @@
 // recover reads one segment up to the first torn record. What it cannot read it leaves as it is.
 func (s *Spool) recover(name string) (note string) {
 	seg := &segment{}
+	_, misnamed := fmt.Sscanf(filepath.Base(name), "%d"+extension, &seg.number)
+	s.last = max(s.last, seg.number) // of an unreadable one too, or the next segment would bear its number
 	data, err := os.ReadFile(name)
 	if err != nil {
 		s.strange = append(s.strange, filepath.Base(name))
 		return "left alone, not readable: " + err.Error()
 	}
 	seg.size = int64(len(data))
-	_, err = fmt.Sscanf(filepath.Base(name), "%d"+extension, &seg.number)
-	s.last = max(s.last, seg.number)
 	left, known := strings.CutPrefix(string(data), magic)
-	if err != nil || !known && seg.size >= int64(len(magic)) {
+	if misnamed != nil || !known && seg.size >= int64(len(magic)) {
 		s.foreign += seg.blocks()
 		s.strange = append(s.strange, filepath.Base(name))
 		return "left alone, of an unknown version: " + filepath.Base(name)
@@ -147,8 +153,8 @@
 	}
 	switch record[0] {
 	case recLeg:
-		if l := readLeg(d); !d.bad && len(m.Legs) < mostLegs {
-			m.Legs = append(m.Legs, l)
+		if l := readLeg(d); !d.bad {
+			m.addLeg(l)
 		}
 	case recUnrun:
 		if n := len(m.Legs); n > 0 {
@@ -161,6 +167,19 @@
 	}
 }
 
+// addLeg remembers a leg. Of too many the oldest that never ran goes, else the second: the first that may have run opens its key's window,
+// and the latest is the one whose outcome may follow.
+func (m *Message) addLeg(l Leg) {
+	if len(m.Legs) >= mostLegs {
+		i := slices.IndexFunc(m.Legs, func(o Leg) bool { return o.NeverRan })
+		if i < 0 {
+			i = 1
+		}
+		m.Legs = slices.Delete(m.Legs, i, i+1)
+	}
+	m.Legs = append(m.Legs, l)
+}
+
 // place has a message stand in a segment, and no longer in the one it stood in.
 func (s *Spool) place(m *Message, seg *segment, length int64) {
 	if old := s.owed[m.ID]; old != nil {
@@ -188,8 +207,8 @@
 	m := &Message{ID: id, Lane: string(d.text()), Key: string(d.text()), OrderKey: string(d.text()), Dst: d.number(),
 		Expires: d.number()}
 	m.Ended, m.PushedBack, m.Advice = d.number() != 0, d.number() != 0, d.number()
-	for n := d.number(); n > 0 && !d.bad && len(m.Legs) < mostLegs; n-- {
-		m.Legs = append(m.Legs, readLeg(d))
+	for n := d.number(); n > 0 && !d.bad; n-- { // all of them, or the rest would be taken for the body
+		m.addLeg(readLeg(d))
 	}
 	m.Body = slices.Clone(d.text())
 	if len(d.left) > 0 { // older versions wrote no more
@@ -228,7 +247,10 @@
 	return e.text(body).text([]byte(channel)).number(m.Pos).number(m.Taken).number(flag(m.Bare)).seal()
 }
 
-// Owed lists what is owed, those that end first first.
+// Earlier tells whether a process wrote here before this one.
+func (s *Spool) Earlier() bool { return s.earlier }
+
+// Owed lists what is owed in the order in which it was taken on. Danger: given back in another one, the messages of a key change places.
 func (s *Spool) Owed() []*Message {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -237,10 +259,7 @@
 		ms = append(ms, m)
 	}
 	slices.SortFunc(ms, func(a, b *Message) int {
-		if a.Expires != b.Expires {
-			return int(max(-1, min(1, a.Expires-b.Expires)))
-		}
-		return strings.Compare(a.ID, b.ID)
+		return cmp.Or(cmp.Compare(a.Taken, b.Taken), cmp.Compare(a.Expires, b.Expires), strings.Compare(a.ID, b.ID))
 	})
 	return ms
 }
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -66,7 +67,7 @@
 func say(text string, got *string) Exchange {
 	return Exchange{Ready: func() bool { return true },
 		Write: func(w *bufio.Writer) error { _, err := w.WriteString(text + "\n"); return err },
-		Read: func(r *bufio.Reader) (bool, error) {
+		Read: func(r *bufio.Reader, _ func()) (bool, error) {
 			line, err := r.ReadString('\n')
 			*got = strings.TrimSpace(line)
 			return true, err
@@ -167,7 +168,7 @@
 	ctx, cancel := context.WithCancel(bg)
 	out := whole()
 	read := out.Read
-	out.Read = func(r *bufio.Reader) (bool, error) { cancel(); return read(r) }
+	out.Read = func(r *bufio.Reader, told func()) (bool, error) { cancel(); return read(r, told) }
 	assert.Equal(t, CalledOff, p.Do(ctx, "silent", silent.addr, long, out))
 	assert.Equal(t, NotReady, p.Do(ctx, "silent", silent.addr, long, whole()))
 }
@@ -187,6 +188,10 @@
 		"called off": func(x *Exchange, cancel func()) {
 			x.Ready = func() bool { cancel(); return true }
 		},
+		"called off as it is put in the buffer": func(x *Exchange, cancel func()) {
+			write := x.Write
+			x.Write = func(w *bufio.Writer) error { cancel(); return write(w) }
+		},
 		"time is up": func(x *Exchange, _ func()) { // as after a stop of the process
 			x.Ready = func() bool { time.Sleep(patience); return true }
 		},
@@ -210,6 +215,189 @@
 	assert.Zero(t, came.Load())
 }
 
+// What comes on a resting connection between the first look at it and a call's first byte costs that connection, and nothing else.
+func TestBytesOrACloseRightBeforeACallSpoilItsConnectionOnly(t *testing.T) {
+	for _, extra := range []string{"one\n", "half a li", ""} {
+		spoil, came := make(chan struct{}), make(chan string, 1)
+		f := farSide(t, func(c net.Conn, n int64) {
+			if n > 1 {
+				echo(c, n)
+				return
+			}
+			r := bufio.NewReader(c)
+			_, _ = r.ReadString('\n')
+			_, _ = io.WriteString(c, "one\n")
+			<-spoil
+			if _, _ = io.WriteString(c, extra); extra == "" {
+				_ = c.(*net.TCPConn).CloseWrite()
+			}
+			more, _ := io.ReadAll(r)
+			came <- string(more)
+			_ = c.Close()
+		})
+		p := pool(t, long, 9)
+		var got string
+		require.Equal(t, Done, p.Do(context.Background(), "r", f.addr, long, say("one", &got)))
+		resting := p.idle["r"][0].conn
+		x := say("two", &got)
+		x.Ready = func() bool {
+			close(spoil)
+			return assert.Eventually(t, func() bool { return resting.look() != still }, long, time.Millisecond)
+		}
+		asked := 0
+		x.Still = func() bool { asked++; return true }
+		assert.Equal(t, Done, p.Do(context.Background(), "r", f.addr, long, x), "%q", extra)
+		assert.Equal(t, "two", got, "%q", extra)
+		assert.Equal(t, 2, asked, "the new connection took its time to come up: %q", extra)
+		assert.Empty(t, <-came, "nothing is written to what was spoilt: %q", extra)
+	}
+}
+
+// A receiver takes a new connection and lets it go at once. Nothing of the call was written, so it never ran.
+func TestNewConnectionThatEndsBeforeTheCallNeverRan(t *testing.T) {
+	shut := make(chan struct{})
+	f := farSide(t, func(c net.Conn, _ int64) { _ = c.Close(); close(shut) })
+	p := pool(t, long, 9)
+	var ours *Conn
+	p.connect = func(ctx context.Context, addr string, until time.Time) (c *Conn, err error) {
+		c, err = connect(ctx, addr, until)
+		ours = c
+		return c, err
+	}
+	var got string
+	x := say("call", &got)
+	x.Ready = func() bool {
+		<-shut
+		return assert.Eventually(t, func() bool { return ours.look() == ended }, long, time.Millisecond)
+	}
+	assert.Equal(t, NotConnected, p.Do(context.Background(), "r", f.addr, long, x))
+}
+
+// A connection that nobody closed in time, for its goroutine has not run, is not used.
+func TestConnectionPastItsTimeIsNotUsedThoughItIsUp(t *testing.T) {
+	f := farSide(t, echo)
+	p := pool(t, long, 9)
+	var got string
+	require.Equal(t, Done, p.Do(context.Background(), "r", f.addr, long, say("one", &got)))
+	p.mu.Lock()
+	p.idle["r"][0].since = time.Now().Add(-long)
+	p.mu.Unlock()
+	require.Equal(t, Done, p.Do(context.Background(), "r", f.addr, long, say("two", &got)))
+	assert.EqualValues(t, 2, f.conns.Load())
+}
+
+// closing tells when a connection is closed.
+type closing struct {
+	*net.TCPConn
+	closed *atomic.Bool
+}
+
+func (c closing) Close() error {
+	defer c.closed.Store(true)
+	return c.TCPConn.Close()
+}
+
+// Whoever hears that a call is given up may send its message again at once: the first must not be out then.
+func TestCallThatIsGivenUpIsClosedBeforeItsEndIsTold(t *testing.T) {
+	f := farSide(t, func(c net.Conn, _ int64) { // half an answer
+		_, _ = bufio.NewReader(c).ReadString('\n')
+		_, _ = io.WriteString(c, "half")
+		_, _ = io.Copy(io.Discard, c)
+		_ = c.Close()
+	})
+	for want, end := range map[Stage]func(cancel, told func()) error{
+		TimedOut:  func(_, _ func()) error { return nil },
+		CalledOff: func(cancel, _ func()) error { cancel(); return nil },
+		Broken:    func(_, _ func()) error { return io.ErrNoProgress },
+		Done:      func(_, told func()) error { told(); return nil },
+	} {
+		p := pool(t, long, 9)
+		var closed atomic.Bool
+		p.connect = func(ctx context.Context, addr string, until time.Time) (*Conn, error) {
+			c, err := connect(ctx, addr, until)
+			if err == nil {
+				c.Conn = closing{c.Conn.(*net.TCPConn), &closed}
+			}
+			return c, err
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		var got string
+		x := say("call", &got)
+		x.Read = func(r *bufio.Reader, told func()) (bool, error) {
+			if err := end(cancel, told); err != nil {
+				return false, err
+			}
+			_, err := r.ReadString('\n')
+			return true, err
+		}
+		patience := long
+		if want == TimedOut {
+			patience = time.Second // a connection is up well before
+		}
+		assert.Equal(t, want, p.Do(ctx, "r", f.addr, patience, x))
+		assert.True(t, closed.Load(), "%d", want)
+		cancel()
+	}
+}
+
+// The system has taken the whole call, and a machine that was cut off is back after it was given up.
+func TestCallThatIsGivenUpDoesNotArriveLater(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	raw, err := l.(*net.TCPListener).SyscallConn()
+	require.NoError(t, err)
+	require.NoError(t, raw.Control(func(fd uintptr) {
+		_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 1<<10) // little gets through at first
+	}))
+	p := pool(t, long, 9)
+	var got string
+	call := strings.Repeat("x", 60<<10)
+	require.Equal(t, TimedOut, p.Do(context.Background(), "r", l.Addr().String(), time.Second, say(call, &got)))
+	c, err := l.Accept()
+	require.NoError(t, err)
+	came, err := io.ReadAll(c)
+	assert.Less(t, len(came), len(call))
+	assert.ErrorIs(t, err, syscall.ECONNRESET)
+	require.NoError(t, c.Close())
+}
+
+// A machine takes no connection, and then all at once, when the call has long been given up.
+func TestCallWhoseConnectionNeverCameUpSendsNothingLater(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	raw, err := l.(*net.TCPListener).SyscallConn()
+	require.NoError(t, err)
+	require.NoError(t, raw.Control(func(fd uintptr) { _ = syscall.Listen(int(fd), 0) }))
+	filler, err := net.Dial("tcp", l.Addr().String()) // the one that the kernel takes; the next hang
+	require.NoError(t, err)
+	p := pool(t, long, 9)
+	var got string
+	assert.Equal(t, NotConnected, p.Do(context.Background(), "r", l.Addr().String(), shortly, say("call", &got)))
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(shortly, cancel)
+	assert.Equal(t, NotReady, p.Do(ctx, "r", l.Addr().String(), long, say("call", &got)))
+	assert.Zero(t, p.Open())
+	c, err := l.Accept()
+	require.NoError(t, err)
+	require.NoError(t, filler.Close())
+	all, err := io.ReadAll(c)
+	require.NoError(t, err)
+	assert.Empty(t, all)
+	require.NoError(t, c.Close())
+	p.connect = func(_ context.Context, addr string, until time.Time) (*Conn, error) {
+		time.Sleep(time.Until(until)) // up when its time is over
+		return connect(context.Background(), addr, until.Add(long))
+	}
+	assert.Equal(t, NotReady, p.Do(context.Background(), "r", l.Addr().String(), shortly, say("call", &got)))
+	if c, err = l.Accept(); assert.NoError(t, err) {
+		all, _ = io.ReadAll(c)
+		assert.Empty(t, all)
+		_ = c.Close()
+	}
+}
+
 func TestLateAnswerIsNotTheNextOnes(t *testing.T) {
 	release := make(chan struct{})
 	f := farSide(t, func(c net.Conn, n int64) {
@@ -246,6 +434,57 @@
 	require.Equal(t, Done, p.Do(context.Background(), "b", f.addr, long, busy))
 }
 
+// heldClose is a connection that closes only once a next one is up, if that does not wait for it.
+type heldClose struct {
+	*net.TCPConn
+	up     chan struct{}
+	closed *atomic.Bool
+}
+
+func (c heldClose) Close() error {
+	select {
+	case <-c.up:
+	case <-time.After(shortly):
+	}
+	defer c.closed.Store(true)
+	return c.TCPConn.Close()
+}
+
+// The lock that the test holds keeps the goroutine of the connection that gives way from running: its descriptor is not free yet.
+func TestConnectionThatGivesWayCountsUntilItIsClosed(t *testing.T) {
+	f := farSide(t, echo)
+	for name, leave := range map[string]func(p *Pool){
+		"room is made for the next": func(*Pool) {},
+		"it is let go just before":  func(p *Pool) { p.shutOldest() },
+	} {
+		p := pool(t, long, 1)
+		var closed atomic.Bool
+		up := make(chan struct{})
+		p.connect = func(ctx context.Context, addr string, until time.Time) (*Conn, error) {
+			c, err := connect(ctx, addr, until)
+			if err == nil {
+				c.Conn = heldClose{c.Conn.(*net.TCPConn), up, &closed}
+			}
+			return c, err
+		}
+		var got, other string
+		require.Equal(t, Done, p.Do(context.Background(), "a", f.addr, long, say("one", &got)))
+		j := &job{ctx: context.Background(), addr: f.addr, until: time.Now().Add(long), x: say("two", &other), done: make(chan struct{})}
+		j.x.Ready = func() bool {
+			close(up)
+			return assert.True(t, closed.Load(), "the first is closed when the second comes up: %s", name)
+		}
+		p.mu.Lock()
+		leave(p)
+		assert.True(t, p.hand("b", j), name)
+		assert.Equal(t, 1, p.open, name)
+		assert.False(t, p.hand("c", j), "its place is taken: %s", name)
+		p.mu.Unlock()
+		<-j.done
+		assert.Equal(t, Done, j.stage, name)
+	}
+}
+
 func TestRingKeepsBytesInOrderWhileItWrapsAndGrows(t *testing.T) {
 	var r ring
 	var in, out []byte
@@ -459,6 +698,17 @@
 	n, _, err := fellow.ReadFrom(buf)
 	require.NoError(t, err)
 	assert.Equal(t, "+8", string(buf[:n]))
+	require.NoError(t, d.conn.SetReadDeadline(time.Unix(1, 0))) // an error that passes
+	require.Eventually(t, func() bool { return d.Dropped() > 3 }, long, time.Millisecond)
+	require.NoError(t, d.conn.SetReadDeadline(time.Time{}))
+	_, err = fellow.WriteTo([]byte("+9"), at)
+	require.NoError(t, err)
+	select {
+	case text := <-heard:
+		assert.Equal(t, "+9", text, "it goes on hearing")
+	case <-done:
+		assert.Fail(t, "it no longer hears")
+	}
 	d.Close()
 	<-done
 }
