Clients' connections are never closed over unread bytes, nor new ones unanswered

Cause, in internal/transport/server.go as it was: `Await` gave up at its time limit whatever stood in the kernel (reading past a limit does not look), and `forget` closed then, so a command that came in that moment met a reset; only `Farewell` shut and read away. `begin` closed a new connection at once when the server was closing or the house was full of clients that were not idle, half commands among them, which nobody let go for 0.7 s. `Close` closed the listener with whatever its backlog held. A client let go counted until its goroutine had run while the next was let in, so `most` could be passed. A failed accept let one client go and accepted another: descriptors stayed at the brink.

Now: past the limit one look into the kernel (`came`), then the shutdown, then reading away for 0.1 s (`part`), for each close of ours. At seven eighths of the bound one is let go for each that comes, at the bound the newcomer waits and reading away is cut short; half commands older than 0.1 s can be let go. New ones have 0.1 s to speak, also while draining. `Close` has Serve take the backlog first. A failed accept lets an eighth go. At the end of the process an answer nobody takes has 0.1 s.

Ruled out: TCP_NODELAY is set on accepted connections (test). Left: between the last look at the backlog and the listener's close some microseconds.

--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -7,44 +7,74 @@
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
 const (
 	acceptRest  = 20 * time.Millisecond  // after a failed accept; descriptors may be short
-	lastLook    = 2 * time.Millisecond   // for what was written to a connection about to be closed
-	lastWords   = 100 * time.Millisecond // for a client to take its last answer
+	lastLook    = 2 * time.Millisecond   // for what was written to a connection about to be closed, and for one that was just opened
+	lastWords   = 100 * time.Millisecond // for a client to take its last answer and to end, and for the listener's backlog
 	servedPart  = 2                      // of the clients' bound, one place in so many is for served ones that are idle
+	turnPart    = 8                      // and one in so many for those on their way out
 	mostUnread  = 1 << 20                // bytes read away meanwhile
-	graceTime   = 100 * time.Millisecond // in which a new client is not driven out; usual ones speak at once
+	graceTime   = 100 * time.Millisecond // in which a new client or a new command is not driven out; usual ones are through by then
 	firstTime   = 2 * time.Second        // for a new client to say something
 	idleTime    = 4 * time.Second        // for one that was served to say more; it comes back on a new connection
 	commandTime = 700 * time.Millisecond // for the rest of a command once begun; clients wait less for its answer
 	answerTime  = time.Second            // for an answer to be written; clients leave sooner
+	placeLook   = 10 * time.Millisecond  // between looks whether somebody may be let go
 )
 
 // Server takes clients' connections, a goroutine each.
 type Server struct {
-	listener net.Listener
+	listener *net.TCPListener
 	handle   func(c *Client)
-	most     int
+	most     int // connections; one more may be in hand, waiting for a place
+	stay     int // of them, those that are not on their way out
 	served   int // most served ones that are idle
 
-	grace, first, idle time.Duration // graceTime, firstTime, idleTime
+	grace, first, idle, command, words time.Duration // graceTime, firstTime, idleTime, commandTime, lastWords
 
 	mu      sync.Mutex
 	clients map[*Client]struct{} // emptied as connections close, bounded by most
+	going   int                  // of them, those that leave
 	closing bool
-	done    sync.WaitGroup
+	cut     bool          // nothing more is read
+	freed   chan struct{} // a place; one word is enough, for one goroutine waits
+
+	accepting sync.WaitGroup // Serve
+	done      sync.WaitGroup // clients; added to while accepting only
 
 	crowd Crowd
+	edge  func(c *Client, at moment) // for tests: bytes may come right then; nil for nothing
 }
 
+// moment is one of those in which what a client writes crosses our close.
+type moment uint8
+
+const (
+	timeUp  moment = iota // the wait is over, nothing was looked at again
+	seen                  // nothing had come at the last look; not shut yet
+	shut                  // for writing
+	lastEnd               // nothing more is read; not closed yet
+)
+
+// stage is where a client's connection stands.
+type stage uint8
+
+// Waiting and begun follow each other until the client ends or breaks its connection, or we part with it.
+const (
+	begun   stage = iota // a command has begun, or its answer is made and written
+	waiting              // for the first byte of a command
+	parting              // shut for writing; what still comes is read away
+)
+
 // Crowd counts clients' connections: those open, and what has become of others since the start.
 type Crowd struct {
 	Open, Taken   int
 	Idle, Served  int // of those open
-	TurnedAway    int // at the bound, with nobody to let go
+	TurnedAway    int // there was no place for them until the process ended
 	LetGoUnserved int // for a newer one, before they said anything of use
 	LetGoServed   int
 	Quiet         int // said nothing in time
@@ -58,7 +88,7 @@
 	c := s.crowd
 	c.Open = len(s.clients)
 	for o := range s.clients {
-		if o.idle {
+		if o.stage == waiting {
 			c.Idle++
 		}
 		if o.served {
@@ -72,10 +102,12 @@
 type Client struct {
 	*Conn
 	server *Server
-	idle   bool // waits for a command; under the server's lock
-	leave  bool // to be closed when idle; likewise
-	served bool // has had a command answered; likewise
-	since  time.Time
+	stage  stage     // under the server's lock, like all that follows
+	at     time.Time // when it came to that stage
+	since  time.Time // of served ones when they were last idle, else when they came
+	leave  bool      // to be closed when idle
+	served bool      // has had a command answered
+	hasty  bool      // its reading away was cut short
 }
 
 // Listen opens the clients' address.
@@ -84,48 +116,85 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for clients: %w", err)
 	}
-	return &Server{listener: l, handle: handle, most: most, served: max(1, most/servedPart),
-		grace: graceTime, first: firstTime, idle: idleTime, clients: map[*Client]struct{}{}}, nil
+	return &Server{listener: l.(*net.TCPListener), handle: handle, most: most, stay: most - most/turnPart, served: max(1, most/servedPart),
+		grace: graceTime, first: firstTime, idle: idleTime, command: commandTime, words: lastWords,
+		clients: map[*Client]struct{}{}, freed: make(chan struct{}, 1)}, nil
 }
 
 // Addr is where it listens.
 func (s *Server) Addr() string { return s.listener.Addr().String() }
 
-// Serve accepts until the listener closes.
+// Serve accepts until Close, which has it take what stands in the backlog first, or until ctx ends.
 func (s *Server) Serve(ctx context.Context) error {
+	if !s.accepts() {
+		return nil
+	}
+	defer s.accepting.Done()
 	for {
 		c, err := s.listener.Accept()
 		switch {
+		case err == nil:
+			s.begin(ctx, c)
 		case errors.Is(err, net.ErrClosed):
 			return nil
-		case err != nil:
-			s.mu.Lock()
-			s.closeOldest()
-			s.mu.Unlock()
-			select {
-			case <-ctx.Done():
-				return nil
-			case <-time.After(acceptRest):
-			}
-		default:
-			s.begin(c)
+		case isTimeout(err): // Close has set the limit
+			s.backlog(ctx)
+			return nil
+		case !s.short(ctx):
+			return nil
 		}
 	}
 }
 
-func (s *Server) begin(nc net.Conn) {
-	c := &Client{Conn: newConn(nc), server: s, since: time.Now()}
+// accepts tells whether it is not too late to begin.
+func (s *Server) accepts() bool {
 	s.mu.Lock()
-	s.crowd.Taken++
-	if s.closing || len(s.clients) >= s.most && !s.closeOldest() {
-		s.crowd.TurnedAway++
-		s.mu.Unlock()
-		_ = nc.Close()
-		return
+	defer s.mu.Unlock()
+	if s.closing {
+		return false
+	}
+	s.accepting.Add(1) // under the lock: Close waits for it, or we see that it is closing
+	return true
+}
+
+// backlog takes the connections that the kernel has accepted and we have not. Danger: they are reset with the listener, and
+// their clients have written to them. What comes between the last look and the close still is, some microseconds; a
+// crowd that never ends is cut off after lastWords.
+func (s *Server) backlog(ctx context.Context) {
+	for end := time.Now().Add(lastWords); time.Now().Before(end); {
+		_ = s.listener.SetDeadline(time.Now().Add(lastLook)) // anew for each: past it nothing is accepted, whatever stands there
+		c, err := s.listener.Accept()
+		switch {
+		case err == nil:
+			s.begin(ctx, c)
+		case isTimeout(err) || !s.short(ctx):
+			return
+		}
+	}
+}
+
+// short makes room after a failed accept, most likely for want of descriptors. Danger: clients take each one that comes free,
+// and discovery, receivers and the spool get none. So a part of them goes at once and nobody is accepted for a moment. False once ctx has ended.
+func (s *Server) short(ctx context.Context) bool {
+	s.mu.Lock()
+	for range max(1, len(s.clients)/turnPart) {
+		s.hurry()
+		s.letOneGo()
 	}
-	s.clients[c] = struct{}{}
-	s.done.Add(1) // under the lock: Close sees it, or we see that it is closing
 	s.mu.Unlock()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(acceptRest):
+		return true
+	}
+}
+
+// begin sets a new connection going once there is a place for it.
+func (s *Server) begin(ctx context.Context, nc net.Conn) {
+	c := &Client{Conn: newConn(nc), server: s}
+	s.count(&s.crowd.Taken)
+	s.place(ctx, c)
 	go func() {
 		defer s.done.Done()
 		defer s.forget(c)
@@ -133,27 +202,87 @@
 	}()
 }
 
+// place waits for a place, and meanwhile has others make room: a new connection that is closed unanswered may be a message lost.
+// It waits for clients that were just accepted or have just begun a command, graceTime about; later ones wait in
+// the kernel's backlog. Once ctx has ended, and the process with it, a place too many does no harm.
+func (s *Server) place(ctx context.Context, c *Client) {
+	for !s.admit(c, ctx.Err() != nil) {
+		select {
+		case <-ctx.Done():
+		case <-s.freed:
+		case <-time.After(placeLook):
+		}
+	}
+}
+
+// admit counts a client in, if there is a place or it is to come in anyway.
+func (s *Server) admit(c *Client, anyway bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.clients)-s.going >= s.stay {
+		s.letOneGo()
+	}
+	if len(s.clients) >= s.most {
+		s.hurry()
+		if !anyway {
+			return false
+		}
+		s.crowd.TurnedAway++
+	}
+	s.clients[c] = struct{}{}
+	s.done.Add(1)
+	c.since = time.Now()
+	c.at = c.since
+	if s.closing {
+		c.goes()
+	}
+	return true
+}
+
+// forget closes a connection. It holds its place until it is closed.
 func (s *Server) forget(c *Client) {
+	_ = c.Conn.Close()
 	s.mu.Lock()
 	delete(s.clients, c)
+	if c.leave {
+		s.going--
+	}
 	s.mu.Unlock()
-	_ = c.Conn.Close()
+	select {
+	case s.freed <- struct{}{}:
+	default:
+	}
 }
 
-// closeOldest closes the connection that has been idle longest, if any is: of those that never said anything of use
-// while there are such, or a crowd of them would drive the others out. Only those just begun go last: where the
-// house is full of served ones, newcomers would else drive out each other before they can speak. The lock is held.
-func (s *Server) closeOldest() bool {
+// hurry closes the connection that is being read away longest, if any is. The lock is held.
+func (s *Server) hurry() {
 	var oldest *Client
 	for c := range s.clients {
-		if c.idle && !c.leave && (oldest == nil || c.goesBefore(oldest)) {
+		if c.stage == parting && !c.hasty && (oldest == nil || c.at.Before(oldest.at)) {
 			oldest = c
 		}
 	}
 	if oldest != nil {
-		s.letGo(oldest)
+		oldest.hasty = true
+		_ = oldest.SetReadDeadline(time.Now())
+	}
+}
+
+// letOneGo lets go of the client that can best be spared, if any can: of those that never said anything of use the longest idle
+// while there are such, or a crowd of them would drive the others out; then of idle ones that were served; then of those that
+// do not end a command they have begun. Newcomers go last: where the house is full of served ones, they would else drive
+// out each other before they can speak. The lock is held.
+func (s *Server) letOneGo() {
+	now := time.Now()
+	var first *Client
+	for c := range s.clients {
+		if c.rank(now) != stays && (first == nil || c.goesBefore(first, now)) {
+			first = c
+		}
+	}
+	if first != nil {
+		s.letGo(first)
 	}
-	return oldest != nil
 }
 
 // letGo has a connection make room for others. The lock is held.
@@ -164,22 +293,37 @@
 		s.crowd.LetGoUnserved++
 	}
 	c.dismiss()
+	if c.stage == begun { // the rest of its command is not waited for; an answer is
+		_ = c.SetReadDeadline(time.Now())
+	}
 }
 
-func (c *Client) goesBefore(o *Client) bool {
-	if a, b := c.rank(), o.rank(); a != b {
+func (c *Client) goesBefore(o *Client, now time.Time) bool {
+	if a, b := c.rank(now), o.rank(now); a != b {
 		return a < b
 	}
+	if c.stage == begun {
+		return c.at.Before(o.at)
+	}
 	return c.since.Before(o.since)
 }
 
+// stays is the rank of those that are not let go: they are leaving already, or have just begun a command.
+const stays = 4
+
 // rank is lower for those that are let go sooner.
-func (c *Client) rank() int {
-	switch {
+func (c *Client) rank(now time.Time) int {
+	switch grace := c.server.grace; {
+	case c.leave:
+		return stays
+	case c.stage == begun && now.Sub(c.at) < grace:
+		return stays
+	case c.stage == begun:
+		return 2
 	case c.served:
 		return 1
-	case time.Since(c.since) < c.server.grace:
-		return 2
+	case now.Sub(c.since) < grace:
+		return 3
 	}
 	return 0
 }
@@ -201,7 +345,7 @@
 			continue
 		}
 		served++
-		if o.idle && (oldest == nil || o.since.Before(oldest.since)) {
+		if o.stage == waiting && (oldest == nil || o.since.Before(oldest.since)) {
 			oldest = o
 		}
 	}
@@ -210,30 +354,85 @@
 	}
 }
 
-// dismiss has an idle connection closed. The lock is held.
+// dismiss has a connection closed as soon as it is idle. The lock is held.
 func (c *Client) dismiss() {
-	c.leave = true
-	if c.idle {
-		_ = c.SetReadDeadline(time.Now().Add(lastLook))
+	c.goes()
+	if c.stage == waiting {
+		c.lookLast()
+	}
+}
+
+// goes counts a connection among those that leave. The lock is held.
+func (c *Client) goes() {
+	if !c.leave {
+		c.leave = true
+		c.server.going++
 	}
 }
 
+// lookLast waits a last moment for a command. New clients have the time to speak first: closed unanswered they may have lost a message.
+// The lock is held.
+func (c *Client) lookLast() {
+	until := time.Now().Add(lastLook)
+	if speak := c.since.Add(c.server.grace); !c.served && speak.After(until) {
+		until = speak
+	}
+	_ = c.SetReadDeadline(until)
+}
+
 // Await waits for the next command; false ends the connection, between commands.
 func (c *Client) Await() bool {
-	c.setIdle(true)
-	_, err := c.R.Peek(1)
-	c.setIdle(false)
-	if isTimeout(err) {
-		c.server.count(&c.server.crowd.Quiet)
+	c.enter(waiting)
+	if _, err := c.R.Peek(1); !isTimeout(err) {
+		c.enter(begun)
+		return err == nil
 	}
-	return err == nil
+	c.atEdge(timeUp)
+	if c.came() {
+		c.enter(begun)
+		return true
+	}
+	c.silent()
+	c.atEdge(seen)
+	c.part()
+	return false
 }
 
-// Late counts a command that did not come whole in time.
-func (c *Client) Late(err error) {
-	if isTimeout(err) {
-		c.server.count(&c.server.crowd.Begun)
+// came looks past a time limit that is over whether there is something to read, the connection's end included. Danger: reading stops at
+// the limit whatever stands in the kernel, and a close over it resets the connection.
+func (c *Client) came() bool {
+	raw, ok := c.Conn.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	under, err := raw.SyscallConn()
+	if err != nil {
+		return false
 	}
+	var one [1]byte
+	var got error
+	err = under.Control(func(fd uintptr) {
+		_, _, got = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return err == nil && !errors.Is(got, syscall.EAGAIN)
+}
+
+func (c *Client) silent() {
+	s := c.server
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !c.leave {
+		s.crowd.Quiet++
+	}
+}
+
+// Late tells whether a command did not come whole in time, and counts it. Its last byte may be on its way: it is owed an answer.
+func (c *Client) Late(err error) bool {
+	if !isTimeout(err) {
+		return false
+	}
+	c.server.count(&c.server.crowd.Begun)
+	return true
 }
 
 func (s *Server) count(n *int) {
@@ -242,46 +441,78 @@
 	*n++
 }
 
-func (c *Client) setIdle(idle bool) {
+func (c *Client) atEdge(m moment) {
+	if c.server.edge != nil {
+		c.server.edge(c, m)
+	}
+}
+
+// enter is the one place where the stage changes, and with it the time limit.
+func (c *Client) enter(next stage) {
 	s := c.server
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c.idle = idle
+	now := time.Now()
+	c.stage, c.at = next, now
 	switch {
-	case !idle:
-		_ = c.SetReadDeadline(time.Now().Add(commandTime))
-		return
+	case next == parting:
+		c.goes()
+		_ = c.SetReadDeadline(now.Add(s.words))
+	case s.cut:
+		_ = c.SetReadDeadline(now)
+	case next == begun:
+		_ = c.SetReadDeadline(now.Add(s.command))
 	case c.leave:
-		_ = c.SetReadDeadline(time.Now().Add(lastLook))
+		c.lookLast()
 	case !c.served: // bad commands do not buy time
 		_ = c.SetReadDeadline(c.since.Add(s.first))
 	default:
-		c.since = time.Now()
-		_ = c.SetReadDeadline(c.since.Add(s.idle))
+		c.since = now
+		_ = c.SetReadDeadline(now.Add(s.idle))
 	}
-	if c.R.Buffered() == 0 {
+	if next == waiting && c.R.Buffered() == 0 {
 		c.rest()
 	}
 }
 
 // Answer sends what was written.
 func (c *Client) Answer() error {
-	_ = c.SetWriteDeadline(time.Now().Add(answerTime))
+	c.answersWithin(answerTime)
 	return c.Flush()
 }
 
-// Farewell sends what was written as the last answer. What still comes is read away for a moment: closing on
-// unread bytes would take the answer with it.
+// answersWithin sets the time limit of an answer, which is shorter after Cut.
+func (c *Client) answersWithin(d time.Duration) {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	if c.server.cut {
+		d = lastWords
+	}
+	_ = c.SetWriteDeadline(time.Now().Add(d))
+}
+
+// Farewell sends what was written as the last answer and parts with the client.
 func (c *Client) Farewell() {
+	if c.Answer() == nil {
+		c.part()
+	}
+}
+
+// part ends a connection from our side: shut for writing, then what still comes is read away, up to the client's end, a moment or
+// a bound. Danger: closing on unread bytes resets the connection, and answers on their way are lost with it. What is read
+// from here on is never carried out: nobody could be answered.
+func (c *Client) part() {
+	c.enter(parting)
 	half, ok := c.Conn.Conn.(*net.TCPConn)
-	if c.Answer() != nil || !ok || half.CloseWrite() != nil {
+	if !ok || half.CloseWrite() != nil {
 		return
 	}
-	_ = c.SetReadDeadline(time.Now().Add(lastWords))
+	c.atEdge(shut)
 	_, _ = io.Copy(io.Discard, io.LimitReader(half, mostUnread))
+	c.atEdge(lastEnd)
 }
 
-// Dismiss closes every connection as soon as it waits for a command, and takes no new ones.
+// Dismiss closes every connection as soon as it waits for a command; one that comes from now on can say one.
 func (s *Server) Dismiss() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -291,18 +522,25 @@
 	}
 }
 
-// Cut ends what is left, also commands that have not come whole.
+// Cut ends what is left, also commands that have not come whole and answers that are not taken. Those that part do so in time.
 func (s *Server) Cut() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.cut = true
+	now := time.Now()
 	for c := range s.clients {
-		_ = c.SetReadDeadline(time.Now())
+		if c.stage != parting {
+			_ = c.SetReadDeadline(now)
+			_ = c.SetWriteDeadline(now.Add(lastWords))
+		}
 	}
 }
 
 // Close stops accepting and waits until all connections are closed.
 func (s *Server) Close() {
-	_ = s.listener.Close()
 	s.Dismiss()
+	_ = s.listener.SetDeadline(time.Now().Add(lastLook)) // wakes Serve
+	s.accepting.Wait()
+	_ = s.listener.Close()
 	s.done.Wait()
 }
