A half command that is out of time is pushed back before its connection ends

Cause: `Front.Serve` returned without a word when the rest of a command did not come in time or its client was let go, so one whose last byte was on its way just then had no answer. It gets `-BUSY` now, and what still comes is read away and never taken on.

--- a/internal/daemon/program_test.go
+++ b/internal/daemon/program_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -293,6 +294,74 @@
 	require.NoError(t, cmd.Wait())
 }
 
+// A crowd takes each descriptor that comes free, time and again; discovery has moved, and receivers are to be called.
+func TestCrowdLeavesDescriptorsForTheRestOfTheSender(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, ok)
+	w.writeConfig()
+	cmd := sender(w)
+	cmd.Env = append(cmd.Env, fewFiles+"=1")
+	require.NoError(t, cmd.Start())
+	assert.Equal(t, "+PONG", w.dial().say(command("PING")))
+	over, crowd := make(chan struct{}), sync.WaitGroup{}
+	for range 60 {
+		crowd.Go(func() {
+			for {
+				if c, err := net.DialTimeout("tcp", w.listen, long); err == nil {
+					_, _ = c.Read(make([]byte, 1)) // until it is let go
+					_ = c.Close()
+				}
+				select {
+				case <-over:
+					return
+				case <-time.After(time.Millisecond):
+				}
+			}
+		})
+	}
+	w.move()
+	w.writeConfig()
+	require.NoError(t, cmd.Process.Signal(syscall.SIGHUP))
+	w.soon(func() bool { return len(w.watches) > 0 }, "discovery")
+	require.Eventually(t, func() bool { return w.dial().say(handIn("a", keyed, "")) == "+OK" }, long, glimpse)
+	w.soon(func() bool { return w.calls["a"] > 0 }, "receivers")
+	close(over)
+	require.NoError(t, cmd.Process.Signal(syscall.SIGTERM))
+	require.NoError(t, cmd.Wait())
+	crowd.Wait()
+}
+
+// Several hand-ins in one write, and the client's end right behind them: each has its answer, and its call.
+func TestHandInsBeforeTheClientsEndAreAnswered(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, ok)
+	w.start()
+	c := w.dial()
+	_, err := io.WriteString(c, handIn("a", keyed, "x")+handIn("b", keyed, strings.Repeat("y", 60_000))+command("PING")+handIn("c", keyed, ""))
+	require.NoError(t, err)
+	require.NoError(t, c.Conn.(*net.TCPConn).CloseWrite())
+	all, err := io.ReadAll(c)
+	require.NoError(t, err)
+	assert.Equal(t, "+OK\r\n+OK\r\n+PONG\r\n+OK\r\n", string(all))
+	w.soon(func() bool { return w.calls["a"] == 1 && w.calls["b"] == 1 && w.calls["c"] == 1 })
+}
+
+// The last byte of a command may be on its way as its time is up. It is answered, and never taken on.
+func TestHalfAHandInIsPushedBackInTheEnd(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, ok)
+	w.start()
+	c := w.dial()
+	whole := handIn("late", keyed, "x")
+	assert.Equal(t, "-BUSY", c.say(whole[:len(whole)-1]))
+	_, err := io.WriteString(c, whole[len(whole)-1:])
+	require.NoError(t, err)
+	rest, err := io.ReadAll(c)
+	assert.NoError(t, err, "a clean end")
+	assert.Empty(t, rest)
+	assert.Equal(t, "+OK", w.dial().say(handIn("late", keyed, "x")), "nothing is owed for it")
+}
+
 // spawn starts a sender as a process of its own.
 func spawn(w *world) *exec.Cmd {
 	w.t.Helper()
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -47,7 +47,11 @@
 			return
 		}
 		if err != nil {
-			c.Late(err)
+			if c.Late(err) {
+				f.Busy.Add(1)
+				_ = protocol.WriteBusy(c.W, 0)
+				c.Farewell()
+			}
 			return
 		}
 		if !f.command(c, args, &used) {
