What surely never ran is kept for seven tenths of its time before it is given up

`giveUp` (guard 7) ended at once whatever could not go before its last chance: in a large fleet a closed destination's next trial, or the end of a pause after refusals, lies minutes away, so all that came for it went back in the turn in which it came. Its reason was that nobody hears of a return before the next trial; a fellow's note tells it.

Such a message now waits for seven tenths of its time from being taken on, and then goes back as before. What may have run, and what was told a wait beyond that, ends at once still.

Looked at and left, being the design's path: a budget below one after a failed connect or a refusal, a jitter past the deadline, no try left; and want of room (12), names of nowhere (16).

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -80,6 +80,7 @@
 	shortLeft      = 0.5         // of the deadline; who comes with less has little time, few come again so late
 	overtakenLeast = 0.25        // of the target time; an overtaken leg is not called off sooner
 	maxPatience    = 2           // target times; longest a leg is waited for
+	keepLeast      = 0.7         // of its time; what surely never ran is not given up sooner (rules)
 	gatherShare    = 0.2         // of the target time; how long messages gather for a call
 	lossStep       = 0.03        // weight of the newest leg in the share of lost ones
 	usualLoss      = 0.05        // share of lost legs up to which a row of them counts in full
@@ -341,6 +342,7 @@
 	if float64(expires-s.now) < shortLeft*float64(m.lane.Deadline) { // its client has little time, rather
 		m.sentAt = s.now
 	}
+	m.keepTill = s.now + int64(keepLeast*float64(expires-s.now))
 	s.msgs[id] = m
 	if s.taken++; s.now-s.takenFrom > takenSpan {
 		s.taken, s.takenFrom = s.taken/2, (s.now+s.takenFrom)/2
@@ -929,22 +931,24 @@
 	s.setTimer()
 }
 
-// giveUp ends at once what cannot go in time: nobody hears of a return before the next trial. Held, it would
-// fill the room and run out; pushed back, its client finds another sender, or this one later.
+// giveUp ends what cannot go in time: held, it would fill the room and run out; pushed back, its client finds
+// another sender, or this one later. What surely never ran and was told no wait that long is kept for most of
+// its time first: a fellow's note of a return may let it go.
 func (s *Sender) giveUp(d *dst) {
-	at := never
+	at, told := never, never
 	for _, r := range d.recvs {
 		hope := max(r.route.waitUntil, r.route.pause)
 		if r.health == closed {
 			hope = max(hope, r.route.trialAt)
 		}
-		at = min(at, hope)
-	}
-	if at == never {
-		return
+		at, told = min(at, hope), min(told, r.route.waitUntil)
 	}
 	for _, m := range slices.Clone(d.held) {
-		if m.lastChance() < at {
+		switch {
+		case at == never || m.lastChance() >= at:
+		case m.risky() == nil && max(s.now, told) < m.keepTill:
+			s.wakeBy(d, m.keepTill)
+		default:
 			s.end(m, at-s.now)
 		}
 	}
--- a/choice/state.go
+++ b/choice/state.go
@@ -51,6 +51,7 @@
 	sentAt    int64 // by its client, as far as can be told
 	notBefore int64 // told wait and jitter, or the rest of its key
 	giveUp    int64 // when it gets its final answer if nothing else happens
+	keepTill  int64 // until when it is kept, unless it may have run or a wait told is longer
 	at        int   // place in the expiry heap, -1 for none
 	legs      []leg // at most Room.Legs
 	recalled  bool  // no further leg
