Clients that are slow to write are heard out while there is room

Cause: a command had 0.7 s from its first byte, on the ground that clients wait 0.4 s for its answer. Now it has 2.5 s, since connecting where the client was never served: bad ones are owed an end 3 s after they came. Where places run short those over 0.7 s go among the first, before idle ones that were served, and while draining 0.7 s is all, as before.

--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -12,18 +12,19 @@
 )
 
 const (
-	acceptRest  = 20 * time.Millisecond  // after a failed accept; descriptors may be short
-	lastLook    = 2 * time.Millisecond   // for what was written to a connection about to be closed, and for one that was just opened
-	lastWords   = 100 * time.Millisecond // for a client to take its last answer and to end, and for the listener's backlog
-	servedPart  = 2                      // of the clients' bound, one place in so many is for served ones that are idle
-	turnPart    = 8                      // and one in so many for those on their way out
-	mostUnread  = 1 << 20                // bytes read away meanwhile
-	graceTime   = 100 * time.Millisecond // in which a new client or a new command is not driven out; usual ones are through by then
-	firstTime   = 2 * time.Second        // for a new client to say something
-	idleTime    = 4 * time.Second        // for one that was served to say more; it comes back on a new connection
-	commandTime = 700 * time.Millisecond // for the rest of a command once begun; clients wait less for its answer
-	answerTime  = time.Second            // for an answer to be written; clients leave sooner
-	placeLook   = 10 * time.Millisecond  // between looks whether somebody may be let go
+	acceptRest  = 20 * time.Millisecond   // after a failed accept; descriptors may be short
+	lastLook    = 2 * time.Millisecond    // for what was written to a connection about to be closed, and for one that was just opened
+	lastWords   = 100 * time.Millisecond  // for a client to take its last answer and to end, and for the listener's backlog
+	servedPart  = 2                       // of the clients' bound, one place in so many is for served ones that are idle
+	turnPart    = 8                       // and one in so many for those on their way out
+	mostUnread  = 1 << 20                 // bytes read away meanwhile
+	graceTime   = 100 * time.Millisecond  // in which a new client or a new command is not driven out; usual ones are through by then
+	firstTime   = 2 * time.Second         // for a new client to say something
+	idleTime    = 4 * time.Second         // for one that was served to say more; it comes back on a new connection
+	commandTime = 700 * time.Millisecond  // for the rest of a command once begun, where places are short or the process ends
+	slowTime    = 2500 * time.Millisecond // the same otherwise: some clients take 2 s to write. Bad ones are owed an end 3 s after they came
+	answerTime  = time.Second             // for an answer to be written; clients leave sooner
+	placeLook   = 10 * time.Millisecond   // between looks whether somebody may be let go
 )
 
 // Server takes clients' connections, a goroutine each.
@@ -34,7 +35,7 @@
 	stay     int // of them, those that are not on their way out
 	served   int // most served ones that are idle
 
-	grace, first, idle, command, words time.Duration // graceTime, firstTime, idleTime, commandTime, lastWords
+	grace, first, idle, command, slow, words time.Duration // graceTime, firstTime, idleTime, commandTime, slowTime, lastWords
 
 	mu      sync.Mutex
 	clients map[*Client]struct{} // emptied as connections close, bounded by most
@@ -117,7 +118,7 @@
 		return nil, fmt.Errorf("listen for clients: %w", err)
 	}
 	return &Server{listener: l.(*net.TCPListener), handle: handle, most: most, stay: most - most/turnPart, served: max(1, most/servedPart),
-		grace: graceTime, first: firstTime, idle: idleTime, command: commandTime, words: lastWords,
+		grace: graceTime, first: firstTime, idle: idleTime, command: commandTime, slow: slowTime, words: lastWords,
 		clients: map[*Client]struct{}{}, freed: make(chan struct{}, 1)}, nil
 }
 
@@ -269,8 +270,8 @@
 }
 
 // letOneGo lets go of the client that can best be spared, if any can: of those that never said anything of use the longest idle
-// while there are such, or a crowd of them would drive the others out; then of idle ones that were served; then of those that
-// do not end a command they have begun. Newcomers go last: where the house is full of served ones, they would else drive
+// while there are such, or a crowd of them would drive the others out, and likewise of those that were slow to end a command; then
+// of idle ones that were served; then of the others that have begun a command. Newcomers go last: where the house is full of served ones, they would else drive
 // out each other before they can speak. The lock is held.
 func (s *Server) letOneGo() {
 	now := time.Now()
@@ -302,10 +303,15 @@
 	if a, b := c.rank(now), o.rank(now); a != b {
 		return a < b
 	}
+	return c.from().Before(o.from())
+}
+
+// from is since when it is what it is let go for.
+func (c *Client) from() time.Time {
 	if c.stage == begun {
-		return c.at.Before(o.at)
+		return c.at
 	}
-	return c.since.Before(o.since)
+	return c.since
 }
 
 // stays is the rank of those that are not let go: they are leaving already, or have just begun a command.
@@ -318,8 +324,10 @@
 		return stays
 	case c.stage == begun && now.Sub(c.at) < grace:
 		return stays
-	case c.stage == begun:
+	case c.stage == begun && now.Sub(c.at) < c.server.command:
 		return 2
+	case c.stage == begun:
+		return 0
 	case c.served:
 		return 1
 	case now.Sub(c.since) < grace:
@@ -357,8 +365,12 @@
 // dismiss has a connection closed as soon as it is idle. The lock is held.
 func (c *Client) dismiss() {
 	c.goes()
-	if c.stage == waiting {
+	switch {
+	case c.server.cut: // its time is over already
+	case c.stage == waiting:
 		c.lookLast()
+	case c.stage == begun: // a limit for reading: an answer that is under way does not mind
+		_ = c.SetReadDeadline(c.at.Add(c.server.command))
 	}
 }
 
@@ -461,7 +473,7 @@
 	case s.cut:
 		_ = c.SetReadDeadline(now)
 	case next == begun:
-		_ = c.SetReadDeadline(now.Add(s.command))
+		_ = c.SetReadDeadline(c.commandEnds())
 	case c.leave:
 		c.lookLast()
 	case !c.served: // bad commands do not buy time
@@ -475,6 +487,19 @@
 	}
 }
 
+// commandEnds is when a command that begins now has to have come. The lock is held.
+func (c *Client) commandEnds() time.Time {
+	s := c.server
+	until, slow := c.at.Add(s.command), c.at.Add(s.slow)
+	if !c.served {
+		slow = c.since.Add(s.slow)
+	}
+	if !c.leave && slow.After(until) {
+		return slow
+	}
+	return until
+}
+
 // Answer sends what was written.
 func (c *Client) Answer() error {
 	c.answersWithin(answerTime)
