An answer that came before its time was up, or before its call was called off, is read

With the time limit of a connection past, reads fail without looking: an answer that lay in the system's buffer when a process that was stopped or busy went on counted as none. What it said was lost: a delivery (the message failed or ran again), or a refusal with its wait (calls went out within it). One last read now takes what has come; what is not whole by then ends as before. Line at fault: Conn.Read handed the time-out on. The test lets the answer come, then the time run out or the call be called off, and only then reads: TimedOut and CalledOff before, Done now.

--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -21,6 +21,7 @@
 	W       *bufio.Writer
 
 	first func() bool // asked once, right before the next byte goes out: whether it may; nil for no question
+	last  bool        // once, a read whose time is up takes what has come
 }
 
 var errNotNow = errors.New("write: not any more")
@@ -39,6 +40,10 @@
 func (c *Conn) Read(p []byte) (int, error) {
 	if c.in.held == 0 {
 		n, err := c.Conn.Read(c.in.space())
+		if n == 0 && c.last && isTimeout(err) {
+			c.last = false
+			n = c.come(c.in.space())
+		}
 		c.in.filled(n)
 		if n == 0 {
 			return 0, err
@@ -49,6 +54,17 @@
 	return n, nil
 }
 
+// come reads what is there, whatever the time. Danger: an answer that came in time and was not read in time, by a process that was
+// stopped or had much to do, would be lost, and a wait that it tells with it.
+func (c *Conn) come(p []byte) (n int) {
+	if raw, ok := c.Conn.(syscall.Conn); ok {
+		if under, err := raw.SyscallConn(); err == nil {
+			_ = under.Control(func(fd uintptr) { n, _, _ = syscall.Recvfrom(int(fd), p, syscall.MSG_DONTWAIT) })
+		}
+	}
+	return max(0, n)
+}
+
 // Write fills the ring, which goes out when full.
 func (c *Conn) Write(p []byte) (done int, err error) {
 	for done < len(p) {
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -294,12 +294,14 @@
 		return false, spoilt
 	}
 	told := false
+	conn.last = true
 	keep, err := j.x.Read(conn.R, func() {
 		if !told {
 			_ = conn.SetReadDeadline(earlier(j.until, time.Now().Add(restWithin))) // called off just now, it ends no later either
 		}
 		told = true
 	})
+	conn.last = false
 	switch {
 	case err == nil:
 		j.stage = Done
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -362,6 +362,40 @@
 	require.NoError(t, c.Close())
 }
 
+// The process is stopped, or busy, while an answer comes and the time for it runs out, or its call is called off.
+func TestAnswerThatCameBeforeTheEndCounts(t *testing.T) {
+	f := farSide(t, echo)
+	for name, end := range map[string]func(cancel func()){
+		"time is up": func(func()) { time.Sleep(time.Second) },
+		"called off": func(cancel func()) { cancel() },
+	} {
+		p := pool(t, long, 9)
+		var ours *Conn
+		p.connect = func(ctx context.Context, addr string, until time.Time) (c *Conn, err error) {
+			c, err = connect(ctx, addr, until)
+			ours = c
+			return c, err
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		var got string
+		x := say("call", &got)
+		read := x.Read
+		x.Read = func(r *bufio.Reader, told func()) (bool, error) {
+			assert.Eventually(t, func() bool { return ours.look() == spoke }, long, time.Millisecond)
+			end(cancel)
+			assert.Eventually(t, func() bool { return ours.look() == ended }, long, time.Millisecond, "its time is up")
+			return read(r, told)
+		}
+		patience := long
+		if name == "time is up" {
+			patience = time.Second
+		}
+		assert.Equal(t, Done, p.Do(ctx, "r", f.addr, patience, x), name)
+		assert.Equal(t, "call", got, name)
+		cancel()
+	}
+}
+
 // A machine takes no connection, and then all at once, when the call has long been given up.
 func TestCallWhoseConnectionNeverCameUpSendsNothingLater(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
