Calls for the list beside one another hold little memory

Cause: where lists are pushed a call now begins beside the one before, so lists without an end may be read several times at once, each up to mostList, 4 MiB. Nothing of the kind was seen in a log.

The limits of the follower's tests hold as before.

--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -21,8 +21,8 @@
 // be seen, one call may hang, and the next is answered (2.5 + 0.3 + 2.2 + 0.3 s); 4 s after a move (0.8 + 2.2 + 0.3 s).
 const (
 	silence      = 2500 * time.Millisecond // without an object or a beat, which comes every 2 s, after which a watch is opened anew
-	pushedFirst  = time.Second             // for the first answer where the agent holds the list; it answers at once
-	pushedNext   = 200 * time.Millisecond  // from a call to the next beside it, by a draw from half to all: some ten are out at most
+	pushedFirst  = 600 * time.Millisecond  // for the first answer where the agent holds the list; it answers at once
+	pushedNext   = 200 * time.Millisecond  // from a call to the next beside it, by a draw from half to all: six are out at most
 	askedFirst   = 2200 * time.Millisecond // where a call goes through to discovery, which fails it after 2 s if it is busy
 	askedSoon    = 300 * time.Millisecond  // before a call that nobody asks for, by a draw: the watch fell silent, the call before failed
 	movedSoon    = 800 * time.Millisecond  // likewise when discovery moved: all senders hear of that at once
--- a/internal/protocol/discovery.go
+++ b/internal/protocol/discovery.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	mostList  = 4 << 20 // bytes in one object of the list
+	mostList  = 1 << 20 // bytes in one object of the list, some 4,000 receivers; six calls for it may be out, each holding thrice that
 	watchLine = 4 << 10 // bytes read at once; a longer line comes in parts
 )
 
