--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -4,26 +4,25 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 )
 
 const (
-	acceptRest  = 20 * time.Millisecond  // after a failed accept; descriptors may be short
-	lastLook    = 2 * time.Millisecond   // for what was written to a connection about to be closed, and for one that was just opened
-	lastWords   = 100 * time.Millisecond // for a client to take its last answer and to end, and for the listener's backlog
-	servedPart  = 2                      // of the clients' bound, one place in so many is for served ones that are idle
-	turnPart    = 8                      // and one in so many for those on their way out
-	mostUnread  = 1 << 20                // bytes read away meanwhile
-	graceTime   = 100 * time.Millisecond // in which a new client or a new command is not driven out; usual ones are through by then
-	firstTime   = 2 * time.Second        // for a new client to say something
-	idleTime    = 4 * time.Second        // for one that was served to say more; it comes back on a new connection
-	commandTime = 700 * time.Millisecond // for the rest of a command once begun; clients wait less for its answer
-	answerTime  = time.Second            // for an answer to be written; clients leave sooner
-	placeLook   = 10 * time.Millisecond  // between looks whether somebody may be let go
+	acceptRest  = 20 * time.Millisecond   // after a failed accept; descriptors may be short
+	lastLook    = 2 * time.Millisecond    // for what was written to a connection about to be closed, and for one that was just opened
+	lastWords   = 100 * time.Millisecond  // for a client to take its last answer and to end, and for the listener's backlog
+	servedPart  = 2                       // of the clients' bound, one place in so many is for served ones that are idle
+	turnPart    = 8                       // and one in so many for those on their way out
+	mostUnread  = 1 << 20                 // bytes read away meanwhile
+	graceTime   = 100 * time.Millisecond  // in which a new client or a new command is not driven out; usual ones are through by then
+	firstTime   = 2 * time.Second         // for a new client to say something
+	idleTime    = 4 * time.Second         // for one that was served to say more; it comes back on a new connection
+	commandTime = 700 * time.Millisecond  // for the rest of a command once begun, where places are short or the process ends
+	slowTime    = 2500 * time.Millisecond // the same otherwise: some clients take 2 s to write. Bad ones are owed an end 3 s after they came
+	answerTime  = time.Second             // for an answer to be written; clients leave sooner
+	placeLook   = 10 * time.Millisecond   // between looks whether somebody may be let go
 )
 
 // Server takes clients' connections, a goroutine each.
@@ -34,7 +33,7 @@
 	stay     int // of them, those that are not on their way out
 	served   int // most served ones that are idle
 
-	grace, first, idle, command, words time.Duration // graceTime, firstTime, idleTime, commandTime, lastWords
+	grace, first, idle, command, slow, words time.Duration // graceTime, firstTime, idleTime, commandTime, slowTime, lastWords
 
 	mu      sync.Mutex
 	clients map[*Client]struct{} // emptied as connections close, bounded by most
@@ -50,26 +49,6 @@
 	edge  func(c *Client, at moment) // for tests: bytes may come right then; nil for nothing
 }
 
-// moment is one of those in which what a client writes crosses our close.
-type moment uint8
-
-const (
-	timeUp  moment = iota // the wait is over, nothing was looked at again
-	seen                  // nothing had come at the last look; not shut yet
-	shut                  // for writing
-	lastEnd               // nothing more is read; not closed yet
-)
-
-// stage is where a client's connection stands.
-type stage uint8
-
-// Waiting and begun follow each other until the client ends or breaks its connection, or we part with it.
-const (
-	begun   stage = iota // a command has begun, or its answer is made and written
-	waiting              // for the first byte of a command
-	parting              // shut for writing; what still comes is read away
-)
-
 // Crowd counts clients' connections: those open, and what has become of others since the start.
 type Crowd struct {
 	Open, Taken   int
@@ -98,18 +77,6 @@
 	return c
 }
 
-// Client is one client's connection.
-type Client struct {
-	*Conn
-	server *Server
-	stage  stage     // under the server's lock, like all that follows
-	at     time.Time // when it came to that stage
-	since  time.Time // of served ones when they were last idle, else when they came
-	leave  bool      // to be closed when idle
-	served bool      // has had a command answered
-	hasty  bool      // its reading away was cut short
-}
-
 // Listen opens the clients' address.
 func Listen(addr string, most int, handle func(c *Client)) (*Server, error) {
 	l, err := net.Listen("tcp", addr)
@@ -117,7 +84,7 @@
 		return nil, fmt.Errorf("listen for clients: %w", err)
 	}
 	return &Server{listener: l.(*net.TCPListener), handle: handle, most: most, stay: most - most/turnPart, served: max(1, most/servedPart),
-		grace: graceTime, first: firstTime, idle: idleTime, command: commandTime, words: lastWords,
+		grace: graceTime, first: firstTime, idle: idleTime, command: commandTime, slow: slowTime, words: lastWords,
 		clients: map[*Client]struct{}{}, freed: make(chan struct{}, 1)}, nil
 }
 
@@ -174,7 +141,8 @@
 }
 
 // short makes room after a failed accept, most likely for want of descriptors. Danger: clients take each one that comes free,
-// and discovery, receivers and the spool get none. So a part of them goes at once and nobody is accepted for a moment. False once ctx has ended.
+// and discovery, receivers and the spool get none. So a part of them goes at once and nobody is accepted for a moment. False once
+// ctx has ended.
 func (s *Server) short(ctx context.Context) bool {
 	s.mu.Lock()
 	for range max(1, len(s.clients)/turnPart) {
@@ -268,9 +236,9 @@
 	}
 }
 
-// letOneGo lets go of the client that can best be spared, if any can: of those that never said anything of use the longest idle
-// while there are such, or a crowd of them would drive the others out; then of idle ones that were served; then of those that
-// do not end a command they have begun. Newcomers go last: where the house is full of served ones, they would else drive
+// letOneGo lets go of the client that can best be spared, if any can: first of those that never said anything of use or were slow
+// to end a command, the longest so, or a crowd of them would drive the others out; then of idle ones that were served; then of the
+// others that have begun a command. Newcomers go last: where the house is full of served ones, they would else drive
 // out each other before they can speak. The lock is held.
 func (s *Server) letOneGo() {
 	now := time.Now()
@@ -298,220 +266,12 @@
 	}
 }
 
-func (c *Client) goesBefore(o *Client, now time.Time) bool {
-	if a, b := c.rank(now), o.rank(now); a != b {
-		return a < b
-	}
-	if c.stage == begun {
-		return c.at.Before(o.at)
-	}
-	return c.since.Before(o.since)
-}
-
-// stays is the rank of those that are not let go: they are leaving already, or have just begun a command.
-const stays = 4
-
-// rank is lower for those that are let go sooner.
-func (c *Client) rank(now time.Time) int {
-	switch grace := c.server.grace; {
-	case c.leave:
-		return stays
-	case c.stage == begun && now.Sub(c.at) < grace:
-		return stays
-	case c.stage == begun:
-		return 2
-	case c.served:
-		return 1
-	case now.Sub(c.since) < grace:
-		return 3
-	}
-	return 0
-}
-
-// Served marks a client whose command was of use. Danger: clients that ask once and hold on take all the places that
-// usual ones have among them, and the next cannot even connect. So beyond a part of the bound the longest idle goes.
-func (c *Client) Served() {
-	s := c.server
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if c.served {
-		return
-	}
-	c.served = true
-	served := 0
-	var oldest *Client
-	for o := range s.clients {
-		if !o.served || o.leave {
-			continue
-		}
-		served++
-		if o.stage == waiting && (oldest == nil || o.since.Before(oldest.since)) {
-			oldest = o
-		}
-	}
-	if served > s.served && oldest != nil {
-		s.letGo(oldest)
-	}
-}
-
-// dismiss has a connection closed as soon as it is idle. The lock is held.
-func (c *Client) dismiss() {
-	c.goes()
-	if c.stage == waiting {
-		c.lookLast()
-	}
-}
-
-// goes counts a connection among those that leave. The lock is held.
-func (c *Client) goes() {
-	if !c.leave {
-		c.leave = true
-		c.server.going++
-	}
-}
-
-// lookLast waits a last moment for a command. New clients have the time to speak first: closed unanswered they may have lost a message.
-// The lock is held.
-func (c *Client) lookLast() {
-	until := time.Now().Add(lastLook)
-	if speak := c.since.Add(c.server.grace); !c.served && speak.After(until) {
-		until = speak
-	}
-	_ = c.SetReadDeadline(until)
-}
-
-// Await waits for the next command; false ends the connection, between commands.
-func (c *Client) Await() bool {
-	c.enter(waiting)
-	if _, err := c.R.Peek(1); !isTimeout(err) {
-		c.enter(begun)
-		return err == nil
-	}
-	c.atEdge(timeUp)
-	if c.came() {
-		c.enter(begun)
-		return true
-	}
-	c.silent()
-	c.atEdge(seen)
-	c.part()
-	return false
-}
-
-// came looks past a time limit that is over whether there is something to read, the connection's end included. Danger: reading stops at
-// the limit whatever stands in the kernel, and a close over it resets the connection.
-func (c *Client) came() bool {
-	raw, ok := c.Conn.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	under, err := raw.SyscallConn()
-	if err != nil {
-		return false
-	}
-	var one [1]byte
-	var got error
-	err = under.Control(func(fd uintptr) {
-		_, _, got = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	})
-	return err == nil && !errors.Is(got, syscall.EAGAIN)
-}
-
-func (c *Client) silent() {
-	s := c.server
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !c.leave {
-		s.crowd.Quiet++
-	}
-}
-
-// Late tells whether a command did not come whole in time, and counts it. Its last byte may be on its way: it is owed an answer.
-func (c *Client) Late(err error) bool {
-	if !isTimeout(err) {
-		return false
-	}
-	c.server.count(&c.server.crowd.Begun)
-	return true
-}
-
 func (s *Server) count(n *int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	*n++
 }
 
-func (c *Client) atEdge(m moment) {
-	if c.server.edge != nil {
-		c.server.edge(c, m)
-	}
-}
-
-// enter is the one place where the stage changes, and with it the time limit.
-func (c *Client) enter(next stage) {
-	s := c.server
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := time.Now()
-	c.stage, c.at = next, now
-	switch {
-	case next == parting:
-		c.goes()
-		_ = c.SetReadDeadline(now.Add(s.words))
-	case s.cut:
-		_ = c.SetReadDeadline(now)
-	case next == begun:
-		_ = c.SetReadDeadline(now.Add(s.command))
-	case c.leave:
-		c.lookLast()
-	case !c.served: // bad commands do not buy time
-		_ = c.SetReadDeadline(c.since.Add(s.first))
-	default:
-		c.since = now
-		_ = c.SetReadDeadline(now.Add(s.idle))
-	}
-	if next == waiting && c.R.Buffered() == 0 {
-		c.rest()
-	}
-}
-
-// Answer sends what was written.
-func (c *Client) Answer() error {
-	c.answersWithin(answerTime)
-	return c.Flush()
-}
-
-// answersWithin sets the time limit of an answer, which is shorter after Cut.
-func (c *Client) answersWithin(d time.Duration) {
-	c.server.mu.Lock()
-	defer c.server.mu.Unlock()
-	if c.server.cut {
-		d = lastWords
-	}
-	_ = c.SetWriteDeadline(time.Now().Add(d))
-}
-
-// Farewell sends what was written as the last answer and parts with the client.
-func (c *Client) Farewell() {
-	if c.Answer() == nil {
-		c.part()
-	}
-}
-
-// part ends a connection from our side: shut for writing, then what still comes is read away, up to the client's end, a moment or
-// a bound. Danger: closing on unread bytes resets the connection, and answers on their way are lost with it. What is read
-// from here on is never carried out: nobody could be answered.
-func (c *Client) part() {
-	c.enter(parting)
-	half, ok := c.Conn.Conn.(*net.TCPConn)
-	if !ok || half.CloseWrite() != nil {
-		return
-	}
-	c.atEdge(shut)
-	_, _ = io.Copy(io.Discard, io.LimitReader(half, mostUnread))
-	c.atEdge(lastEnd)
-}
-
 // Dismiss closes every connection as soon as it waits for a command; one that comes from now on can say one.
 func (s *Server) Dismiss() {
 	s.mu.Lock()
