Two silent calls at two endpoints do not close a whole destination; three do

Seen on the yardsticks after rows across endpoints were let close a destination: where connections are scarce, two failed connects in a row, one and a half points each, are usual and no outage. `struck` now asks for three failed calls beside the three points.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -620,10 +620,11 @@
 	if sentAt < r.since || r.health == closed {
 		return
 	}
+	p := r.route
 	points *= s.weightOfSilence()
-	r.strikes, r.route.strikes, r.struckAt = r.strikes+points, r.route.strikes+points, s.now
+	r.strikes, p.strikes, r.struckAt = r.strikes+points, p.strikes+points, s.now
 	switch {
-	case r.route.strikes >= strikesToClose && r.route.strikes > r.strikes: // of several receivers
+	case p.strikes >= strikesToClose && p.bad > badRow && p.strikes > r.strikes: // not at one receiver alone
 		s.closeRoute(r)
 	case r.strikes >= strikesToClose || r.health == warming && !r.proved:
 		s.close(r)
