An end is told with the legs as they stood then

Cause: a message's time may run out while a leg of it is out. Its end is told, and the keeper of what ended undelivered reads the message's legs, while the leg's own end writes "never ran" into the same ones under the spool's lock: a data race, and a record kept by how a later moment looks. Lines: legs in keeper.go read u.Msg.Legs. Undelivered now carries a copy taken under that lock as the end is told. Only senders with [kept] were concerned.

Test: a leg out as the end is told, which then never ran; what was told does not change.

--- a/internal/keep/keeper.go
+++ b/internal/keep/keeper.go
@@ -197,7 +197,7 @@
 
 // legs joins what the spool has of them with what this process saw.
 func legs(u relay.Undelivered) (ls []kept.Leg) {
-	for _, l := range u.Msg.Legs {
+	for _, l := range u.Legs {
 		ls = append(ls, kept.Leg{At: l.SentAt, NeverRan: l.NeverRan})
 	}
 	for i, told := range slices.Backward(u.Story) { // the latest ones are this process's
--- a/internal/relay/courier.go
+++ b/internal/relay/courier.go
@@ -123,7 +123,8 @@
 		if known {
 			e.router.Unheard(message(m, lane))
 		}
-		e.ends.Undelivered(Undelivered{Msg: m, PushedBack: m.PushedBack, Advice: m.Advice, Bare: e.spool.Stripped(m)})
+		e.ends.Undelivered(Undelivered{Msg: m, PushedBack: m.PushedBack, Advice: m.Advice, Legs: e.spool.Legs(m),
+			Bare: e.spool.Stripped(m)})
 		return
 	}
 	way, advice := routing.Failed, int64(0)
@@ -257,7 +258,7 @@
 	e.mu.Lock()
 	story := c.story
 	e.mu.Unlock()
-	e.ends.Undelivered(Undelivered{Msg: m, PushedBack: pushedBack, Advice: advice, Story: story})
+	e.ends.Undelivered(Undelivered{Msg: m, PushedBack: pushedBack, Advice: advice, Story: story, Legs: e.spool.Legs(m)})
 }
 
 // leg carries out one leg and reports how it went.
--- a/internal/relay/drain_test.go
+++ b/internal/relay/drain_test.go
@@ -163,6 +163,23 @@
 	}
 }
 
+// A message's time runs out while its leg is out: who hears of the end does not look at what the leg then comes to.
+func TestAnEndIsToldByTheLegsOfItsMoment(t *testing.T) {
+	r := begin(t)
+	m := r.message("a")
+	require.NoError(t, r.Keep(m))
+	r.open <- true
+	r.Resume(m)
+	<-r.gone
+	r.tell(r.held["a"], false, 0)
+	u := <-r.ends
+	r.how <- routing.NotConnected
+	require.Eventually(t, func() bool { return r.Tally.Legs[routing.NotConnected].Load() > 0 }, long, glimpse)
+	require.Len(t, u.Legs, 1)
+	require.False(t, u.Legs[0].NeverRan)
+	require.Eventually(t, func() bool { return r.spool.Legs(m)[0].NeverRan }, long, glimpse)
+}
+
 func TestWhatStoodCountsForAMomentAndNotPastItsTime(t *testing.T) {
 	require.True(t, stillStands(standsFor, 0, standsFor+1))
 	require.False(t, stillStands(standsFor+1, 0, standsFor+2), "it stood too long ago")
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -27,7 +27,8 @@
 	PushedBack bool
 	Advice     int64 // µs after which its client should come again, 0 for none
 	Story      []Told
-	Bare       bool // its body was erased on a purge's order before this process began
+	Legs       []spool.Leg // as they stood at the end; one may still be out, and the spool goes on with the message's own
+	Bare       bool        // its body was erased on a purge's order before this process began
 }
 
 // Told is a leg and what became of it, as far as this process has seen it.
--- a/internal/spool/write.go
+++ b/internal/spool/write.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 )
 
 func (s *Spool) path(seg *segment) string {
@@ -167,6 +168,13 @@
 	})
 }
 
+// Legs are those on record by now.
+func (s *Spool) Legs(m *Message) []Leg {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(m.Legs)
+}
+
 // End records that a message ended undelivered: no leg goes out for it any more, its notice is owed.
 func (s *Spool) End(m *Message, pushedBack bool, advice int64) error {
 	return s.note(m, begin(recEnded, m.ID).number(flag(pushedBack)).number(advice).seal(), func() {
