A segment that cannot be begun keeps no record out

Cause: append opened a further segment once the newest was full, and gave the error back where that failed. A crowd of clients may have all descriptors for a moment; a leg's record refused just then uses up an attempt in no time, a hand-in is answered busy, an end is not recorded. The full segment takes the record as well: only where it ends in a torn record must there be a new one. The room bounds it as before.

Test: the next segment's name is taken, twelve records go on, and the next opens one once it can. It fails without the mend.

--- a/internal/spool/spool_test.go
+++ b/internal/spool/spool_test.go
@@ -307,3 +307,20 @@
 		require.Empty(t, open(t, killed, plenty).Owed(), "what is over stays over, cut at %d", cut)
 	}
 }
+
+// Descriptors may be short just as a segment is full.
+func TestSegmentThatCannotBeBegunKeepsNoRecordOut(t *testing.T) {
+	const room = 32 << 10
+	dir := t.TempDir()
+	s := open(t, dir, room)
+	next := filepath.Join(dir, fmt.Sprintf("%012d.seg", s.last+1))
+	require.NoError(t, os.Mkdir(next, 0o700)) // it cannot be created
+	for i := range 12 {
+		require.NoError(t, s.Take(message(fmt.Sprint(i), 1000)))
+	}
+	require.Len(t, s.order, 1)
+	require.NoError(t, os.Remove(next))
+	require.NoError(t, s.Take(message("last", 1)))
+	require.Len(t, s.order, 2)
+	require.Len(t, killed(t, dir), 13)
+}
--- a/internal/spool/write.go
+++ b/internal/spool/write.go
@@ -49,7 +49,7 @@
 func (s *Spool) append(record []byte) error {
 	seg := s.now()
 	if seg.size >= s.room/segments || s.torn {
-		if err := s.startSegment(); err != nil {
+		if err := s.startSegment(); err != nil && s.torn { // else the old one takes it too: descriptors may be short for a moment
 			return err
 		}
 		seg = s.now()
