SIGHUP is heeded though a crowd has all descriptors just then

Seen: TestCrowdLeavesDescriptorsForTheRestOfTheSender failed once in two runs of the package, and 18 times in twelve processes of it side by side, four runs each. The sender's log: `start file not taken, the old one stays in force`, open: too many open files. Discovery then stays where it was for good, for nobody signals a second time. Ruled out: the watch at the new address, which was never called.

--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"errors"
+	"syscall"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -16,15 +19,15 @@
 		case <-ctx.Done():
 			return
 		case <-p.reload:
-			p.reloadStart()
+			p.reloadStart(ctx)
 			p.reloadOperators()
 		}
 	}
 }
 
 // reloadStart comes first: what discovery has at its new address counts as told 4 s after the signal.
-func (p *Program) reloadStart() {
-	addr, err := startup.Moved(p.env)
+func (p *Program) reloadStart(ctx context.Context) {
+	addr, err := p.moved(ctx)
 	if err != nil {
 		p.log.Error("start file not taken, the old one stays in force", zap.Error(err))
 		return
@@ -32,6 +35,22 @@
 	p.log.Info("start file read again", zap.String("discovery", addr), zap.Bool("moved", p.agent.Move(addr)))
 }
 
+// moved reads where discovery is now. Danger: a crowd of clients may have all descriptors for a moment, and nobody signals a second time; so
+// it is read again as long as that alone is the fault.
+func (p *Program) moved(ctx context.Context) (addr string, err error) {
+	for {
+		addr, err = startup.Moved(p.env)
+		if !errors.Is(err, syscall.EMFILE) && !errors.Is(err, syscall.ENFILE) {
+			return addr, err
+		}
+		select {
+		case <-ctx.Done():
+			return addr, err
+		case <-time.After(glance):
+		}
+	}
+}
+
 func (p *Program) reloadOperators() {
 	if p.opFile == "" {
 		return
