--- a/internal/spool/write.go
+++ b/internal/spool/write.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 )
 
 func (s *Spool) path(seg *segment) string {
@@ -48,7 +49,7 @@
 func (s *Spool) append(record []byte) error {
 	seg := s.now()
 	if seg.size >= s.room/segments || s.torn {
-		if err := s.startSegment(); err != nil {
+		if err := s.startSegment(); err != nil && s.torn { // else the old one takes it too: descriptors may be short for a moment
 			return err
 		}
 		seg = s.now()
@@ -167,6 +168,13 @@
 	})
 }
 
+// Legs are those on record by now.
+func (s *Spool) Legs(m *Message) []Leg {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(m.Legs)
+}
+
 // End records that a message ended undelivered: no leg goes out for it any more, its notice is owed.
 func (s *Spool) End(m *Message, pushedBack bool, advice int64) error {
 	return s.note(m, begin(recEnded, m.ID).number(flag(pushedBack)).number(advice).seal(), func() {
