--- a/internal/daemon/program_test.go
+++ b/internal/daemon/program_test.go
@@ -294,7 +294,7 @@
 	require.NoError(t, cmd.Wait())
 }
 
-// A crowd takes each descriptor that comes free, time and again; the watch on discovery breaks, and receivers are to be called.
+// A crowd takes each descriptor that comes free, time and again; the watch on discovery breaks, discovery moves, and receivers are to be called.
 func TestCrowdLeavesDescriptorsForTheRestOfTheSender(t *testing.T) {
 	t.Parallel()
 	w := newWorld(t, ok)
@@ -326,6 +326,10 @@
 		w.platform.CloseClientConnections()
 		w.soon(func() bool { return len(w.watches) > before }, "discovery")
 	}
+	w.move()
+	w.writeConfig()
+	require.NoError(t, cmd.Process.Signal(syscall.SIGHUP))
+	w.soon(func() bool { return len(w.watches) > 0 }, "discovery where it has moved to")
 	require.Eventually(t, func() bool { return w.dial().say(handIn("a", keyed, "")) == "+OK" }, long, glimpse)
 	w.soon(func() bool { return w.calls["a"] > 0 }, "receivers")
 	close(over)
