--- a/choice/choice.go
+++ b/choice/choice.go
@@ -31,29 +31,29 @@
 	sickShare = 0.5  // of the slots; a failing or slow one stays at or below (design)
 
 	answerMargin = second / 100     // µs before the deadline by which we answer: two of a usual turn
-	askSpread    = 0.5              // of the time within which each sender must ask; first lookups fall evenly on it
-	askMost      = 47 * second / 10 // µs from a failed lookup's call to the next; what could be had counts as told after 6 s
-	askDraw      = second * 4 / 10  // µs; and by this much less, by a draw: never sooner, discovery bears one call of each in 8 s
+	askSpread    = 0.5              // of the time within which each sender must ask: first lookups fall on it
+	askMost      = 47 * second / 10 // µs from a failed lookup's call to the next; told counts 6 s after
+	askDraw      = second * 4 / 10  // µs; less by a draw of so much. Discovery bears a call of each in 8 s
 	keyMargin    = second / 20      // µs; a key counts as forgotten this early, for the way there
 
-	strikesToClose = 3.0             // points; three errors in a row, two silent ones or failed connects
-	silentStrike   = 1.5             // points; a leg without any answer says more than an error
-	waryFor        = 2.0             // target times that what cannot be repeated waits after a leg went wrong
-	refusedRow     = 2               // refusals without a success that look like a shut destination
-	refusedSilence = 3 * second      // µs that such a row must last; limiters free room sooner
-	badRow         = 2               // calls wrong or refused in a row, anywhere at a route: an outage?
-	pauseFirst     = second / 4      // µs; pause of a route after a refusal, doubled by each further one
-	pauseTurn      = 0.3             // of the interval of a cold share; the first pause at least
-	pauseMost      = 2 * second      // µs; longest such pause
-	longWait       = 5 * second / 2  // µs; no limiter tells waits this long, a shut destination does
-	trialGap       = 7 * second / 10 // µs between trials at a closed route, at least
-	fleetGap       = second / 2      // µs between all senders' trials where they may pile up
-	leastTrials    = 0.001           // a second; a trial in a quarter of an hour stands for none
-	pilingRest     = 8               // times the usual gap, at most, for that: large destinations bear more
-	rampMargin     = 0.8             // share of the allowed load on a cold receiver; rest is for chance
-	rampExtra      = 0.25            // of a call; weight of each further message in a call to a cold receiver
-	roughLow       = 0.67            // a rough weight may be half too high
-	rateSpan       = 5 * second      // µs before what was counted makes a rate
+	strikesToClose  = 3.0             // points; three errors in a row, two silent ones or failed connects
+	silentStrike    = 1.5             // points; a leg without any answer says more than an error
+	waryFor         = 2.0             // target times that what cannot be repeated waits after a leg went wrong
+	refusedRow      = 2               // refusals without a success that look like a shut destination
+	refusedSilence  = 3 * second      // µs that such a row must last; limiters free room sooner
+	badRow          = 2               // calls wrong or refused in a row, anywhere at a route: an outage?
+	pauseFirst      = second / 4      // µs; pause of a route after a refusal, doubled by each further one
+	pauseTurn       = 0.3             // of the interval of a cold share; the first pause at least
+	pauseMost       = 2 * second      // µs; longest such pause
+	longWait        = 5 * second / 2  // µs; no limiter tells waits this long, a shut destination does
+	trialGap        = 7 * second / 10 // µs between trials at a closed route, at least
+	fleetGap        = second / 2      // µs between all senders' trials where they may pile up
+	leastTrials     = 0.001           // a second; a trial in a quarter of an hour stands for none
+	pilingRest      = 8               // times the usual gap, at most, for that: large destinations bear more
+	slowStartMargin = 0.8             // share of the allowed load on a cold receiver; rest is for chance
+	slowStartExtra  = 0.25            // of a call; weight of each further message in a call to a cold receiver
+	roughLow        = 0.67            // a rough weight may be half too high
+	rateSpan        = 5 * second      // µs before what was counted makes a rate
 
 	paceShares     = 1.3         // even shares of a known limit: others may leave some of theirs
 	paceLeast      = 3.0         // calls that may go at once at least, however small the even share
@@ -249,7 +249,7 @@
 // the best of many thin spans lies far above the mean. A sender alone gets all, so none is noise.
 func (p *route) succeeded(now int64, open bool, senders int) {
 	p.row, p.bad, p.oks = 0, 0, p.oks+1
-	if !open || p.okFrom == 0 { // a ramp's own restraint is no measure
+	if !open || p.okFrom == 0 { // a slow start's own restraint is no measure
 		p.okFrom, p.okNow = now, 0
 	} else if now-p.okFrom > okSpan && p.okNow >= okLeast {
 		sure := p.okNow - math.Sqrt(p.okNow*(1-1/float64(max(1, senders))))
@@ -315,8 +315,9 @@
 	}
 }
 
-// lookupFailed draws when to ask again. Danger: what discovery can't answer in time still costs it the work; where all come back at
-// one beat, none gets an answer. One that had long been answered draws over the whole span; then each keeps its place in it.
+// lookupFailed draws when to ask again. Danger: what discovery can't answer in time still costs it the work;
+// where all come back at one beat, none gets an answer. One that had long been answered draws over the whole
+// span; then each keeps its place in it.
 func (s *Sender) lookupFailed() {
 	s.askAt = s.askedAt + askMost - int64(s.chance()*float64(askDraw))
 	if s.now-s.askedAt >= askMost {
@@ -614,8 +615,8 @@
 
 // struck guards against any outage that shows as legs gone wrong: down, silent, hung, failing most calls.
 // Legs sent before the last change say nothing new. Where a row without a success at several receivers of a
-// route makes the points, all close: a thin sender finds each out too late. A setback while warming starts the
-// ramp anew; an error alone among answers is none: where some get spoilt, the ramp would never end.
+// route makes the points, all close: a thin sender finds each out too late. A setback while warming
+// has slow start begin anew; an error alone among answers is none: where some get spoilt, it would never end.
 func (s *Sender) struck(r *receiver, sentAt int64, points float64) {
 	if sentAt < r.since || r.health == closed {
 		return
@@ -640,7 +641,7 @@
 }
 
 // tell notes something of a receiver to the fellows, once in a span. No rule leans on a note: who hears of a
-// return sends no more than its share of the ramp.
+// return sends no more than its share of slow start.
 func (s *Sender) tell(r *receiver, mark string, till *int64, span int64) {
 	if s.now >= *till && s.allowed.Notes {
 		s.host.Note(mark + strconv.FormatUint(uint64(r.id), 10))
@@ -783,9 +784,9 @@
 	return float64(s.team.Senders) * max(r.route.okPeak, max(1, r.route.oks)*float64(second)/float64(stood))
 }
 
-// ramp is this sender's share of what a receiver back from an outage may be sent, in calls a second.
+// slowStart is this sender's share of what a receiver back from an outage may be sent, in calls a second.
 // Danger: a cold destination sent a multiple of what it can do falls over for good.
-func (s *Sender) ramp(r *receiver) float64 {
+func (s *Sender) slowStart(r *receiver) float64 {
 	start, warm := s.guards.StartShare, min(1, float64(s.now-r.since)/float64(max(1, s.guards.WarmWithin)))
 	rate := s.coldShare(r, start+(1-start)*warm)
 	if !r.dst.kind.Apart {
@@ -796,7 +797,7 @@
 
 // coldShare is this sender's part of what a destination (or route) may be sent at a share of its capacity.
 func (s *Sender) coldShare(r *receiver, share float64) float64 {
-	return s.capacity(r) * share * s.guards.Overload * rampMargin / float64(s.team.Senders)
+	return s.capacity(r) * share * s.guards.Overload * slowStartMargin / float64(s.team.Senders)
 }
 
 // readyAt is when a receiver may get its next call; never for one that waits for an event.
@@ -820,7 +821,7 @@
 			s.become(r, open)
 			return at
 		}
-		rate := s.ramp(r)
+		rate := s.slowStart(r)
 		r.tokens = min(1, r.tokens+rate*float64(s.now-r.filledAt)/float64(second))
 		r.filledAt = s.now
 		if r.tokens < 1 {
@@ -1093,7 +1094,7 @@
 		if next.m == nil {
 			return
 		}
-		r.tokens -= rampExtra
+		r.tokens -= slowStartExtra
 		s.send(next.m, c)
 	}
 }
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -115,7 +115,7 @@
 
 func TestARowOfFailuresSpacesCallsUpToAColdShare(t *testing.T) {
 	f := fleet(t, 30, 8)[0]
-	r, turn := f.recvs[1], 30*float64(second)/(8*.2*2*rampMargin)
+	r, turn := f.recvs[1], 30*float64(second)/(8*.2*2*slowStartMargin)
 	for i, most := range []float64{0, pauseTurn, 2 * pauseTurn, 1, 1} {
 		f.failed(r)
 		assert.LessOrEqual(t, float64(r.route.pause-f.now), 1.5*most*turn)
@@ -518,7 +518,7 @@
 	assert.NotContains(t, f.after(5*second), "cancel another 0", "one alone may just be slow")
 }
 
-// A machine that replaces one ill unseen is cold: it starts on the ramp, not at the usual rate.
+// A machine that replaces one ill unseen is cold: it begins with slow start, not at the usual rate.
 func TestAReceiverNewAmongTroubledOnesStartsOnTheRamp(t *testing.T) {
 	f := begin(t, keyed, 40, 2, 20, Kind{Batch: 1})
 	quick(f, 5)
--- a/choice/state.go
+++ b/choice/state.go
@@ -197,7 +197,7 @@
 	okAt       int64
 	okSent     int64 // when the latest call that it answered went out
 	probing    bool
-	tokens     float64 // of the ramp
+	tokens     float64 // of slow start
 	filledAt   int64
 }
 
