Capacity page: figures at 500 senders and 99,000 destinations, made from data files

Cause: the design is to bear 500 senders, 99,000 destinations and 10.8 million messages owed a sender, and nobody could say where it stands.

--- /dev/null
+++ b/internal/capacity/figures_rig_test.go
@@ -0,0 +1,397 @@
+package capacity
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// size is one size of the design: a value, or a product of others over others.
+type size struct {
+	Name  string   `json:"name"`
+	What  string   `json:"what"`
+	Value float64  `json:"value"` // 1 if left out where there are others
+	Times []string `json:"times"`
+	Over  []string `json:"over"`
+}
+
+// term is a series at a size, times and over others. Without At it is the series at zero.
+type term struct {
+	Series string   `json:"series"`
+	At     []string `json:"at"`
+	Part   string   `json:"part"` // "slope" leaves the series' value at zero out
+	Times  []string `json:"times"`
+	Over   []string `json:"over"`
+}
+
+// figure is a sum of terms beside what is allowed.
+type figure struct {
+	Name    string  `json:"name"`
+	Role    string  `json:"role"`
+	Event   string  `json:"event"`
+	What    string  `json:"what"`
+	Unit    string  `json:"unit"`
+	Scale   float64 `json:"scale"` // of the series' unit to this one's; 1 if left out
+	Terms   []term  `json:"terms"`
+	Allowed float64 `json:"allowed"` // in Unit; none if 0
+	Why     string  `json:"why"`     // it is allowed
+	Breaks  string  `json:"breaks"`  // what happens beyond: service, rule or cost
+	Axis    string  `json:"axis"`    // the size of which it carries so many
+	By      string  `json:"by"`      // the mechanism: package and page
+	Missing bool    `json:"missing"` // no mechanism carries it
+	Note    string  `json:"note"`
+}
+
+// model is docs/capacity: series, sizes and figures.
+type model struct {
+	Sizes   []size   `json:"sizes"`
+	Figures []figure `json:"figures"`
+	series  map[string]series
+	order   []string
+}
+
+const (
+	dataDir  = "../../docs/capacity"
+	pageFile = "../../docs/CAPACITY.md"
+)
+
+func readModel(t testing.TB) *model {
+	m := &model{series: map[string]series{}}
+	text, err := os.ReadFile(filepath.Join(dataDir, "figures.json"))
+	require.NoError(t, err)
+	d := json.NewDecoder(strings.NewReader(string(text)))
+	d.DisallowUnknownFields()
+	require.NoError(t, d.Decode(m), "figures.json")
+	files, err := filepath.Glob(filepath.Join(dataDir, "*.json"))
+	require.NoError(t, err)
+	for _, file := range files {
+		if filepath.Base(file) == "figures.json" {
+			continue
+		}
+		for _, s := range readSeries(t, file) {
+			require.NotContains(t, m.series, s.Name, "a slope stands once")
+			m.series[s.Name], m.order = s, append(m.order, s.Name)
+		}
+	}
+	return m
+}
+
+// values are all sizes by name, with one of them replaced.
+func (m *model) values(axis string, by float64) map[string]float64 {
+	v := map[string]float64{}
+	for _, s := range m.Sizes {
+		x := s.Value
+		if x == 0 {
+			x = 1
+		}
+		for _, o := range s.Times {
+			x *= v[o]
+		}
+		for _, o := range s.Over {
+			x /= v[o]
+		}
+		if s.Name == axis {
+			x = by
+		}
+		v[s.Name] = x
+	}
+	return v
+}
+
+// check names what is wrong with the model itself.
+func (m *model) check() error {
+	var faults []error
+	say := func(format string, a ...any) { faults = append(faults, fmt.Errorf(format, a...)) }
+	known := map[string]bool{}
+	use := func(who string, names ...[]string) {
+		for _, n := range slices.Concat(names...) {
+			if !known[n] {
+				say("%s: no size %q before it", who, n)
+			}
+		}
+	}
+	for _, s := range m.Sizes {
+		use("size "+s.Name, s.Times, s.Over)
+		if known[s.Name] {
+			say("size %s stands twice", s.Name)
+		}
+		known[s.Name] = true
+	}
+	seen := map[string]bool{}
+	for _, f := range m.Figures {
+		if seen[f.Name] {
+			say("figure %s stands twice", f.Name)
+		}
+		seen[f.Name] = true
+		for _, t := range f.Terms {
+			if _, ok := m.series[t.Series]; !ok {
+				say("figure %s: no series %q", f.Name, t.Series)
+			}
+			use("figure "+f.Name, t.At, t.Times, t.Over)
+		}
+		if f.Allowed > 0 && !slices.Contains([]string{"service", "rule", "cost"}, f.Breaks) {
+			say("figure %s: does not say what breaks", f.Name)
+		}
+		if f.Axis != "" {
+			use("figure "+f.Name, []string{f.Axis})
+		}
+		if f.By == "" && !f.Missing {
+			say("figure %s: no mechanism", f.Name)
+		}
+	}
+	for _, s := range m.series {
+		if !slices.Contains([]string{"measured", "simulated", "reckoned"}, s.Kind) {
+			say("series %s: kind %q", s.Name, s.Kind)
+		}
+		if s.Run == "" {
+			say("series %s: no run", s.Name)
+		}
+	}
+	return errors.Join(faults...)
+}
+
+func product(v map[string]float64, names []string) float64 {
+	x := 1.0
+	for _, n := range names {
+		x *= v[n]
+	}
+	return x
+}
+
+// at is the figure at the sizes.
+func (m *model) at(f figure, v map[string]float64) (sum float64) {
+	for _, t := range f.Terms {
+		s, y := m.series[t.Series], 0.0
+		if t.Part != "slope" {
+			y = s.AtZero
+		}
+		if len(t.At) > 0 {
+			y += s.Slope * product(v, t.At)
+		}
+		sum += y * product(v, t.Times) / product(v, t.Over)
+	}
+	if f.Scale != 0 {
+		sum *= f.Scale
+	}
+	return sum
+}
+
+// source says how the figure came: its weakest kind, and how far beyond the range measured.
+func (m *model) source(f figure, v map[string]float64) string {
+	kind, beyond := "", 1.0
+	rank := []string{"measured", "simulated", "reckoned"}
+	for _, t := range f.Terms {
+		s := m.series[t.Series]
+		if kind == "" || slices.Index(rank, s.Kind) > slices.Index(rank, kind) {
+			kind = s.Kind
+		}
+		if x := product(v, t.At); len(t.At) > 0 && s.Kind != "reckoned" {
+			if s.Range[1] > 0 && x > s.Range[1]*1.02 {
+				beyond = max(beyond, x/s.Range[1])
+			} else if x < s.Range[0]*0.98 {
+				beyond = max(beyond, s.Range[0]/x)
+			}
+		}
+	}
+	if beyond > 1 {
+		return fmt.Sprintf("%s, **beyond range** ×%s", kind, short(beyond))
+	}
+	return kind
+}
+
+// share is allowed to figure: below 1 the figure stands as a wall there.
+func (m *model) share(f figure, v map[string]float64) float64 {
+	if f.Missing {
+		return 0
+	}
+	return f.Allowed / m.at(f, v)
+}
+
+// unsure is the largest scatter of a figure's series.
+func (m *model) unsure(f figure) (most float64) {
+	for _, t := range f.Terms {
+		most = max(most, m.series[t.Series].Scatter)
+	}
+	return most
+}
+
+// carries says so, or up to how many of the axis.
+func (m *model) carries(f figure, v map[string]float64) string {
+	switch {
+	case f.Missing:
+		return "**missing**"
+	case f.Allowed == 0:
+		return "no bound told"
+	case m.share(f, v) >= 1+m.unsure(f):
+		return "carries"
+	case m.share(f, v) >= 1:
+		return "carries, by less than the scatter"
+	case f.Axis == "":
+		return "**up to " + short(100*m.share(f, v)) + "%** of it"
+	}
+	low, high := 0.0, v[f.Axis]
+	for range 60 {
+		mid := (low + high) / 2
+		if m.at(f, m.values(f.Axis, mid)) <= f.Allowed {
+			low = mid
+		} else {
+			high = mid
+		}
+	}
+	if low < 1e-9 {
+		return "**not at any** " + words(f.Axis)
+	}
+	return "**up to " + short(low) + "** " + words(f.Axis)
+}
+
+func words(name string) string { return strings.ReplaceAll(name, "_", " ") }
+
+// short gives two digits that count below 100, three above, with thousands apart.
+func short(v float64) string {
+	n := 2
+	if math.Abs(v) >= 100 {
+		n = 3
+	}
+	v = digits(v, n)
+	if math.Abs(v) < 1e-4 && v != 0 {
+		return strconv.FormatFloat(v, 'e', 1, 64)
+	}
+	text := strconv.FormatFloat(v, 'f', -1, 64)
+	whole, rest, _ := strings.Cut(text, ".")
+	for i := len(whole) - 3; i > 0 && whole[i-1] != '-'; i -= 3 {
+		whole = whole[:i] + "," + whole[i:]
+	}
+	if rest != "" {
+		return whole + "." + rest
+	}
+	return whole
+}
+
+type table struct{ head, rows []string }
+
+func (t *table) row(cells ...string) { t.rows = append(t.rows, "| "+strings.Join(cells, " | ")+" |") }
+
+func (t *table) text() string {
+	rule := strings.Repeat("| --- ", len(t.head)) + "|"
+	return strings.Join(slices.Concat([]string{"| " + strings.Join(t.head, " | ") + " |", rule}, t.rows), "\n") + "\n"
+}
+
+func allowed(f figure) string {
+	if f.Allowed == 0 {
+		return ""
+	}
+	text := short(f.Allowed)
+	if f.Why != "" {
+		text += " (" + f.Why + ")"
+	}
+	return text
+}
+
+func percent(share float64) string {
+	if share == 0 {
+		return "none"
+	}
+	return short(100*share) + "%"
+}
+
+// tables are all tables of the page by name.
+func (m *model) tables() map[string]string {
+	v := m.values("", 0)
+	all := map[string]string{}
+	sizes := &table{head: []string{"size", "value", ""}}
+	for _, s := range m.Sizes {
+		if s.What == "" { // arithmetic
+			continue
+		}
+		sizes.row(words(s.Name), short(v[s.Name]), s.What)
+	}
+	all["sizes"] = sizes.text()
+	roles := map[string]*table{}
+	var walls []figure
+	for _, f := range m.Figures {
+		if roles[f.Role] == nil {
+			roles[f.Role] = &table{head: []string{"when", "what", "at the size", "allowed", "", "source", "carried by", "because"}}
+		}
+		value := ""
+		if len(f.Terms) > 0 {
+			value = short(m.at(f, v)) + " " + f.Unit
+		}
+		roles[f.Role].row(f.Event, f.What, value, allowed(f), m.carries(f, v), m.source(f, v), f.By, f.Note)
+		if f.Missing || f.Allowed > 0 && m.share(f, v) < 1 {
+			walls = append(walls, f)
+		}
+	}
+	for role, t := range roles {
+		all["role "+role] = t.text()
+	}
+	slices.SortStableFunc(walls, func(a, b figure) int {
+		grave := func(f figure) int {
+			if f.Breaks == "cost" {
+				return 1
+			}
+			return 0
+		}
+		if d := grave(a) - grave(b); d != 0 {
+			return d
+		}
+		return int(math.Copysign(1, m.share(a, v)-m.share(b, v)))
+	})
+	rank := &table{head: []string{"", "wall", "role", "stands at, share of the size", "beyond it", "carries", "source"}}
+	for i, f := range walls {
+		rank.row(strconv.Itoa(i+1), f.What+", "+f.Event, f.Role, percent(m.share(f, v)), f.Breaks, m.carries(f, v), m.source(f, v))
+	}
+	all["walls"] = rank.text()
+	slopes := &table{head: []string{"series", "what", "slope", "at zero", "range", "scatter", "kind and run"}}
+	for _, name := range m.order {
+		s := m.series[name]
+		span, scatter := short(s.Range[0])+" to "+short(s.Range[1]), short(100*s.Scatter)+"%"
+		if s.Kind == "reckoned" {
+			span, scatter = "", ""
+		}
+		slopes.row("`"+name+"`", s.What, fmt.Sprintf("%s %s a %s", short(s.Slope), s.Unit, s.Per), short(s.AtZero)+" "+s.Unit, span, scatter, s.Kind+": "+s.Run)
+	}
+	all["slopes"] = slopes.text()
+	return all
+}
+
+// fill puts the tables between their markers, and names markers without a table and tables without a marker.
+func fill(page string, tables map[string]string) (string, error) {
+	var out strings.Builder
+	var faults []error
+	done := map[string]bool{}
+	for rest := page; ; {
+		before, after, found := strings.Cut(rest, "<!-- table ")
+		out.WriteString(before)
+		if !found {
+			break
+		}
+		name, body, ok := strings.Cut(after, " -->\n")
+		_, tail, closed := strings.Cut(body, "<!-- end -->")
+		if !ok || !closed {
+			faults = append(faults, fmt.Errorf("marker %.40q is not closed", after))
+			break
+		}
+		text, known := tables[name]
+		if !known {
+			faults = append(faults, fmt.Errorf("no table %q", name))
+		}
+		done[name] = true
+		out.WriteString("<!-- table " + name + " -->\n" + text + "<!-- end -->")
+		rest = tail
+	}
+	for name := range tables {
+		if !done[name] {
+			faults = append(faults, fmt.Errorf("table %q has no place on the page", name))
+		}
+	}
+	return out.String(), errors.Join(faults...)
+}
--- /dev/null
+++ b/internal/capacity/series_rig_test.go
@@ -0,0 +1,142 @@
+package capacity
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"os"
+	"runtime"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// series is one slope of the data files docs/capacity/*.json.
+type series struct {
+	Name    string       `json:"name"`
+	What    string       `json:"what"`
+	Unit    string       `json:"unit"`
+	Per     string       `json:"per"`
+	Kind    string       `json:"kind"` // measured, simulated or reckoned
+	Slope   float64      `json:"slope"`
+	AtZero  float64      `json:"at_zero"`
+	Scatter float64      `json:"scatter"`
+	Points  [][2]float64 `json:"points"`
+	Range   [2]float64   `json:"range"`
+	Run     string       `json:"run"`
+}
+
+// fit draws the line with the least sum of squared relative deviations; scatter is the largest one.
+func (s *series) fit() {
+	var w, x, y, xx, xy float64
+	s.Range = [2]float64{math.Inf(1), math.Inf(-1)}
+	for _, p := range s.Points {
+		s.Range[0], s.Range[1] = min(s.Range[0], p[0]), max(s.Range[1], p[0])
+		v := 1 / max(p[1]*p[1], 1e-18)
+		w, x, y, xx, xy = w+v, x+v*p[0], y+v*p[1], xx+v*p[0]*p[0], xy+v*p[0]*p[1]
+	}
+	if d := w*xx - x*x; d > 0 {
+		s.Slope = (w*xy - x*y) / d
+	}
+	if w > 0 {
+		s.AtZero = (y - s.Slope*x) / w
+	}
+	s.Scatter = s.scatter()
+}
+
+// scatter is the largest deviation of a point from the line, as a part of the line there.
+func (s *series) scatter() (most float64) {
+	for _, p := range s.Points {
+		line := s.AtZero + s.Slope*p[0]
+		most = max(most, math.Abs(p[1]-line)/max(math.Abs(line), 1e-12))
+	}
+	return most
+}
+
+// figures gathers series by name.
+type figures struct {
+	order []string
+	by    map[string]*series
+}
+
+func (f *figures) add(name, what, unit, per string, x, y float64) {
+	if f.by == nil {
+		f.by = map[string]*series{}
+	}
+	s := f.by[name]
+	if s == nil {
+		s = &series{Name: name, What: what, Unit: unit, Per: per, Kind: "measured"}
+		f.by[name], f.order = s, append(f.order, name)
+	}
+	s.Points = append(s.Points, [2]float64{x, y})
+}
+
+// write puts the series into a data file; those of the same names give way, others stay.
+func (f *figures) write(t testing.TB, path, run string) {
+	all := readSeries(t, path)
+	for _, name := range f.order {
+		s := f.by[name]
+		s.Run = run
+		s.fit()
+		at := -1
+		for i := range all {
+			if all[i].Name == name {
+				at = i
+			}
+		}
+		if at < 0 {
+			all = append(all, *s)
+		} else {
+			all[at] = *s
+		}
+	}
+	writeSeries(t, path, all)
+}
+
+func writeSeries(t testing.TB, path string, all []series) {
+	var lines []string
+	for _, s := range all {
+		for _, v := range []*float64{&s.Slope, &s.AtZero, &s.Scatter, &s.Range[0], &s.Range[1]} {
+			*v = digits(*v, 4)
+		}
+		for i := range s.Points {
+			s.Points[i] = [2]float64{digits(s.Points[i][0], 8), digits(s.Points[i][1], 4)}
+		}
+		text, err := json.Marshal(s)
+		require.NoError(t, err)
+		lines = append(lines, "  "+string(text))
+	}
+	require.NoError(t, os.WriteFile(path, []byte("[\n"+strings.Join(lines, ",\n")+"\n]\n"), 0o644))
+}
+
+// digits rounds to so many that count.
+func digits(v float64, n int) float64 {
+	r, err := strconv.ParseFloat(strconv.FormatFloat(v, 'g', n, 64), 64)
+	if err != nil {
+		return v
+	}
+	return r
+}
+
+// readSeries is empty where there is no such file yet.
+func readSeries(t testing.TB, path string) (all []series) {
+	text, err := os.ReadFile(path)
+	if os.IsNotExist(err) {
+		return nil
+	}
+	require.NoError(t, err)
+	require.NoError(t, json.Unmarshal(text, &all), path)
+	return all
+}
+
+// machine says when and on what a run was.
+func machine(test, more string) string {
+	load := "not told"
+	if text, err := os.ReadFile("/proc/loadavg"); err == nil {
+		load, _, _ = strings.Cut(string(text), " ")
+	}
+	return fmt.Sprintf("%s, %s, %d cores, one of them the sender's, load %s%s", test, time.Now().Format(time.DateOnly), runtime.NumCPU(), load, more)
+}
