Capacity: destinations known are measured with 128 MB told as well

Cause: control has 128 MB a sender, and the runs told 16 GB, so nothing showed what a sender does that is beyond its memory. Change: TestSenderAlone has a part tight, the same sizes with 128 MB told.

--- a/internal/capacity/sender_test.go
+++ b/internal/capacity/sender_test.go
@@ -12,9 +12,9 @@
 	"github.com/stretchr/testify/require"
 )
 
-// RAVENLINK_CAPACITY asks for the long form: destinations, owed, or both. It writes docs/capacity/sender.json:
+// RAVENLINK_CAPACITY asks for the long form: destinations, tight (the same with 128 MB told), owed, or several. It writes docs/capacity/sender.json:
 //
-//	RAVENLINK_CAPACITY=destinations,owed go test -count=1 -timeout 30m -run TestSenderAlone -v ./internal/capacity
+//	RAVENLINK_CAPACITY=destinations,tight,owed go test -count=1 -timeout 30m -run TestSenderAlone -v ./internal/capacity
 const longForm = "RAVENLINK_CAPACITY"
 
 const (
@@ -25,9 +25,9 @@
 )
 
 // atDestinations measures one sender that knows so many destinations.
-func atDestinations(t *testing.T, f *figures, n int64, idle, settle time.Duration, carried int64) {
+func atDestinations(t *testing.T, f *figures, n int64, idle, settle time.Duration, carried int64, memoryMB int) {
 	s := newSurroundings(t)
-	s.configure(told{destinations: n})
+	s.configure(told{destinations: n, memoryMB: memoryMB})
 	p := s.start()
 	x := float64(n)
 	started, err := p.served(long)
@@ -147,7 +147,21 @@
 		f, run := &figures{}, machine("TestSenderAlone", "")
 		for _, n := range []int64{1000, 1000, 3000, 3000, 7600, 7600, 20000, 50000, 99000} {
 			t.Logf("%d destinations", n)
-			atDestinations(t, f, n, idleFor, settle, 2000)
+			atDestinations(t, f, n, idleFor, settle, 2000, 0)
+		}
+		f.write(t, senderFile, run)
+	}
+	if strings.Contains(wanted, "tight") {
+		f, run := &figures{}, machine("TestSenderAlone", ", 128 MB told")
+		for _, n := range []int64{1000, 1000, 7600, 7600, 20000, 50000, 99000} {
+			t.Logf("%d destinations, 128 MB told", n)
+			all := &figures{}
+			atDestinations(t, all, n, idleFor, settle, 2000, 128)
+			for _, name := range []string{"destination_rss_anon", "destination_list_rss_anon", "destination_list_peak_rss", "destination_carried_core_seconds"} {
+				if s := all.by[name]; s != nil {
+					f.add("tight_"+name, s.What+"; 128 MB of memory are told", s.Unit, s.Per, s.Points[0][0], s.Points[0][1])
+				}
+			}
 		}
 		f.write(t, senderFile, run)
 	}
@@ -176,7 +190,7 @@
 	const few, many = 500, 4500
 	f := &figures{}
 	for _, n := range []int64{few, many} {
-		atDestinations(t, f, n, time.Second, settle/4, 0)
+		atDestinations(t, f, n, time.Second, settle/4, 0, 0)
 	}
 	o := atOwed(t, f, 3000, time.Second, settle/4, 2*mostStart*time.Second)
 	require.Empty(t, broken(f, o), "%+v", o)
