Lists of more than 1 MiB are read, a member at a time, within a share of the memory told

Cause: an object of the list was read as one text and refused beyond 1 MiB (`mostList`), 7,700 to 8,800 receivers; a sender that knew nothing else went to serving and answered every hand-in BUSY. Seen first: TestListBeyondOneMiBIsInForce (a real process, 10,000 receivers) failed on the old text after 20 s without an +OK; it passes now.

The members of a large list (more than 1 MiB of text or 3 MiB of memory) have a quarter of the memory told, at 256 bytes each and their strings; 48 MB are enough for 44,630 of the measured ones. Beyond that one error line names the bound, what was known stays in force, and the next call comes 2 s later, so that discovery need not send such a list five times a second. What brings no member is bounded at 1 MiB as before, now from the latest member. Where lists are pushed one call at a time reads a large list and none begins beside it: six had been six times the memory. Limits of time: up to 1 MiB of text as before. From there each further 5,000 members give 0.6 s where less is left (`goesOn`), first objects and later ones alike: what hangs or trickles is found out 0.6 s after the members before. The first 1 MiB has to come within the old limit. The watch no longer holds its first list for life.

--- a/internal/daemon/program.go
+++ b/internal/daemon/program.go
@@ -43,6 +43,7 @@
 
 const (
 	memoryShare = 0.7                     // of the limit, for the Go heap; the rest is files, stacks and sockets
+	listPart    = 4                       // of the memory limit, one in so many is for the members of a list while it is read
 	diskShare   = 0.9                     // of the limit, for the spool
 	clientPart  = 2                       // of the descriptors, one in so many is for clients
 	callPart    = 3                       // and one in so many for receivers; the rest is reserve
@@ -122,7 +123,8 @@
 	p.engine = relay.New(part(p.log, "messages"), p.clock, p.router, p.spool, p.calls)
 	p.notices = platform.NewNotices(part(p.log, "notices"), p.agent, up, p.told)
 	p.engine.Tell(p.notices)
-	p.discovery = platform.NewDiscovery(part(p.log, "discovery"), p.router, p.agent, up, startup.Subscribes(settings))
+	p.discovery = platform.NewDiscovery(part(p.log, "discovery"), p.router, p.agent, up, startup.Subscribes(settings),
+		startup.Memory(c)/listPart)
 	if err := p.discovery.Known(startup.Known(c)); err != nil {
 		return nil, err
 	}
--- a/internal/daemon/program_test.go
+++ b/internal/daemon/program_test.go
@@ -545,6 +545,33 @@
 	w.soon(func() bool { return w.notices["a"] == "returned" })
 }
 
+// manyListed is a whole list of more than so many receivers, the last of them the stand-in's, for the destination of that number.
+func (w *world) manyListed(n int) string {
+	var b strings.Builder
+	b.WriteString(`{"revision":3,"complete":true,"members":[`)
+	for i := range n {
+		fmt.Fprintf(&b, `{"id":"r-%06d","host_port":"10.1.%d.%d:8080","locality":"z","flavor":"m","cell":%d,"phase":"SERVING","size":1},`,
+			i, i/250, i%250, 1_000_000+i)
+	}
+	fmt.Fprintf(&b, `{"id":"last","host_port":"%s","locality":"z","flavor":"m","cell":%d,"phase":"SERVING","size":1}]}`, w.receiver.Listener.Addr(), n)
+	return b.String()
+}
+
+// A list of more than 1 MiB is in force as any other; the sender used to answer every hand-in BUSY.
+func TestListBeyondOneMiBIsInForce(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, ok)
+	many := w.manyListed(10_000)
+	require.Greater(t, len(many), 1<<20)
+	w.held = func() string { return many }
+	cmd := spawn(w)
+	c := w.dial()
+	require.Eventually(t, func() bool { return c.say(handIn("a", "c=once,d=8000,dest=10000", "")) == "+OK" }, long, glimpse)
+	w.soon(func() bool { return w.calls["a"] == 1 })
+	require.NoError(t, cmd.Process.Signal(syscall.SIGTERM))
+	require.NoError(t, cmd.Wait())
+}
+
 // What the agent holds counts as told from the first moment of a process, so nothing owed goes out before it was heard.
 func TestNothingOwedGoesOutBeforeTheAgentWasHeard(t *testing.T) {
 	t.Parallel()
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -27,9 +27,14 @@
 	askedSoon    = 300 * time.Millisecond  // before a call that nobody asks for, by a draw: the watch fell silent, the call before failed
 	movedSoon    = 800 * time.Millisecond  // likewise when discovery moved: all senders hear of that at once
 	unaskedCalls = 2                       // then the module says when
+	largeOn      = 600 * time.Millisecond  // for each further 5,000 members of a large list, counted from the members before; see watch.goesOn
+	largeAgain   = 2 * time.Second         // from a list that was too large to the next call, so that discovery need not send it five times a second
 )
 
-var errSilent = errors.New("the watch fell silent")
+var (
+	errSilent = errors.New("the watch fell silent")
+	errBeside = errors.New("another call reads the large list") // not worth a line in the log
+)
 
 // Discovery follows the list of receivers.
 type Discovery struct {
@@ -37,6 +42,7 @@
 	router    *routing.Router
 	agent     *Agent
 	within    time.Duration
+	mostList  int64         // bytes of memory for the members of a large list
 	onlyAsked bool          // the module says when to watch
 	ask       chan struct{} // it said so
 	revision  int64
@@ -52,8 +58,9 @@
 }
 
 // NewDiscovery makes a follower. With onlyAsked it watches only when Asked; a connection comes up within a time or not at all.
-func NewDiscovery(log *zap.Logger, router *routing.Router, agent *Agent, within time.Duration, onlyAsked bool) *Discovery {
-	return &Discovery{log: log, router: router, agent: agent, within: within, onlyAsked: onlyAsked, ask: make(chan struct{}, 1),
+// The members of a large list take at most so many bytes of memory in the call that reads it.
+func NewDiscovery(log *zap.Logger, router *routing.Router, agent *Agent, within time.Duration, onlyAsked bool, mostList int64) *Discovery {
+	return &Discovery{log: log, router: router, agent: agent, within: within, onlyAsked: onlyAsked, mostList: mostList, ask: make(chan struct{}, 1),
 		dial: transport.Dial, heard: make(chan struct{})}
 }
 
@@ -170,6 +177,23 @@
 	objects *protocol.Watch
 	first   protocol.List
 	close   context.CancelFunc
+	large   bool      // it has the place of the call that reads a large list
+	until   time.Time // for the whole object or beat that is read
+}
+
+// within sets the time limit for what is read next.
+func (w *watch) within(d time.Duration) {
+	w.until = time.Now().Add(d)
+	_ = w.conn.SetDeadline(w.until)
+}
+
+// goesOn is the one exception to a limit for a whole object: where a large list has grown by another 5,000 members, there are 0.6 s for the
+// next, so one that streams steadily is read to its end, and one that hangs or trickles is found out in that time. Up to 1 MiB of text and
+// 3 MiB of memory nothing of it holds.
+func (w *watch) goesOn() {
+	if time.Until(w.until) < largeOn {
+		w.within(largeOn)
+	}
 }
 
 // follow follows the list at one address until its watch breaks.
@@ -179,11 +203,13 @@
 		return err
 	}
 	defer w.close()
+	w.objects.Limit(d.mostList, func() error { w.goesOn(); return nil })
 	d.unasked = 0
 	d.take(w.first)
+	w.first = protocol.List{} // a large one is not kept as long as the watch
 	d.heardOnce.Do(func() { close(d.heard) })
 	for {
-		_ = w.conn.SetDeadline(time.Now().Add(silence)) // for a whole object or beat: bytes alone show no life
+		w.within(silence) // for a whole object or beat: bytes alone show no life
 		l, beat, err := w.objects.Next()
 		switch {
 		case errors.Is(err, os.ErrDeadlineExceeded):
@@ -202,7 +228,7 @@
 		return d.race(ctx, addr)
 	}
 	here, leave := context.WithCancel(ctx)
-	if w, err = d.call(here, addr, d.revision, askedFirst); err != nil {
+	if w, err = d.call(here, addr, d.revision, askedFirst, make(chan struct{}, 1)); err != nil {
 		leave()
 		return nil, err
 	}
@@ -210,18 +236,28 @@
 	return w, nil
 }
 
+// contest is what the calls of a race have in common.
+type contest struct {
+	won              chan *watch
+	large            chan struct{} // the place of the call that reads a large list; emptied as that fails
+	warned, tooLarge sync.Once     // in the log
+}
+
 // race makes one call beside the other until one is answered. Danger: the agent is silent while discovery is down, and what it gets at
-// the return counts as told at once, so no moment may be without a call, and a call that it has lost must not be waited for.
+// the return counts as told at once, so no moment may be without a call, and a call that it has lost must not be waited for. While one reads
+// a large list, no other begins: six large lists at once are more than there is memory for.
 func (d *Discovery) race(ctx context.Context, addr string) (*watch, error) {
 	race, over := context.WithCancel(ctx)
 	defer over()
-	won, warned := make(chan *watch), &sync.Once{}
+	among := &contest{won: make(chan *watch), large: make(chan struct{}, 1)}
 	for {
-		from := d.revision
-		d.calls.Go(func() { d.enter(ctx, race, addr, from, won, warned) })
+		if len(among.large) == 0 {
+			from := d.revision
+			d.calls.Go(func() { d.enter(ctx, race, addr, from, among) })
+		}
 		d.next = time.Now().Add(pushedNext/2 + rand.N(pushedNext/2))
 		select {
-		case w := <-won:
+		case w := <-among.won:
 			return w, nil
 		case <-ctx.Done():
 			return nil, ctx.Err()
@@ -231,32 +267,46 @@
 }
 
 // enter makes a call that ends with the race, unless it has won it.
-func (d *Discovery) enter(ctx, race context.Context, addr string, from int64, won chan<- *watch, warned *sync.Once) {
+func (d *Discovery) enter(ctx, race context.Context, addr string, from int64, among *contest) {
 	here, leave := context.WithCancel(ctx)
 	out := context.AfterFunc(race, leave)
-	w, err := d.call(here, addr, from, pushedFirst)
+	w, err := d.call(here, addr, from, pushedFirst, among.large)
 	if in := out(); in && err == nil {
 		w.close = leave
 		select {
-		case won <- w:
+		case among.won <- w:
 			return
 		case <-race.Done():
 		}
 	}
 	leave()
-	if err != nil && race.Err() == nil {
-		warned.Do(func() { d.log.Warn("call for the list failed, others follow", zap.Error(err)) })
+	switch {
+	case err == nil || race.Err() != nil || errors.Is(err, errBeside):
+	case errors.Is(err, protocol.ErrTooLarge):
+		among.tooLarge.Do(func() { d.log.Error("what is known stays in force", zap.Error(err)) })
+	default:
+		among.warned.Do(func() { d.log.Warn("call for the list failed, others follow", zap.Error(err)) })
+	}
+	if errors.Is(err, protocol.ErrTooLarge) {
+		select {
+		case <-time.After(largeAgain):
+		case <-race.Done():
+		}
+	}
+	if w != nil && w.large {
+		<-among.large
 	}
 }
 
-// call makes one call for the changes after a revision. It is over within a time, connecting and first object included, whatever comes. Its
-// connection closes with ctx.
-func (d *Discovery) call(ctx context.Context, addr string, from int64, within time.Duration) (*watch, error) {
+// call makes one call for the changes after a revision. It is over within a time, connecting and first object included, whatever comes; see
+// goesOn for a large list, which only the call that finds a place in large reads; it keeps that, also as it fails. Its connection closes with ctx.
+func (d *Discovery) call(ctx context.Context, addr string, from int64, within time.Duration, large chan struct{}) (w *watch, err error) {
 	until := time.Now().Add(within)
 	c, err := d.dial(ctx, addr, min(d.within, within))
 	if err != nil {
 		return nil, err
 	}
+	w = &watch{conn: c, until: until}
 	_ = c.SetDeadline(until)
 	if err := protocol.WriteWatch(c.W, addr, from); err != nil {
 		return nil, err
@@ -264,13 +314,25 @@
 	if err := c.Flush(); err != nil {
 		return nil, err
 	}
-	w := &watch{conn: c}
 	if w.objects, err = protocol.NewWatch(c.R); err != nil {
 		return nil, err
 	}
+	w.objects.Limit(d.mostList, func() error {
+		if !w.large {
+			select {
+			case large <- struct{}{}:
+				w.large = true
+			default:
+				return errBeside
+			}
+		}
+		w.goesOn()
+		return nil
+	})
 	for beat := true; beat; { // beats alone tell nothing
 		if w.first, beat, err = w.objects.Next(); err != nil {
-			return nil, err
+			_ = c.Close()
+			return w, err
 		}
 	}
 	return w, nil
@@ -283,7 +345,8 @@
 	d.router.List(listings(l), l.Whole, false)
 }
 
-func listings(l protocol.List) (ls []routing.Listing) {
+func listings(l protocol.List) []routing.Listing {
+	ls := make([]routing.Listing, 0, len(l.Members))
 	for _, m := range l.Members {
 		ls = append(ls, routing.Listing{ID: m.ID, Addr: m.Addr, Zone: m.Zone, Kind: m.Kind, Dst: m.Dst, Weight: m.Weight,
 			Listed: m.Serving})
--- a/internal/platform/discovery_test.go
+++ b/internal/platform/discovery_test.go
@@ -107,6 +107,7 @@
 	does  func(addr string) deed // at the call that begins; nil refuses
 	mu    sync.Mutex             // for the deeds and
 	made  int                    // calls
+	froms []string               // the revisions that they asked from
 	since atomic.Int64           // what is waited for could be had from then, by the operators' word
 	told  atomic.Int64           // when a call was answered with the list; 0 for not yet
 	here  chan struct{}          // closed then
@@ -132,7 +133,13 @@
 	context.AfterFunc(ctx, func() { _ = ours.Close(); _ = theirs.Close() })
 	p.serving.Go(func() {
 		in, err := http.ReadRequest(bufio.NewReader(theirs))
-		if err == nil && in.FormValue("from") != "7" { // of a list that was never whole
+		if err != nil {
+			return
+		}
+		p.mu.Lock()
+		p.froms = append(p.froms, in.FormValue("from"))
+		p.mu.Unlock()
+		if in.FormValue("from") != "7" { // of a list that was never whole
 			does(theirs)
 		}
 	})
@@ -141,10 +148,15 @@
 
 // begin starts a play with a chance of its own, which ends with the test's bubble.
 func begin(t *testing.T, seed time.Duration, mode string, does func(p *play, addr string) deed) *play {
+	return beginWithin(t, seed, mode, 32<<20, zap.NewNop(), does)
+}
+
+// beginWithin has so many bytes for the members of a large list, and a log.
+func beginWithin(t *testing.T, seed time.Duration, mode string, most int64, log *zap.Logger, does func(p *play, addr string) deed) *play {
 	ctx, cancel := context.WithCancel(t.Context())
 	router := routing.New(uint64(seed), gjson.Parse(fmt.Sprintf(settings, mode)), func() int64 { return time.Now().UnixMicro() }, func(string) {}, func(string) {})
 	p := &play{agent: NewAgent("here"), here: make(chan struct{})}
-	p.Discovery = NewDiscovery(zap.NewNop(), router, p.agent, time.Second, mode == asked)
+	p.Discovery = NewDiscovery(log, router, p.agent, time.Second, mode == asked, most)
 	assert.NoError(t, p.Known([]byte(`{"revision":1,"members":[{"id":"s-1","host_port":"r:1","locality":"z","flavor":"m","cell":7,"phase":"SERVING","size":1}]}`)))
 	p.dial = p.connect
 	p.does = func(addr string) deed { return does(p, addr) }
@@ -367,7 +379,7 @@
 func gotOver(t *testing.T, l net.Listener, fails string, mend func()) {
 	router := routing.New(1, gjson.Parse(fmt.Sprintf(settings, pushed)), func() int64 { return time.Now().UnixMicro() }, func(string) {}, func(string) {})
 	logs, seen := observer.New(zap.WarnLevel)
-	d := NewDiscovery(zap.New(logs), router, NewAgent(l.Addr().String()), 300*time.Millisecond, false)
+	d := NewDiscovery(zap.New(logs), router, NewAgent(l.Addr().String()), 300*time.Millisecond, false, 32<<20)
 	ctx, cancel := context.WithCancel(t.Context())
 	over := make(chan struct{})
 	go func() { d.Run(ctx); close(over) }()
--- a/internal/routing/report.go
+++ b/internal/routing/report.go
@@ -80,7 +80,7 @@
 		form = choice.Whole
 	}
 	r.turn(func() {
-		var entries []choice.Entry
+		entries := make([]choice.Entry, 0, len(listings))
 		for _, l := range listings {
 			entries = append(entries, choice.Entry{Receiver: r.number(l), Dst: l.Dst, Weight: l.Weight, Listed: l.Listed,
 				Kind: slices.Index(r.kinds, l.Kind), Zone: slices.Index(r.zones, l.Zone)})
