--- a/internal/capacity/process_rig_test.go
+++ b/internal/capacity/process_rig_test.go
@@ -138,6 +138,7 @@
 	destinations int64
 	diskMB       float64
 	memoryMB     int
+	held         int    // messages that the holding room takes
 	operator     string // text of the operator's file; empty for none
 }
 
@@ -145,7 +146,7 @@
 "zones":["z0","z1","z2","z3","z4","z5","z6","z7","z8","z9","z10","z11"],
 "classes":[{"name":"notice","aim":2000,"deadline":7200000,"group":"all","importance":1,"late_worth":0.5,"repeat":"by_key","window":15000}],
 "family_info":{"max_calls":64,"own_limits":[false],"batch_by_kind":[1],"late":"halves"},
-"limits":{"most_held":20000000,"send_cap":6,"probes":true,"cancel":true,"retry_after":true,"peers":false,"max_retry_after":2000,"connect_timeout":1000,"conn_idle":5000},
+"limits":{"most_held":%d,"send_cap":6,"probes":true,"cancel":true,"retry_after":true,"peers":false,"max_retry_after":2000,"connect_timeout":1000,"conn_idle":5000},
 "rules":{"start_capacity":0.2,"warm_within":10000,"overload_factor":2}}`
 
 // sender is one process of the built program.
@@ -172,11 +173,14 @@
 	if l.memoryMB == 0 {
 		l.memoryMB = 16384
 	}
+	if l.held == 0 {
+		l.held = 20_000_000
+	}
 	if l.diskMB == 0 {
 		l.diskMB = 4000
 	}
 	s.write("config.json", fmt.Sprintf(`{"name":"n0","discovery":"%s","seed":"8c1f30d27a5be964","limits":{"cores":1,"memory_mb":%d,"sockets":1024,"disk_mb":%g},"known":%s,"settings":%s}`,
-		s.platform.Listener.Addr(), l.memoryMB, l.diskMB, s.list(1, l.destinations, 0, true), settings))
+		s.platform.Listener.Addr(), l.memoryMB, l.diskMB, s.list(1, l.destinations, 0, true), fmt.Sprintf(settings, l.held)))
 	require.NoError(s.t, os.MkdirAll(s.folder(), 0o700))
 	if l.operator != "" {
 		s.write("operator.toml", l.operator)
--- a/internal/capacity/sender_test.go
+++ b/internal/capacity/sender_test.go
@@ -12,9 +12,9 @@
 	"github.com/stretchr/testify/require"
 )
 
-// RAVENLINK_CAPACITY asks for the long form: destinations, tight (the same with 128 MB told), owed, or several. It writes docs/capacity/sender.json:
+// RAVENLINK_CAPACITY asks for the long form: destinations, tight (the same with 128 MB told), owed, backlog (what is beyond the holding room on disk), or several. It writes docs/capacity/sender.json:
 //
-//	RAVENLINK_CAPACITY=destinations,tight,owed go test -count=1 -timeout 30m -run TestSenderAlone -v ./internal/capacity
+//	RAVENLINK_CAPACITY=destinations,tight,owed,backlog go test -count=1 -timeout 30m -run TestSenderAlone -v ./internal/capacity
 const longForm = "RAVENLINK_CAPACITY"
 
 const (
@@ -75,11 +75,23 @@
 	notStarted            bool
 }
 
+// owing is where a sender keeps what it owes.
+type owing struct {
+	name     string // of the series
+	held     int    // messages that its holding room takes
+	operator string // its operator's file
+}
+
+var (
+	inMemory = owing{name: "owed", held: 20_000_000}
+	onDisk   = owing{name: "backlog", held: 20_000, operator: "version = 1\n[backlog]\n"}
+)
+
 // atOwed measures one sender that owes so many messages for destinations that are down.
-func atOwed(t *testing.T, f *figures, n int64, idle, settle, patience time.Duration) (o owedOne) {
+func atOwed(t *testing.T, f *figures, kind owing, n int64, idle, settle, patience time.Duration) (o owedOne) {
 	s := newSurroundings(t)
 	s.down = downs
-	s.configure(told{destinations: downs + 15})
+	s.configure(told{destinations: downs + 15, held: kind.held, operator: kind.operator})
 	p := s.start()
 	_, err := p.served(long)
 	require.NoError(t, err)
@@ -88,14 +100,14 @@
 	used := p.used()
 	ok, _, _ := s.handInMany(0, warm, dst, long)
 	require.EqualValues(t, warm, ok)
-	f.add("owed_first_hand_in_core_seconds", "processor time for one hand-in with its first call, where the sender does not know yet that the destination is down", "s", "message owed", 0, (p.used()-used).Seconds()/warm)
+	f.add(kind.name+"_first_hand_in_core_seconds", "processor time for one hand-in with its first call, where the sender does not know yet that the destination is down", "s", "message owed", 0, (p.used()-used).Seconds()/warm)
 	hand := func(first int64) (each time.Duration) {
 		used := p.used()
 		ok, _, took := s.handInMany(first, first+probe, dst, long)
 		require.EqualValues(t, probe, ok)
 		each = (p.used() - used) / probe
-		f.add("owed_hand_in_core_seconds", "processor time for one hand-in for a destination that is known to be down, while so many messages are owed", "s", "message owed", float64(first), each.Seconds())
-		f.add("owed_hand_in_seconds", "time for one such hand-in, four clients with 64 under way each", "s", "message owed", float64(first), took.Seconds()/probe)
+		f.add(kind.name+"_hand_in_core_seconds", "processor time for one hand-in for a destination that is known to be down, while so many messages are owed", "s", "message owed", float64(first), each.Seconds())
+		f.add(kind.name+"_hand_in_seconds", "time for one such hand-in, four clients with 64 under way each", "s", "message owed", float64(first), took.Seconds()/probe)
 		return each
 	}
 	o.handIn = hand(warm)
@@ -109,13 +121,13 @@
 	rest(settle)
 	used = p.used()
 	rest(idle)
-	f.add("owed_idle_core", "processor time of a sender that owes so many messages for 1,485 destinations that are down", "core", "message owed", x, (p.used()-used).Seconds()/idle.Seconds())
+	f.add(kind.name+"_idle_core", "processor time of a sender that owes so many messages for 1,485 destinations that are down", "core", "message owed", x, (p.used()-used).Seconds()/idle.Seconds())
 	o.owed = x
 	o.anon, o.rss = p.memory()
 	o.disk = s.disk()
-	f.add("owed_rss_anon", "RssAnon of a sender that owes so many messages with bodies of 20 bytes", "B", "message owed", x, o.anon)
-	f.add("owed_rss", "VmRSS of the same", "B", "message owed", x, o.rss)
-	f.add("owed_disk", "bytes of the state folder", "B", "message owed", x, o.disk)
+	f.add(kind.name+"_rss_anon", "RssAnon of a sender that owes so many messages with bodies of 20 bytes", "B", "message owed", x, o.anon)
+	f.add(kind.name+"_rss", "VmRSS of the same", "B", "message owed", x, o.rss)
+	f.add(kind.name+"_disk", "bytes of the state folder", "B", "message owed", x, o.disk)
 	o.handInMore = hand(n)
 	p.kill()
 	p = s.start()
@@ -125,11 +137,11 @@
 		return o
 	}
 	require.NoError(t, err)
-	f.add("owed_start_seconds", "from a start after SIGKILL until the sender serves", "s", "message owed", x+probe, o.started.Seconds())
+	f.add(kind.name+"_start_seconds", "from a start after SIGKILL until the sender serves", "s", "message owed", x+probe, o.started.Seconds())
 	rest(settle)
 	anon, _ := p.memory()
-	f.add("owed_start_rss_anon", "RssAnon after such a start", "B", "message owed", x+probe, anon)
-	f.add("owed_start_peak_rss", "VmHWM after such a start", "B", "message owed", x+probe, p.peak())
+	f.add(kind.name+"_start_rss_anon", "RssAnon after such a start", "B", "message owed", x+probe, anon)
+	f.add(kind.name+"_start_peak_rss", "VmHWM after such a start", "B", "message owed", x+probe, p.peak())
 	p.kill()
 	return o
 }
@@ -169,7 +181,15 @@
 		f, run := &figures{}, machine("TestSenderAlone", "")
 		for _, n := range []int64{5000, 5000, 10000, 10000, 30000, 30000, 100000, 300000, 1000000} {
 			t.Logf("%d owed", n)
-			atOwed(t, f, n, idleFor, settle, long)
+			atOwed(t, f, inMemory, n, idleFor, settle, long)
+		}
+		f.write(t, senderFile, run)
+	}
+	if strings.Contains(wanted, "backlog") {
+		f, run := &figures{}, machine("TestSenderAlone", ", [backlog], room for 20,000 in memory")
+		for _, n := range []int64{30000, 30000, 100000, 100000, 300000, 1000000} {
+			t.Logf("%d owed, beyond the holding room on disk", n)
+			atOwed(t, f, onDisk, n, idleFor, settle, long)
 		}
 		f.write(t, senderFile, run)
 	}
@@ -192,7 +212,7 @@
 	for _, n := range []int64{few, many} {
 		atDestinations(t, f, n, time.Second, settle/4, 0, 0)
 	}
-	o := atOwed(t, f, 3000, time.Second, settle/4, 2*mostStart*time.Second)
+	o := atOwed(t, f, inMemory, 3000, time.Second, settle/4, 2*mostStart*time.Second)
 	require.Empty(t, broken(f, o), "%+v", o)
 }
 
