--- a/internal/capacity/figures_rig_test.go
+++ b/internal/capacity/figures_rig_test.go
@@ -28,7 +28,7 @@
 type term struct {
 	Series string   `json:"series"`
 	At     []string `json:"at"`
-	Part   string   `json:"part"` // "slope" leaves the series' value at zero out
+	Part   string   `json:"part"` // "slope" leaves the series' value at zero out; "mean" takes the mean of its points wherever they are
 	Times  []string `json:"times"`
 	Over   []string `json:"over"`
 }
@@ -137,6 +137,9 @@
 				say("figure %s: no series %q", f.Name, t.Series)
 			}
 			use("figure "+f.Name, t.At, t.Times, t.Over)
+			if !slices.Contains([]string{"", "slope", "mean"}, t.Part) || t.Part == "mean" && len(t.At) > 0 {
+				say("figure %s: part %q of %q", f.Name, t.Part, t.Series)
+			}
 		}
 		if f.Allowed > 0 && !slices.Contains([]string{"service", "rule", "cost"}, f.Breaks) {
 			say("figure %s: does not say what breaks", f.Name)
@@ -144,6 +147,9 @@
 		if f.Axis != "" {
 			use("figure "+f.Name, []string{f.Axis})
 		}
+		if len(faults) == 0 && len(f.Terms) > 0 && m.at(f, m.values("", 0)) <= 0 {
+			say("figure %s: a line that falls was drawn out below zero", f.Name)
+		}
 		if f.By == "" && !f.Missing {
 			say("figure %s: no mechanism", f.Name)
 		}
@@ -171,8 +177,13 @@
 func (m *model) at(f figure, v map[string]float64) (sum float64) {
 	for _, t := range f.Terms {
 		s, y := m.series[t.Series], 0.0
-		if t.Part != "slope" {
+		switch t.Part {
+		case "":
 			y = s.AtZero
+		case "mean":
+			for _, p := range s.Points {
+				y += p[1] / float64(len(s.Points))
+			}
 		}
 		if len(t.At) > 0 {
 			y += s.Slope * product(v, t.At)
@@ -187,13 +198,16 @@
 
 // source says how the figure came: its weakest kind, and how far beyond the range measured.
 func (m *model) source(f figure, v map[string]float64) string {
-	kind, beyond := "", 1.0
+	kind, beyond, where := "", 1.0, ""
 	rank := []string{"measured", "simulated", "reckoned"}
 	for _, t := range f.Terms {
 		s := m.series[t.Series]
 		if kind == "" || slices.Index(rank, s.Kind) > slices.Index(rank, kind) {
 			kind = s.Kind
 		}
+		if t.Part == "mean" {
+			where = ", at " + short(s.Range[0]) + " to " + short(s.Range[1]) + " " + s.Per
+		}
 		if x := product(v, t.At); len(t.At) > 0 && s.Kind != "reckoned" {
 			if s.Range[1] > 0 && x > s.Range[1]*1.02 {
 				beyond = max(beyond, x/s.Range[1])
@@ -202,6 +216,7 @@
 			}
 		}
 	}
+	kind += where
 	if beyond > 1 {
 		return fmt.Sprintf("%s, **beyond range** ×%s", kind, short(beyond))
 	}
--- a/internal/capacity/page_test.go
+++ b/internal/capacity/page_test.go
@@ -75,6 +75,13 @@
 	require.InDelta(t, 198*60, m.at(m.Figures[1], v), 1e-9)
 	require.Equal(t, "reckoned", m.source(m.Figures[1], v))
 	require.Equal(t, "carries", m.carries(m.Figures[1], v))
+	known := m.series["known"]
+	known.Points = [][2]float64{{1000, 6e6}, {7600, 20e6}}
+	mean := m.Figures[0]
+	mean.Terms = []term{{Series: "known", Part: "mean"}}
+	m.series["known"] = known
+	require.InDelta(t, 13, m.at(mean, v), 1e-9)
+	require.Equal(t, "measured, at 1,000 to 7,600 ", m.source(mean, v))
 	tables := m.tables()
 	require.Regexp(t, `(?s)\| 1 \| one log.*none.*\| 2 \| memory.*63%`, tables["walls"])
 	require.NotContains(t, tables["walls"], "facts")
@@ -88,6 +95,9 @@
 		"no such size":       func(m *model) { m.Figures[0].Terms[0].At = []string{"people"} },
 		"a size after use":   func(m *model) { m.Sizes[0], m.Sizes[2] = m.Sizes[2], m.Sizes[0] },
 		"figure twice":       func(m *model) { m.Figures[1].Name = "memory" },
+		"unknown part":       func(m *model) { m.Figures[0].Terms[0].Part = "median" },
+		"a mean at a size":   func(m *model) { m.Figures[0].Terms[0].Part = "mean" },
+		"a fall below zero":  func(m *model) { m.series["facts"] = series{Kind: "measured", Run: "a test", AtZero: 60, Slope: -1} },
 		"no mechanism":       func(m *model) { m.Figures[0].By = "" },
 		"does not say what":  func(m *model) { m.Figures[0].Breaks = "" },
 		"unknown kind":       func(m *model) { m.series["facts"] = series{Kind: "guessed", Run: "by hand"} },
--- a/internal/capacity/sender_test.go
+++ b/internal/capacity/sender_test.go
@@ -100,7 +100,8 @@
 	used := p.used()
 	ok, _, _ := s.handInMany(0, warm, dst, long)
 	require.EqualValues(t, warm, ok)
-	f.add(kind.name+"_first_hand_in_core_seconds", "processor time for one hand-in with its first call, where the sender does not know yet that the destination is down", "s", "message owed", 0, (p.used()-used).Seconds()/warm)
+	rest(settle) // the calls to all of them fail meanwhile
+	f.add(kind.name+"_first_hand_in_core_seconds", "processor time for one hand-in and the first calls of it, where the sender does not know yet that the destination is down", "s", "message owed", 0, (p.used()-used).Seconds()/warm)
 	hand := func(first int64) (each time.Duration) {
 		used := p.used()
 		ok, _, took := s.handInMany(first, first+probe, dst, long)
--- a/internal/capacity/series_rig_test.go
+++ b/internal/capacity/series_rig_test.go
@@ -29,21 +29,22 @@
 	Run     string       `json:"run"`
 }
 
-// fit draws the line with the least sum of squared relative deviations; scatter is the largest one.
+// fit draws the line of least squares, so that the largest sizes count most: they are nearest to those that it is drawn out to.
 func (s *series) fit() {
-	var w, x, y, xx, xy float64
-	s.Range = [2]float64{math.Inf(1), math.Inf(-1)}
+	s.Slope, s.AtZero, s.Range = 0, 0, [2]float64{math.Inf(1), math.Inf(-1)}
+	n, x, y := float64(len(s.Points)), 0.0, 0.0
 	for _, p := range s.Points {
 		s.Range[0], s.Range[1] = min(s.Range[0], p[0]), max(s.Range[1], p[0])
-		v := 1 / max(p[1]*p[1], 1e-18)
-		w, x, y, xx, xy = w+v, x+v*p[0], y+v*p[1], xx+v*p[0]*p[0], xy+v*p[0]*p[1]
+		x, y = x+p[0]/n, y+p[1]/n
 	}
-	if d := w*xx - x*x; d > 0 {
-		s.Slope = (w*xy - x*y) / d
+	var xx, xy float64
+	for _, p := range s.Points {
+		xx, xy = xx+(p[0]-x)*(p[0]-x), xy+(p[0]-x)*(p[1]-y)
 	}
-	if w > 0 {
-		s.AtZero = (y - s.Slope*x) / w
+	if xx > 0 {
+		s.Slope = xy / xx
 	}
+	s.AtZero = y - s.Slope*x
 	s.Scatter = s.scatter()
 }
 
