--- a/internal/fleettest/scale_figures_test.go
+++ b/internal/fleettest/scale_figures_test.go
@@ -55,20 +55,25 @@
 // reading is how a figure is read out of a run.
 type reading struct {
 	name, what, unit string
-	of               func(Run) float64
+	of               func(Run, float64) float64 // and the number of senders
 }
 
-func rate(phase, name string) func(Run) float64 {
-	return func(r Run) float64 { return r[phase][name] }
+func rate(phase, name string) func(Run, float64) float64 {
+	return func(r Run, _ float64) float64 { return r[phase][name] }
 }
 
 // each is what a phase has more than another of something, for each of what it has of another thing.
-func each(phase, than, name, of string) func(Run) float64 {
-	return func(r Run) float64 { return (r[phase][name] - r[than][name]) / r[phase][of] }
+func each(phase, than, name, of string) func(Run, float64) float64 {
+	return func(r Run, _ float64) float64 { return (r[phase][name] - r[than][name]) / r[phase][of] }
+}
+
+// ofOwned is what the whole fleet has more with limits than without, for each destination in use.
+func ofOwned(name string) func(Run, float64) float64 {
+	return func(r Run, n float64) float64 { return (r["limits"][name] - r["thin"][name]) * n / inUse(n) }
 }
 
 const (
-	bothWays = "on the wire at one sender, posts and answers of both directions with HTTP heads, without TCP's and IP's"
+	wire     = "that one sender puts on the wire, its posts and its answers to others' with HTTP heads, without TCP's and IP's; as much comes in"
 	perCore  = "% of a core"
 	perSec   = "bytes/s"
 	everyMem = " without the driver's own"
@@ -79,13 +84,15 @@
 	phases := [][2]string{{"rest", "at rest"}, {"thin", "at 4 messages a second a sender to destinations without a limit"},
 		{"limits", "with 2.2 messages a second a sender to destinations with a declared limit beside those"},
 		{"down", "with 3.3 messages a second a sender to destinations that are down beside those"},
-		{"death", "from the kill of a twelfth of the senders until all others see them gone"},
-		{"return", "from their start until all others see them again"}}
+		{"death", "at 4 messages a second, from the kill of a twelfth of the senders until all others see them gone"},
+		{"return", "at 4 messages a second, from their start until all others see them again"}}
 	for _, p := range phases {
 		name := strings.ReplaceAll(p[0], " ", "_")
-		all = append(all, reading{"bytes_" + name, "bytes a second " + bothWays + ", " + p[1], perSec, func(r Run) float64 { return r[p[0]]["bytes"] }},
+		all = append(all, reading{"bytes_" + name, "bytes a second " + wire + ", " + p[1], perSec, func(r Run, _ float64) float64 { return r[p[0]]["bytes"] }},
 			reading{"core_" + name, "processor time, user and system, of one sender's fleet, links' two ends, log and all," + everyMem + ", " + p[1], perCore,
-				func(r Run) float64 { return r[p[0]]["core"] - r["driver"]["core"]*r[p[0]]["messages"]/perSender }})
+				func(r Run, _ float64) float64 {
+					return r[p[0]]["core"] - r["driver"]["core"]*r[p[0]]["messages"]/perSender
+				}})
 	}
 	for _, k := range []string{"members", "shares", "verdicts"} {
 		for _, p := range phases[:4] {
@@ -97,11 +104,13 @@
 	}
 	return append(all, []reading{
 		{"segments_rest", "TCP segments at one sender's listening side, both ways, at rest", "segments/s", rate("rest", "segments")},
-		{"bytes_a_limited_message", "bytes more than without them for each message to a destination with a limit, " + bothWays, "bytes/message", each("limits", "thin", "bytes", "limited")},
+		{"bytes_a_limited_message", "bytes more than without them for each message to a destination with a limit, " + wire, "bytes/message", each("limits", "thin", "bytes", "limited")},
+		{"bytes_a_limited_destination", "bytes a second more than without them for each destination with a limit that has had a message within half a minute (their number is reckoned from the draws), over the whole fleet, posts and answers with HTTP heads", perSec, ofOwned("bytes")},
+		{"letters_a_limited_destination", "letters on shares sent for each such destination, over the whole fleet", "letters/s", ofOwned("letters_sent_shares")},
 		{"letters_a_limited_message", "letters on shares sent for each message to a destination with a limit", "letters/message", each("limits", "thin", "letters_sent_shares", "limited")},
-		{"limited_messages_let", "messages to destinations with a limit that the gate let go within 8 s, of those that came", "parts of one", func(r Run) float64 { return r["limits"]["let"] / r["limits"]["limited"] }},
-		{"limited_message_wait", "mean wait at the gate of those let go", "s", func(r Run) float64 { return r["limits"]["waited"] / r["limits"]["let"] }},
-		{"bytes_a_sight", "bytes more than without them for each sight of a destination that is down, " + bothWays, "bytes/sight", each("down", "thin", "bytes", "sights")},
+		{"limited_messages_let", "messages to destinations with a limit that the gate let go within 8 s, of those that came", "parts of one", func(r Run, _ float64) float64 { return r["limits"]["let"] / r["limits"]["limited"] }},
+		{"limited_message_wait", "mean wait at the gate of those let go", "s", func(r Run, _ float64) float64 { return r["limits"]["waited"] / r["limits"]["let"] }},
+		{"bytes_a_sight", "bytes more than without them for each sight of a destination that is down, " + wire, "bytes/sight", each("down", "thin", "bytes", "sights")},
 		{"sights", "sights of destinations that are down told by one sender", "sights/s", rate("down", "sights")},
 		{"verdicts_told", "verdicts of others that one sender's decisions were told", "verdicts/s", rate("down", "verdicts_told")},
 		{"heap", "Go heap and stacks in use of one sender's fleet, at rest," + everyMem, "bytes", rate("size", "heap")},
@@ -119,7 +128,7 @@
 	for _, r := range readings() {
 		f := Figure{Name: r.name, What: r.what, Unit: r.unit, Per: "sender in the fleet", Kind: kind, Run: test}
 		for _, one := range runs {
-			if y := r.of(one.Run); !math.IsNaN(y) && !math.IsInf(y, 0) {
+			if y := r.of(one.Run, float64(one.Senders)); !math.IsNaN(y) && !math.IsInf(y, 0) {
 				f.Points = append(f.Points, [2]float64{float64(one.Senders), round(y)})
 			}
 		}
--- a/internal/fleettest/scale_long_test.go
+++ b/internal/fleettest/scale_long_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"sync"
 	"testing"
 	"time"
@@ -16,6 +17,7 @@
 	thinly        = perSender / 55 // messages a second of each sender where many share few cores; docs/scale.md says what it leaves out
 	settle        = 7              // lines of counts, of 10 s each: a destination is forgotten a minute after its last message
 	byRateSenders = 4
+	owned         = 3     // lines of counts: a destination keeps its owner half a minute after its last message
 	limitPct      = 0.01  // of all messages go to destinations with a limit
 	downPct       = 0.015 // and to those that are down
 )
@@ -63,11 +65,11 @@
 	f.UntilMet()
 	got["rest"] = f.window(Load{}, 1)
 	got["size"] = f.grown(was)
-	got["thin"] = f.window(Load{Thin: thinly}, settle)
-	got["limits"] = f.window(Load{Thin: thinly, Limited: perSender * limitPct}, 1)
+	got["thin"] = f.window(Load{Thin: thinly}, 1)
 	got["down"] = f.window(Load{Thin: thinly, Down: perSender * downPct}, 1)
-	got["size after"] = f.grown(was)
 	zoneDies(t, f, got)
+	got["limits"] = f.window(Load{Thin: thinly, Limited: perSender * limitPct}, owned) // last: owners stay for long
+	got["size after"] = f.grown(was)
 	got["warnings"] = Rates{}
 	for _, h := range f.Own {
 		for text, n := range h.Lines.warnings() {
@@ -78,6 +80,12 @@
 	return got
 }
 
+// inUse is how many destinations with a limit have had a message within the half minute for which they keep their owner, reckoned.
+func inUse(n float64) float64 {
+	const all, span = wholeFleet / limitedOne, 30
+	return all * (1 - math.Exp(-n*perSender*limitPct*span/all))
+}
+
 // grown is what this process holds more than it did, a sender.
 func (f *HollowFleet) grown(was size) Rates {
 	is, own := sizeNow(), float64(len(f.Own))
@@ -115,7 +123,7 @@
 	from := machineLoad()
 	core := Figure{Name: "core_a_message_a_second", What: "processor time of one sender's fleet over its messages a second, all to destinations without a limit, a minute after they began," + everyMem,
 		Unit: perCore}
-	bytes := Figure{Name: "bytes_a_message_a_second", What: "bytes a second over the messages a second of one sender, all to destinations without a limit, " + bothWays, Unit: perSec}
+	bytes := Figure{Name: "bytes_a_message_a_second", What: "bytes a second over the messages a second of one sender, all to destinations without a limit, " + wire, Unit: perSec}
 	heap := Figure{Name: "heap_a_message_a_second", What: "Go heap and stacks of one sender's fleet over its messages a second," + everyMem, Unit: "bytes"}
 	all := []*Figure{&core, &bytes, &heap}
 	for seed := range uint64(seeds) {
--- a/internal/fleettest/scale_test.go
+++ b/internal/fleettest/scale_test.go
@@ -1,7 +1,9 @@
 package fleettest
 
 import (
+	"maps"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -50,15 +52,34 @@
 
 // predict tells what the fits say of a size, and then measures it.
 func predict(t *testing.T, n int) {
-	fits := map[string]Figure{}
-	for _, f := range readFigures(t, os.Getenv("FLEETTEST_SCALE_INTO")) {
-		fits[f.Name] = f
-		t.Logf("predicted for %d senders: %s %.4g %s", n, f.Name, f.at(float64(n)), f.Unit)
+	said := foretell(readFigures(t, os.Getenv("FLEETTEST_SCALE_INTO")), float64(n))
+	require.NotEmpty(t, said, "no fits to predict from")
+	for _, name := range slices.Sorted(maps.Keys(said)) {
+		t.Logf("predicted for %d senders: %s %.4g", n, name, said[name])
 	}
-	require.NotEmpty(t, fits, "no fits to predict from")
 	run := sized{n, 1, measure(t, n, 1)}
 	for _, f := range figures([]sized{run}, "measured", "") {
-		is, said := f.Points[0][1], fits[f.Name].at(float64(n))
-		t.Logf("| %s | %s | %.4g | %.4g | %+.0f%% |", f.Name, f.Unit, said, is, 100*(is/said-1))
+		is := f.Points[0][1]
+		t.Logf("| %s | %s | %.4g | %.4g | %+.0f%% |", f.Name, f.Unit, said[f.Name], is, 100*(is/said[f.Name]-1))
 	}
 }
+
+// foretell reads the lines at a size. What limits cost goes with the destinations that have an owner, whose number has a bound: it is
+// reckoned from the letters on one, and, as letters to more peers find fewer to go with, from the bytes of a letter at rest, which goes alone.
+func foretell(fits []Figure, n float64) map[string]float64 {
+	said := map[string]float64{}
+	for _, f := range fits {
+		if f.Per == "sender in the fleet" {
+			said[f.Name] = f.at(n)
+		}
+	}
+	if len(said) == 0 {
+		return said
+	}
+	const messages = perSender * limitPct
+	letters, lone := inUse(n)/n*said["letters_a_limited_destination"], said["bytes_rest"]/(said["letters_members_rest"]+said["letters_verdicts_rest"])
+	said["letters_shares_limits"], said["letters_a_limited_message"] = letters, letters/messages
+	said["bytes_limits"], said["bytes_a_limited_message"] = said["bytes_thin"]+letters*lone, letters*lone/messages
+	said["bytes_a_limited_destination"] = lone * said["letters_a_limited_destination"]
+	return said
+}
