--- a/internal/capacity/page_test.go
+++ b/internal/capacity/page_test.go
@@ -44,8 +44,9 @@
 		again.fit()
 		require.InEpsilon(t, 1+again.Range[0], 1+s.Range[0], 0.001, name)
 		require.InEpsilon(t, 1+again.Range[1], 1+s.Range[1], 0.001, name)
-		require.InDelta(t, s.scatter(), s.Scatter, 0.01+0.05*s.Scatter, name)
+		require.LessOrEqual(t, s.scatter(), 0.01+1.05*s.Scatter, name)
 		if own[name] {
+			require.InDelta(t, s.scatter(), s.Scatter, 0.01+0.05*s.Scatter, name)
 			require.InDelta(t, again.Slope, s.Slope, 0.02*math.Abs(again.Slope)+1e-12, name)
 		}
 	}
