A call waits for a descriptor, and the lack of one is held against no receiver

Seen: TestCrowdLeavesDescriptorsForTheRestOfTheSender failed by its 20 s limit beside other work. Discovery, the move and the hand-in had come through. The sender's log has it: two legs end at once with "not connected" (stage 2, 0.2 ms), the receiver "is closed (3.0 strikes)", and at the end the message is pushed back without a call (notice "returned"), while the receiver was well all the time.

Cause: a fault of the sender. dial in internal/transport/pool.go told every failed connect as NotConnected, EMFILE and ENFILE too. Such a leg counts as the receiver's failure; two in a row, 15 ms apart, close it, and its probes and trials need descriptors as well. That takes no busy machine, only a crowd that has each descriptor at two moments; a busy one makes them more. Ruled out: the count of watches (it only grows, every break of the live watch adds one, and a late one only lets the wait end early), the move (the start file is read again until it can be opened), the hand-in (+OK at the first try in each run looked at).

Change: where no descriptor is free, the connection is tried again every 2 ms within the time a connection may take, since the clients' listener leaves alone for 20 ms what it has freed. If none comes, the stage is NoRoom: not sent, surely never ran, held against nobody.

The new TestCallWaitsForADescriptorAndHoldsNoneAgainstItsReceiver forces the lack; without the change it fails. The crowd's test proves what it did, with the same waits; it now shows the sender's log and the record of watches when it fails, and its crowd and its sender end with it also then, where they went on and took the machine from other tests.

--- a/internal/daemon/program_test.go
+++ b/internal/daemon/program_test.go
@@ -324,12 +324,23 @@
 	t.Parallel()
 	w := newWorld(t, ok)
 	w.writeConfig()
-	cmd := sender(w)
-	cmd.Env = append(cmd.Env, fewFiles+"=1")
+	cmd, log := sender(w), &lines{}
+	cmd.Env, cmd.Stderr = append(cmd.Env, fewFiles+"=1", logLevel+"=debug"), log
 	require.NoError(t, cmd.Start())
-	t.Cleanup(func() { _ = cmd.Process.Kill() })
-	assert.Equal(t, "+PONG", w.dial().say(command("PING")))
 	over, crowd := make(chan struct{}), sync.WaitGroup{}
+	leave := sync.OnceFunc(func() { close(over) })
+	t.Cleanup(func() { // a crowd that outlives its test would take the machine from the others
+		leave()
+		_ = cmd.Process.Kill()
+		_ = cmd.Wait()
+		crowd.Wait()
+		if t.Failed() {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			t.Logf("watches %v, calls %v, notices %v, the sender's log:\n%s", w.watches, w.calls, w.notices, log.text)
+		}
+	})
+	assert.Equal(t, "+PONG", w.dial().say(command("PING")))
 	for range 60 {
 		crowd.Go(func() {
 			for {
@@ -357,7 +368,7 @@
 	w.soon(func() bool { return len(w.watches) > 0 }, "discovery where it has moved to")
 	require.Eventually(t, func() bool { return w.dial().say(handIn("a", keyed, "")) == "+OK" }, long, glimpse)
 	w.soon(func() bool { return w.calls["a"] > 0 }, "receivers")
-	close(over)
+	leave()
 	require.NoError(t, cmd.Process.Signal(syscall.SIGTERM))
 	require.NoError(t, cmd.Wait())
 	crowd.Wait()
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -7,6 +7,7 @@
 	"net"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -16,7 +17,7 @@
 // The stages at which an exchange may end. Up to NotWritten the other side has not got all of it.
 const (
 	NotReady     Stage = iota // called off before its first byte
-	NoRoom                    // no connection could be had
+	NoRoom                    // no connection could be had: the pool is full of calls, or no descriptor came free in time
 	NotConnected              // refused, or not up in time
 	NotWritten                // broken before the last byte was written
 	Broken                    // broken after that, or the answer made no sense
@@ -38,6 +39,10 @@
 // the wait until the patience is over, and calls would go out within it.
 const restWithin = 80 * time.Millisecond
 
+// descriptorRest is between two attempts to connect while no descriptor is free. It is well below acceptRest, in which the clients'
+// listener leaves alone what it has freed.
+const descriptorRest = 2 * time.Millisecond
+
 // Pool keeps connections to many receivers. No exchange is ever repeated by it.
 type Pool struct {
 	upWithin, idleFor time.Duration
@@ -333,17 +338,44 @@
 	if l.conn != nil {
 		_ = l.conn.Close()
 	}
-	c, err := l.pool.connect(j.ctx, j.addr, earlier(j.until, time.Now().Add(l.pool.upWithin)))
+	until := earlier(j.until, time.Now().Add(l.pool.upWithin))
+	c, err := l.pool.connect(j.ctx, j.addr, until)
+	for noDescriptor(err) && restUntil(j.ctx, until) {
+		c, err = l.pool.connect(j.ctx, j.addr, until)
+	}
 	l.conn = c
-	if err == nil {
+	switch {
+	case err == nil:
 		return true
-	}
-	if j.stage = NotConnected; j.ctx.Err() != nil {
+	case j.ctx.Err() != nil:
 		j.stage = NotReady
+	case noDescriptor(err):
+		j.stage = NoRoom
+	default:
+		j.stage = NotConnected
 	}
 	return false
 }
 
+// noDescriptor tells whether a connection failed for want of descriptors here. Danger: taken for a failure of the other side, two in a row
+// close a receiver that is well, and the messages for it are given up, while a crowd of clients takes each descriptor that comes free.
+func noDescriptor(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE)
+}
+
+// restUntil waits descriptorRest, or until the time is up or ctx ends, which make it false.
+func restUntil(ctx context.Context, until time.Time) bool {
+	if !time.Now().Add(descriptorRest).Before(until) {
+		return false
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(descriptorRest):
+		return true
+	}
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -4,8 +4,10 @@
 	"bufio"
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
+	"os"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -173,6 +175,44 @@
 	assert.Equal(t, NotReady, p.Do(ctx, "silent", silent.addr, long, whole()))
 }
 
+// A lack of descriptors is ours: the call waits for one as long as for its connection, and no receiver is said to have failed.
+func TestCallWaitsForADescriptorAndHoldsNoneAgainstItsReceiver(t *testing.T) {
+	f := farSide(t, echo)
+	for name, lack := range map[string]syscall.Errno{"of the process": syscall.EMFILE, "of the machine": syscall.ENFILE} {
+		const most = 1 << 30
+		try := func(ctx context.Context, lacks int64, each func()) (stage Stage, got string, attempts int64) {
+			p := pool(t, long, 9)
+			if p.upWithin = long; lacks == most && ctx.Done() == nil {
+				p.upWithin = shortly
+			}
+			p.connect = func(ctx context.Context, addr string, until time.Time) (*Conn, error) {
+				if attempts++; attempts <= lacks {
+					each()
+					return nil, fmt.Errorf("connect: %w", &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("socket", lack)})
+				}
+				return connect(ctx, addr, until)
+			}
+			stage = p.Do(ctx, "r", f.addr, long, say("call", &got))
+			return stage, got, attempts
+		}
+		stage, got, attempts := try(context.Background(), 5, func() {})
+		assert.Equal(t, Done, stage, name)
+		assert.Equal(t, "call", got, name)
+		assert.EqualValues(t, 6, attempts, name)
+
+		stage, got, attempts = try(context.Background(), most, func() {})
+		assert.Equal(t, NoRoom, stage, "never one: "+name)
+		assert.Empty(t, got, name)
+		assert.Greater(t, attempts, int64(1), name)
+
+		ctx, cancel := context.WithCancel(context.Background())
+		stage, _, attempts = try(ctx, most, cancel)
+		assert.Equal(t, NotReady, stage, "called off: "+name)
+		assert.EqualValues(t, 1, attempts, name)
+	}
+	assert.EqualValues(t, 2, f.conns.Load())
+}
+
 // What is asked last is asked before any byte has left, however much there is to write, and what it keeps back is as good as not begun.
 func TestNoByteLeavesOnceItNoLongerStands(t *testing.T) {
 	var came atomic.Int64
