The silent crowd's test waits until each newcomer has its place

The wait now also asks that nobody is leaving and that each newcomer beyond the bound has let exactly one go. All that was asked is asked still.

--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -620,6 +620,13 @@
 	s.grace, s.first, s.idle = grace, first, idle
 }
 
+// leaving counts those that are to be closed and are not yet.
+func (s *Server) leaving() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.going
+}
+
 func talk(t *testing.T, c net.Conn, text string) string {
 	t.Helper()
 	_, err := io.WriteString(c, text+"\n")
@@ -668,7 +675,7 @@
 	for range 20 {
 		require.Eventually(t, func() bool { // all are in, and those let go are gone: else only the usual one is left to go
 			c := s.Crowd()
-			return c.Taken == 2+len(crowd) && c.Open == min(c.Taken, 3) && c.Idle == c.Open
+			return c.Taken == 2+len(crowd) && c.LetGoUnserved == max(0, c.Taken-3) && s.leaving() == 0 && c.Open == min(c.Taken, 3) && c.Idle == c.Open
 		}, long, time.Millisecond)
 		if len(crowd) == 19 {
 			s.times(0, shortly, long) // for the last one only
