A sender that knows 99,000 destinations fits 128 MB; a change costs by what changes

Heap after a list of 99,000 destinations, a receiver each, built program on, 80.8 MB: `dst` with its route 55%, receivers (`listedOne`) 26%, the facade's two maps of names (`number`) 15%, strings 3%. Ruled out: messages, wake heap, log, transport (under 1%). Most of it serves a first message.

Credits of a budget are kept for live spans only, summed in the ring's order. A name is kept once, by its number; ids are kept beside it only where two have one CRC-32. Tables of a first list are made at once. An entry listed again leaves a gap that closes as the list ends. More than 100 new receivers of one list have one log line, told after the turn. A receiver listed at another destination than before is treated as before (it keeps its first one's route), by the slow path.

Changed: tests that set state of what was never used make it first (`use`), a fixture only; TestNamesOfReceiversLongGoneAreDropped asked that two maps be alike, one of which now holds ids of one sum only, and asks that names are exactly those that the module knows.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -136,12 +136,20 @@
 }
 
 func (p *route) know(share float64) {
-	if p.share == 0 {
+	if p.share == 0 && p.isUsed() {
 		p.tokens = paceLeast
 	}
 	p.share = share
 }
 
+// firstTokens is what a route has at its first use.
+func (p *route) firstTokens() float64 {
+	if p.share > 0 {
+		return paceLeast
+	}
+	return 0
+}
+
 // shares is how many even shares of its limit a route may be sent by each sender now.
 func (p *route) shares(now int64) float64 {
 	if p.pressedAt == 0 {
@@ -189,7 +197,7 @@
 }
 
 func (p *route) refill(now int64) {
-	least, rate := paceLeast, p.rate(now)
+	least, rate := paceLeast, p.use().rate(now)
 	if p.isPressed(now) || p.lease.told {
 		least = 1
 	}
@@ -239,7 +247,7 @@
 // failed spaces the calls of a sender that sees only failures at a route. Danger: closing takes strikes at
 // each receiver; in a large fleet the messages' own repeats, harmless alone, push a return over.
 func (s *Sender) failed(r *receiver) {
-	if r.route.bad++; r.route.bad >= badRow && s.weightOfSilence() >= 1 {
+	if r.used().route.bad++; r.route.bad >= badRow && s.weightOfSilence() >= 1 {
 		part := min(1, pauseTurn*float64(int(1)<<min(r.route.bad-badRow, 10)))
 		r.route.pause = max(r.route.pause, s.now+int64((0.5+s.chance())*part*s.trialTurn(r)))
 	}
@@ -248,6 +256,7 @@
 // succeeded ends such rows, and keeps the best rate over a span, less the noise of which sender got a call:
 // the best of many thin spans lies far above the mean. A sender alone gets all, so none is noise.
 func (p *route) succeeded(now int64, open bool, senders int) {
+	p.use()
 	p.row, p.bad, p.oks = 0, 0, p.oks+1
 	if !open || p.okFrom == 0 { // a slow start's own restraint is no measure
 		p.okFrom, p.okNow = now, 0
@@ -272,17 +281,11 @@
 		s.lookupFailed()
 		return
 	}
-	if form != Changes {
-		for _, d := range s.order {
-			for _, r := range d.recvs {
-				r.listedAt = s.now
-			}
-			d.recvs = d.recvs[:0]
-		}
-	}
+	were := s.listBegins(form, len(entries))
 	for _, e := range entries {
 		s.listedOne(form, e)
 	}
+	s.listEnds(were)
 	s.sweep()
 }
 
@@ -293,11 +296,7 @@
 	}
 	r := s.recvs[e.Receiver]
 	if r == nil {
-		r = &receiver{id: e.Receiver, dst: d, route: d.route}
-		if d.kind.Apart {
-			r.route = &route{}
-		}
-		s.recvs[e.Receiver] = r
+		r = s.newReceiver(e.Receiver, d)
 		if d.down { // danger: a machine that replaces a dead one is cold, and the whole backlog waits for it
 			s.become(r, closed)
 		} else if form == Changes && s.troubled(d) { // danger: it may replace one not yet known ill, cold
@@ -306,10 +305,7 @@
 	}
 	r.zone, r.weight, r.listedAt = e.Zone, e.Weight, s.now
 	s.wake(d)
-	d.recvs = slices.DeleteFunc(d.recvs, func(o *receiver) bool { return o == r })
-	if e.Listed {
-		d.recvs = append(d.recvs, r)
-	}
+	s.list(d, r, e.Listed)
 	if s.trust != NoWeight && r.weight > 0 && r.route.told == 0 {
 		r.route.know(r.weight / float64(s.team.Senders))
 	}
@@ -327,10 +323,11 @@
 
 // troubled sees the first signs of an outage, before any receiver need be closed.
 func (s *Sender) troubled(d *dst) bool {
-	return len(d.calls) > 0 && d.calls[0].overdue(s.now) ||
-		slices.ContainsFunc(d.recvs, func(r *receiver) bool { return r.sick() || r.strikes > 0 })
+	return len(d.calls) > 0 && d.calls[0].overdue(s.now) || s.unwell(d) > 0
 }
 
+func (r *receiver) unwell() bool { return r.sick() || r.strikes > 0 }
+
 // Take accepts a message: this sender's until it has a final answer. past are its legs from before a restart;
 // the last counts as out, its outcome must come in the same turn. Danger: names of nowhere fill the room.
 func (s *Sender) Take(id string, lane int, key string, to, expires int64, past ...PastLeg) {
@@ -485,13 +482,13 @@
 func (s *Sender) countLost(r *receiver, o Outcome) {
 	switch o {
 	case Delivered:
-		if r.missed {
+		if r.used().missed {
 			s.loss += (1 - s.loss) * lossStep
 		}
 		r.missed = false
 		s.loss -= s.loss * lossStep
 	case TimedOut, Cancelled, Reset, ConnectFailed:
-		r.missed = o != ConnectFailed
+		r.used().missed = o != ConnectFailed
 		s.host.CloseIdle(r.id)
 		if s.weightOfSilence() < 1 {
 			s.distrust = s.now + distrustFor
@@ -539,7 +536,7 @@
 
 // observe learns from a call that is over.
 func (s *Sender) observe(c *call, o Outcome, wait int64) {
-	r, d := c.r, c.r.dst
+	r, d := c.r.used(), c.r.dst
 	r.route.piling = o == TimedOut || o == Full
 	if o == TimedOut || o == ConnectFailed || o == Errored || o == Reset {
 		s.failed(r)
@@ -608,6 +605,7 @@
 func (s *Sender) become(r *receiver, h health) {
 	s.host.Log(fmt.Sprintf("%d ms: receiver %d of destination %d is %s (%.1f strikes, %d refusals)",
 		s.now/1000, r.id, r.dst.id, h, r.strikes, r.route.row))
+	r.used()
 	r.health, r.since, r.strikes, r.proved, r.missed, r.scarceTill = h, s.now, 0, false, false, 0
 	r.tokens, r.filledAt = s.chance(), s.now // chance: else all senders' first calls coincide
 	s.wake(r.dst)
@@ -621,7 +619,7 @@
 	if sentAt < r.since || r.health == closed {
 		return
 	}
-	p := r.route
+	p := r.used().route
 	points *= s.weightOfSilence()
 	r.strikes, p.strikes, r.struckAt = r.strikes+points, p.strikes+points, s.now
 	switch {
@@ -664,7 +662,7 @@
 		r.route.pressed(s.now, s.target(), s.chance())
 		s.wake(r.dst)
 	case !back:
-		r.scarceTill = s.now + scarceFor
+		r.used().scarceTill = s.now + scarceFor
 	default:
 		s.Told(Sight{Kind: SeenBack, Receiver: r.id})
 	}
@@ -701,6 +699,7 @@
 		return
 	}
 	seenAt := s.now - v.Age
+	r.used()
 	switch v.Kind {
 	case SeenWait:
 		r.route.waitUntil = max(r.route.waitUntil, s.now+min(v.Wait, hearsayMost))
@@ -757,7 +756,7 @@
 	if r == nil {
 		return
 	}
-	r.probing = false
+	r.used().probing = false
 	r.route.piling = o == TimedOut || o == Full
 	s.wake(r.dst)
 	s.reported(r, rep)
@@ -802,6 +801,7 @@
 
 // readyAt is when a receiver may get its next call; never for one that waits for an event.
 func (s *Sender) readyAt(r *receiver) int64 {
+	r.route.use()
 	r.route.part, r.route.lease = s.part(), r.dst.leaseOf()
 	at := r.route.readyAt(s.now)
 	if s.silent(r) || r.route.row > 0 && len(r.dst.calls) > 0 {
@@ -1077,7 +1077,7 @@
 // call sends a message, and with it as many more for the same receiver as a call takes.
 func (s *Sender) call(m *msg) {
 	d := m.dst
-	r := s.draw(m, s.usable(d))
+	r := s.draw(m, s.usable(d)).used()
 	s.refresh(r)
 	c := &call{r: r, sentAt: s.now, onIdle: s.hasIdle(r) && s.now-r.usedAt > staleIdle}
 	s.calls, r.calls = s.calls+1, r.calls+1
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -197,7 +197,7 @@
 
 func TestEmptyBudgetFailsOrPushesBackByTheLastOutcome(t *testing.T) {
 	f := begin(t, keyed, 20, 1, aLot, Kind{Batch: 1})
-	f.dsts[7].errs.spent = 1000
+	f.dsts[7].use().errs.spent = 1000
 	f.take("a", "b")
 	f.after(0)
 	f.ends("a", Errored, 0)
@@ -506,6 +506,7 @@
 		f.Take(fmt.Sprint("to ", dst), 0, "", dst, f.now+28*second)
 	}
 	for _, d := range f.order {
+		d.use()
 		d.mean, d.dev, d.sampled = float64(100*ms), float64(20*ms), true
 	}
 	f.after(0)
--- a/choice/fleet_test.go
+++ b/choice/fleet_test.go
@@ -88,7 +88,7 @@
 
 func TestHangingLargeDestinationIsStillTriedByALargeFleet(t *testing.T) {
 	f := fleet(t, 200, 200)[0]
-	f.recvs[1].route.piling = true
+	f.recvs[1].route.use().piling = true
 	f.close(f.recvs[1])
 	assert.GreaterOrEqual(t, count(f.after(40*second), "probe"), 1)
 }
--- a/choice/heap.go
+++ b/choice/heap.go
@@ -46,13 +46,13 @@
 func (h wakeHeap) Less(i, j int) bool { return h[i].wakeAt < h[j].wakeAt }
 func (h wakeHeap) Swap(i, j int) {
 	h[i], h[j] = h[j], h[i]
-	h[i].at, h[j].at = i, j
+	h[i].at, h[j].at = int32(i), int32(j)
 }
 
 // Push is for container/heap.
 func (h *wakeHeap) Push(x any) {
 	d := x.(*dst)
-	d.at = len(*h)
+	d.at = int32(len(*h))
 	*h = append(*h, d)
 }
 
@@ -69,11 +69,36 @@
 		heap.Push(h, d)
 		return
 	}
-	heap.Fix(h, d.at)
+	heap.Fix(h, int(d.at))
 }
 
 func (h *wakeHeap) drop(d *dst) {
 	if d.at >= 0 {
-		heap.Remove(h, d.at)
+		heap.Remove(h, int(d.at))
 	}
 }
+
+// unlisted is a receiver that no list names, and when one last did as far as was known when it was queued.
+type unlisted struct {
+	r  *receiver
+	at int64
+}
+
+// goneHeap holds unlisted receivers, the earliest first.
+type goneHeap []unlisted
+
+func (h goneHeap) Len() int           { return len(h) }
+func (h goneHeap) Less(i, j int) bool { return h[i].at < h[j].at }
+func (h goneHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+
+// Push is for container/heap.
+func (h *goneHeap) Push(x any) { *h = append(*h, x.(unlisted)) }
+
+// Pop is for container/heap.
+func (h *goneHeap) Pop() any {
+	last := len(*h) - 1
+	u := (*h)[last]
+	(*h)[last] = unlisted{}
+	*h = (*h)[:last]
+	return u
+}
--- a/choice/many_test.go
+++ b/choice/many_test.go
@@ -53,7 +53,7 @@
 		for i := range 1 + int(f.chance()*9) {
 			n := int(f.chance() * 12)
 			alone, held = append(alone, n), held+n
-			f.order = append(f.order, &dst{number: i, held: make([]*msg, n)})
+			f.order = append(f.order, &dst{number: int32(i), traffic: &traffic{held: make([]*msg, n)}})
 		}
 		excess := int(f.chance() * float64(held+1))
 		for range excess {
--- a/choice/state.go
+++ b/choice/state.go
@@ -96,6 +96,7 @@
 
 // hold has a message wait at its destination.
 func (d *dst) hold(m *msg) {
+	d.use()
 	d.held = append(d.held, m)
 	d.firstChance = min(d.firstChance, m.lastChance()) // it stays so while m is held: legs are added and settled elsewhere
 }
@@ -125,6 +126,7 @@
 }
 
 func (d *dst) isDown(now int64, is bool) {
+	d.use()
 	d.wasDown = d.downFor(now)
 	d.down, d.downAt = is, now
 }
@@ -149,7 +151,7 @@
 // Shared takes this sender's lease on a destination's limit, in calls a second; a negative one withdraws it.
 func (s *Sender) Shared(to int64, perSec float64) {
 	if d := s.dsts[to]; d != nil {
-		d.lease = lease{told: perSec >= 0, perSec: perSec}
+		d.use().lease = lease{told: perSec >= 0, perSec: perSec}
 		s.wake(d)
 	}
 }
@@ -170,8 +172,13 @@
 
 // route is what shares one limit and one told wait: a destination, or a receiver where routes are apart.
 type route struct {
+	share float64 // even share of the known limit, 0 if none is known
+	*pace
+}
+
+// pace is what is known of a route that was called or heard of.
+type pace struct {
 	waitUntil int64
-	share     float64 // even share of the known limit, 0 if none is known
 	told      float64 // limit told by answers, calls a second, 0 if none
 	tokens    float64
 	filledAt  int64
@@ -179,20 +186,58 @@
 	press     float64 // even shares that it bore right after the latest refusal in the team
 	pressedAt int64   // when that counted, 0 for never
 	rise      float64 // shares given back each µs since
-	ill       bool    // a call failed there since the last success
 	lease     lease
 	part      float64 // of its sender in the team's messages, in means; 0 for not known
 	rowFrom   int64   // when that row began
 	row       int     // refusals since the last success
 	bad       int     // calls gone wrong since the last success
 	strikes   float64 // points of those
-	piling    bool    // the latest call or probe hung or was refused, so trials may pile up there
 	trialAt   int64   // no probe of a closed receiver before
 	pause     int64   // until when a row of refusals keeps all calls back
 	oks       float64 // successes
 	okFrom    int64
 	okNow     float64 // successes in the span since okFrom
 	okPeak    float64 // most successes a second over a span, less their noise
+	ill       bool    // a call failed there since the last success
+	piling    bool    // the latest call or probe hung or was refused, so trials may pile up there
+}
+
+// Most destinations known never get a message. What they would need for one is made at first use; until then these stand in, which nobody
+// writes to. Danger: a write to them would count at all destinations of all senders.
+var (
+	idlePace    = &pace{}
+	idleConduct = &conduct{}
+	idleTraffic = &traffic{firstChance: never}
+)
+
+func newRoute() *route { return &route{pace: idlePace} }
+
+func (p *route) isUsed() bool { return p.pace != nil && p.pace != idlePace }
+
+// use is asked before anything is written to a route but its share.
+func (p *route) use() *route {
+	if !p.isUsed() {
+		p.pace = &pace{tokens: p.firstTokens()}
+	}
+	return p
+}
+
+// use is asked before anything is written to a destination's traffic.
+func (d *dst) use() *dst {
+	if d.traffic == idleTraffic {
+		d.traffic = &traffic{firstChance: never}
+	}
+	return d
+}
+
+// used is asked before anything is written to a receiver's conduct, its route or its destination's traffic.
+func (r *receiver) used() *receiver {
+	if r.conduct == idleConduct {
+		r.conduct = &conduct{}
+	}
+	r.route.use()
+	r.dst.use()
+	return r
 }
 
 type health uint8
@@ -206,29 +251,36 @@
 func (h health) String() string { return [...]string{"open", "closed", "warming"}[h] }
 
 type receiver struct {
-	id         uint32
-	dst        *dst
-	route      *route
-	zone       int
-	weight     float64
-	calls      int // out now
-	peak       int // most calls out when one came back delivered
-	health     health
+	id       uint32
+	place    int32 // in the list of its own destination, from 1; 0 while unlisted
+	dst      *dst
+	route    *route
+	zone     int
+	weight   float64
+	listedAt int64 // when the list last named it
+	leaving  bool  // among those unlisted
+	*conduct
+}
+
+// conduct is what is known of a receiver that was called or heard of.
+type conduct struct {
+	calls      int   // out now
+	peak       int   // most calls out when one came back delivered
 	since      int64 // of the last change of health, or of the last setback while warming
 	strikes    float64
 	struckAt   int64
 	fails      map[*Lane]bool // the latest leg of that lane went wrong there; nil until one did
-	missed     bool           // lost a leg since it last delivered
 	usedAt     int64          // of the latest outcome
-	listedAt   int64          // when the list last named it
 	toldBack   int64          // until when a note of its return need not be told again
 	scarceTill int64          // until when its connections are scarce
-	proved     bool           // delivered something since it is warming
 	okAt       int64
-	okSent     int64 // when the latest call that it answered went out
-	probing    bool
+	okSent     int64   // when the latest call that it answered went out
 	tokens     float64 // of slow start
 	filledAt   int64
+	health     health
+	missed     bool // lost a leg since it last delivered
+	proved     bool // delivered something since it is warming
+	probing    bool
 }
 
 // went keeps how the latest leg of a lane went.
@@ -271,7 +323,7 @@
 		n++
 	}
 	ds = ds[:n]
-	slices.SortFunc(ds, func(a, b *dst) int { return a.number - b.number }) // of equal ones the first gives way first
+	slices.SortFunc(ds, func(a, b *dst) int { return int(a.number - b.number) }) // of equal ones the first gives way first
 	for _, d := range ds {
 		over := min(excess, len(d.held)-max(0, sum-excess)/n)
 		cs = append(cs, crowd{d, over})
@@ -282,10 +334,22 @@
 
 // dst is a destination. There is one for each in the lists.
 type dst struct {
-	id       int64
-	kind     Kind
-	route    *route
-	recvs    []*receiver // listed ones
+	id     int64
+	kind   Kind
+	route  route
+	recvs  []*receiver // listed ones
+	wakeAt int64       // when it is to be looked at again; now or past: it is among the due ones
+	at     int32       // place in the heap of wake-ups, -1 for none
+	number int32       // in the order in which destinations came to be known
+	known  int32       // receivers remembered, listed or not
+	due    bool        // it is to be looked at in this turn
+	bare   bool        // among those that may have nothing left
+	gaps   bool        // while a list is taken in: recvs has places left by receivers that have a later one, or none
+	*traffic
+}
+
+// traffic is what is known of a destination that had a message.
+type traffic struct {
 	held     []*msg
 	calls    []*call // out, oldest first
 	errs     budget
@@ -297,10 +361,6 @@
 	down     bool  // no receiver was open at the latest closing, and none has delivered since
 	downAt   int64 // since when
 	wasDown  int64 // µs, before that
-	wakeAt   int64 // when it is to be looked at again; now or past: it is among the due ones
-	due      bool  // it is
-	at       int   // place in the heap of wake-ups, -1 for none
-	number   int   // in the order in which destinations came to be known
 	calledAt int64 // when the latest call went out
 
 	// No message held has its last chance before this; too early where those that had it are gone. It spares the walk over all held.
@@ -325,11 +385,17 @@
 	msgs      map[string]*msg      // emptied as messages are over and their legs settled
 	dsts      map[int64]*dst       // as many as destinations; emptied by sweep
 	order     []*dst               // the same in a fixed order
-	known     int                  // destinations ever known
+	known     int32                // destinations ever known
 	due       []*dst               // to be looked at in this turn; emptied by it
 	wakes     wakeHeap             // to be looked at later
 	busy      []*dst               // with calls out, in the fixed order
 	recvs     map[uint32]*receiver // emptied by sweep of those unlisted for keepGone
+	gone      goneHeap             // unlisted receivers, once each; emptied as they are listed again or unlisted for keepGone
+	lingering []*receiver          // unlisted for that long, with calls or a probe out; emptied by sweep
+	bare      []*dst               // without receivers; sweep leaves those with messages
+	forgot    []uint32             // receivers that the latest sweep forgot
+	gapped    []*dst               // with gaps; emptied as a list ends
+	unwells   map[*dst]int         // receivers listed and not well, of large destinations; emptied as a list ends
 	lines     map[string]*keyLine  // emptied as lines run empty and keys have rested
 	resting   []*keyLine           // empty lines until their rest is over
 	expiry    expiryHeap           // messages not over
@@ -397,10 +463,11 @@
 func (s *Sender) dst(id int64) *dst {
 	d := s.dsts[id]
 	if d == nil {
-		d = &dst{id: id, route: &route{}, kind: Kind{Batch: 1}, at: -1, number: s.known, firstChance: never}
+		d = &dst{id: id, route: route{pace: idlePace}, kind: Kind{Batch: 1}, at: -1, number: s.known, traffic: idleTraffic}
 		s.known++
 		s.dsts[id] = d
 		s.order = append(s.order, d)
+		s.mayBeBare(d)
 		s.wake(d)
 	}
 	return d
@@ -429,7 +496,7 @@
 		s.wake(s.wakes[0])
 	}
 	ds, s.due = s.due, nil
-	slices.SortFunc(ds, func(a, b *dst) int { return a.number - b.number })
+	slices.SortFunc(ds, func(a, b *dst) int { return int(a.number - b.number) })
 	for _, d := range ds {
 		d.due = false
 	}
@@ -438,7 +505,7 @@
 
 // keepBusy keeps the list of destinations with calls out.
 func (s *Sender) keepBusy(d *dst) {
-	i, is := slices.BinarySearchFunc(s.busy, d, func(a, b *dst) int { return a.number - b.number })
+	i, is := slices.BinarySearchFunc(s.busy, d, func(a, b *dst) int { return int(a.number - b.number) })
 	switch {
 	case len(d.calls) > 0 && !is:
 		s.busy = slices.Insert(s.busy, i, d)
@@ -546,7 +613,8 @@
 		return
 	}
 	for _, l := range legs { // receivers may be gone: each leg stands at one of its own
-		r := &receiver{dst: m.dst, route: &route{}, zone: l.Zone, calls: 1}
+		r := (&receiver{dst: m.dst, route: newRoute(), zone: l.Zone, conduct: idleConduct}).used()
+		r.calls = 1
 		past := leg{call: &call{r: r, sentAt: l.SentAt, open: 1, msgs: []*msg{m}}, settled: true, outcome: Reset}
 		if l.NeverRan {
 			past.outcome = Skipped
@@ -561,27 +629,6 @@
 // Owes has a destination known, listed or not: a message for it was taken on before a restart, so it is no name of nowhere.
 func (s *Sender) Owes(to int64) { s.dst(to) }
 
-// sweep drops receivers that no list has named for long and that nothing is out to, and then destinations
-// left with nothing.
-func (s *Sender) sweep() {
-	inUse := map[*dst]bool{}
-	for id, r := range s.recvs {
-		if s.now-r.listedAt > keepGone && r.calls == 0 && !r.probing && !slices.Contains(r.dst.recvs, r) {
-			delete(s.recvs, id)
-		} else {
-			inUse[r.dst] = true
-		}
-	}
-	s.order = slices.DeleteFunc(s.order, func(d *dst) bool {
-		if inUse[d] || len(d.recvs) > 0 || len(d.held) > 0 || len(d.calls) > 0 {
-			return false
-		}
-		delete(s.dsts, d.id)
-		s.wakes.drop(d)
-		return true
-	})
-}
-
 // Belief is what the module holds true of the world, for people to compare with what is so.
 type Belief struct{ Calls, Known, Closed int }
 
@@ -599,6 +646,9 @@
 // Knows tells whether a receiver is still remembered.
 func (s *Sender) Knows(receiver uint32) bool { return s.recvs[receiver] != nil }
 
+// Forgotten lists the receivers that the latest list had forgotten.
+func (s *Sender) Forgotten() []uint32 { return s.forgot }
+
 // Stands tells whether a leg decided a moment ago may still begin: its message is not over, its last chance has not
 // passed while a connection came up, and its receiver may be sent to. Danger: a keyed message whose window ended
 // meanwhile runs a second time.
@@ -610,7 +660,7 @@
 // Reachable tells whether a receiver is listed and no wait has been told there that still runs.
 func (s *Sender) Reachable(receiver uint32) bool {
 	r := s.recvs[receiver]
-	return r != nil && slices.Contains(r.dst.recvs, r) && s.now >= r.route.waitUntil
+	return r != nil && r.place > 0 && s.now >= r.route.waitUntil
 }
 
 // Healthy tells whether a destination is listed and none of its receivers is thought ill.
@@ -619,42 +669,41 @@
 	return d != nil && len(d.recvs) > 0 && !slices.ContainsFunc(d.recvs, (*receiver).sick)
 }
 
-// budget is the design's retry bucket. Its spans are a ring, so it never grows; there is none before the first credit, for
-// most destinations known get no message.
+// budget is the design's retry bucket. Only spans with live credits are kept, most destinations see few messages.
 type budget struct {
-	spans *[int(ttl/creditSpan) + 1]struct {
-		span int64
-		n    int
-	}
+	spans []credits // in the order of their places in a ring of all spans that can live, so as many at most
 	spent float64
 }
 
+type credits struct {
+	span int64
+	n    int
+}
+
+// place is where a span stands in the ring.
+func (c credits) place() int64 { return c.span % int64(ttl/creditSpan+1) }
+
 func (b *budget) expire(now int64, percent float64) (live int) {
-	if b.spans == nil {
-		return 0
-	}
 	edge := now/creditSpan - int64(ttl/creditSpan)
-	for i := range b.spans {
-		if s := &b.spans[i]; s.n > 0 && s.span <= edge {
-			b.spent = max(0, b.spent-float64(s.n)*percent)
-			s.n = 0
+	b.spans = slices.DeleteFunc(b.spans, func(c credits) bool {
+		if c.span <= edge {
+			b.spent = max(0, b.spent-float64(c.n)*percent)
+			return true
 		}
-		live += b.spans[i].n
-	}
+		live += c.n
+		return false
+	})
 	return live
 }
 
 func (b *budget) deposit(now int64, percent float64) {
-	if b.spans == nil {
-		b.spans = new([int(ttl/creditSpan) + 1]struct {
-			span int64
-			n    int
-		})
-	}
 	b.expire(now, percent)
-	s := &b.spans[(now/creditSpan)%int64(len(b.spans))]
-	s.span = now / creditSpan
-	s.n++
+	c := credits{span: now / creditSpan}
+	i, is := slices.BinarySearchFunc(b.spans, c, func(a, b credits) int { return cmp.Compare(a.place(), b.place()) })
+	if !is {
+		b.spans = slices.Insert(b.spans, i, c)
+	}
+	b.spans[i].n++
 }
 
 // rate is how many messages a second this sender takes on, 0 while it has not run long enough to tell.
@@ -702,7 +751,7 @@
 func (s *Sender) Asked() { s.askedAt = s.now }
 
 func (d *dst) timed(t float64) {
-	if !d.sampled {
+	if d.use(); !d.sampled {
 		d.mean, d.dev, d.sampled = t, t/2, true
 		return
 	}
--- a/internal/routing/fleet.go
+++ b/internal/routing/fleet.go
@@ -24,7 +24,7 @@
 // Told passes on a fellow's sight of a receiver, named by its id. One that no list here names says nothing.
 func (r *Router) Told(receiver string, v Sight) {
 	r.turn(func() {
-		if n, known := r.numbers[receiver]; known {
+		if n, known := r.numberOf(receiver); known {
 			v.Receiver = n
 			r.sender.Told(v)
 		}
--- a/internal/routing/fleet_test.go
+++ b/internal/routing/fleet_test.go
@@ -58,8 +58,10 @@
 			break
 		}
 	}
+	number, known := c.numberOf("s-1")
+	require.True(t, known)
 	for range 2 * mostChores {
-		host{c.Router}.Saw(Sight{Receiver: c.numbers["s-1"]})
+		host{c.Router}.Saw(Sight{Receiver: number})
 	}
 	assert.Len(t, c.chores, mostChores/2)
 }
--- a/internal/routing/host.go
+++ b/internal/routing/host.go
@@ -11,8 +11,11 @@
 type host struct{ *Router }
 
 func (h host) receiver(n uint32) (Receiver, bool) {
-	to, known := h.receivers[n]
-	return to, known
+	p, known := h.receivers[n]
+	if !known {
+		return Receiver{}, false
+	}
+	return Receiver{ID: p.id, Addr: p.addr, Zone: int(p.zone), number: n, dst: p.dst}, true
 }
 
 // Send has Pick return a leg.
--- a/internal/routing/report.go
+++ b/internal/routing/report.go
@@ -79,22 +79,52 @@
 	case whole:
 		form = choice.Whole
 	}
+	var fresh []named
+	count := 0
 	r.turn(func() {
+		if len(r.receivers) == 0 {
+			r.receivers = make(map[uint32]*place, len(listings))
+		}
 		entries := make([]choice.Entry, 0, len(listings))
 		for _, l := range listings {
-			entries = append(entries, choice.Entry{Receiver: r.number(l), Dst: l.Dst, Weight: l.Weight, Listed: l.Listed,
+			n, isNew := r.number(l)
+			if isNew {
+				if count++; count <= mostNamed {
+					fresh = append(fresh, named{n, l})
+				}
+			}
+			entries = append(entries, choice.Entry{Receiver: n, Dst: l.Dst, Weight: l.Weight, Listed: l.Listed,
 				Kind: slices.Index(r.kinds, l.Kind), Zone: slices.Index(r.zones, l.Zone)})
 		}
 		r.sender.Listed(form, entries)
 		r.forgetGone()
 	})
+	r.name(fresh, count)
+}
+
+// named is a receiver new with a list.
+type named struct {
+	number uint32
+	l      Listing
+}
+
+// name logs which receivers are new with a list, after its turn. Danger: a line for each of a large list holds everybody up.
+func (r *Router) name(fresh []named, count int) {
+	if count > mostNamed {
+		l := fresh[0].l
+		r.log(fmt.Sprintf("%d receivers are new with one list, the first is %d, %s at %s, of destination %d", count, fresh[0].number, l.ID, l.Addr, l.Dst))
+		return
+	}
+	for _, f := range fresh {
+		r.log(fmt.Sprintf("receiver %d of destination %d is %s at %s, weight %g", f.number, f.l.Dst, f.l.ID, f.l.Addr, f.l.Weight))
+	}
 }
 
-// forgetGone drops the names of receivers that the module no longer knows.
+// forgetGone drops the names of receivers that the module has just forgotten.
 func (r *Router) forgetGone() {
-	for id, n := range r.numbers {
-		if !r.sender.Knows(n) {
-			delete(r.numbers, id)
+	for _, n := range r.sender.Forgotten() {
+		if p := r.receivers[n]; p != nil {
+			delete(r.numbers, p.id)
 			delete(r.receivers, n)
 		}
 	}
@@ -106,26 +136,42 @@
 // ListAsked says that discovery is called for the list although the module has not asked.
 func (r *Router) ListAsked() { r.turn(func() { r.sender.Asked() }) }
 
+// place is a receiver by its name.
+type place struct {
+	id, addr string
+	dst      int64
+	zone     int32
+}
+
+// numberOf is the number of a receiver known by its id.
+func (r *Router) numberOf(id string) (uint32, bool) {
+	sum := crc32.ChecksumIEEE([]byte(id))
+	if p := r.receivers[sum]; p != nil && p.id == id {
+		return sum, true
+	}
+	n, known := r.numbers[id]
+	return n, known
+}
+
 // number gives a receiver its number, the same at every sender, for notes name receivers by it; and keeps its
-// newest address.
-func (r *Router) number(l Listing) uint32 {
-	n, known := r.numbers[l.ID]
-	for !known {
-		if n == 0 {
-			n = crc32.ChecksumIEEE([]byte(l.ID))
-		}
-		if _, taken := r.receivers[n]; taken {
+// newest address. It tells whether it is new.
+func (r *Router) number(l Listing) (n uint32, isNew bool) {
+	n, known := r.numberOf(l.ID)
+	if !known {
+		isNew, n = true, crc32.ChecksumIEEE([]byte(l.ID))
+		sum := n
+		for r.receivers[n] != nil {
 			n++ // two ids of one sum: a fellow's note may mean the other, and no rule leans on notes
-			continue
 		}
-		r.numbers[l.ID], known = n, true
-		r.log(fmt.Sprintf("receiver %d of destination %d is %s at %s, weight %g", n, l.Dst, l.ID, l.Addr, l.Weight))
+		if n != sum {
+			r.numbers[l.ID] = n
+		}
+		r.receivers[n] = &place{id: l.ID}
 	}
-	to := r.receivers[n]
-	to.ID, to.number, to.dst = l.ID, n, l.Dst
+	p := r.receivers[n]
+	p.dst = l.Dst
 	if l.Addr != "" {
-		to.Addr, to.Zone = l.Addr, slices.Index(r.zones, l.Zone)
+		p.addr, p.zone = l.Addr, int32(slices.Index(r.zones, l.Zone))
 	}
-	r.receivers[n] = to
-	return n
+	return n, isNew
 }
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -14,7 +14,10 @@
 	"ravenlink/internal/startup"
 )
 
-const mostChores = 256 // probes and notes waiting to be carried out; further ones are dropped
+const (
+	mostChores = 256 // probes and notes waiting to be carried out; further ones are dropped
+	mostNamed  = 100 // receivers new with one list that have a log line each; of more only the count is told
+)
 
 // Message is what the module needs to know of a message.
 type Message struct {
@@ -115,11 +118,11 @@
 
 	mu        sync.Mutex // held for a turn, never over I/O
 	sender    *choice.Sender
-	tickets   map[string]*ticket  // one for each message not over or with a leg out; at most room and what was recovered
-	picks     []Pick              // for Pick to return; a leg and an end at most for each ticket
-	picked    chan struct{}       // there are some
-	numbers   map[string]uint32   // as many as receivers that the module knows
-	receivers map[uint32]Receiver // the same by number
+	tickets   map[string]*ticket // one for each message not over or with a leg out; at most room and what was recovered
+	picks     []Pick             // for Pick to return; a leg and an end at most for each ticket
+	picked    chan struct{}      // there are some
+	receivers map[uint32]*place  // by number, as many as receivers that the module knows; emptied as it forgets them
+	numbers   map[string]uint32  // those whose number is not the sum of their id
 	chores    chan Chore
 	watch     chan struct{} // the watch is asked for
 	timer     *time.Timer
@@ -144,7 +147,7 @@
 	r := &Router{clock: clock, closeIdle: closeIdle, log: log,
 		lanes: startup.LaneNames(settings), kinds: startup.KindNames(settings), zones: startup.ZoneNames(settings),
 		room: startup.MostHeld(settings), tickets: map[string]*ticket{}, numbers: map[string]uint32{},
-		receivers: map[uint32]Receiver{}, picked: make(chan struct{}, 1), chores: make(chan Chore, mostChores),
+		receivers: map[uint32]*place{}, picked: make(chan struct{}, 1), chores: make(chan Chore, mostChores),
 		watch: make(chan struct{}, 1), timer: time.NewTimer(0)}
 	r.inCalls, r.inProbes = startup.Reports(settings)
 	r.sender = startup.Sender(host{r}, seed, settings, 1)
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -218,8 +218,12 @@
 		c.List([]Listing{l}, false, false)
 		c.now += 1e6
 	}
-	assert.Less(t, len(c.numbers), 64)
-	assert.Len(t, c.receivers, len(c.numbers))
+	assert.Less(t, len(c.receivers), 64)
+	assert.Empty(t, c.numbers, "no two ids have one sum here")
+	for n := range c.receivers {
+		assert.True(t, c.sender.Knows(n), "exactly those that the module knows")
+	}
+	assert.Equal(t, c.sender.Believes().Known, len(c.receivers))
 }
 
 func TestNothingComesOutOfPickBeforeAMessageIsCarried(t *testing.T) {
