--- a/internal/capacity/sender_test.go
+++ b/internal/capacity/sender_test.go
@@ -12,9 +12,9 @@
 	"github.com/stretchr/testify/require"
 )
 
-// RAVENLINK_CAPACITY asks for the long form: destinations, tight (the same with 128 MB told), owed, backlog (what is beyond the holding room on disk), or several. It writes docs/capacity/sender.json:
+// RAVENLINK_CAPACITY asks for the long form: destinations, tight (the same with 128 MB told), met (each had a message), owed, backlog (what is beyond the holding room on disk), or several. It writes docs/capacity/sender.json:
 //
-//	RAVENLINK_CAPACITY=destinations,tight,owed,backlog go test -count=1 -timeout 30m -run TestSenderAlone -v ./internal/capacity
+//	RAVENLINK_CAPACITY=destinations,tight,met,owed,backlog go test -count=1 -timeout 30m -run TestSenderAlone -v ./internal/capacity
 const longForm = "RAVENLINK_CAPACITY"
 
 const (
@@ -67,6 +67,26 @@
 	f.add("destination_list_peak_rss", "VmHWM by then", "B", "destination", x, p.peak())
 }
 
+// atMet measures a sender that has delivered a message to each destination that it knows, a few at a time.
+func atMet(t *testing.T, f *figures, n int64) {
+	const few = 500
+	s := newSurroundings(t)
+	s.configure(told{destinations: n})
+	p := s.start()
+	_, err := p.served(long)
+	require.NoError(t, err)
+	for first := int64(0); first < n; first += few {
+		last := min(n, first+few)
+		ok, _, _ := s.handInMany(first, last, func(i int64) int64 { return 1 + i }, long)
+		require.Equal(t, last-first, ok)
+		require.Eventually(t, func() bool { return s.calls.Load() >= last }, long, time.Millisecond)
+	}
+	rest(settle)
+	anon, _ := p.memory()
+	f.add("met_rss_anon", "RssAnon of a sender that has delivered a message to each destination that it knows", "B", "destination", float64(n), anon)
+	f.add("met_peak_rss", "VmHWM by then", "B", "destination", float64(n), p.peak())
+}
+
 // owedOne is what a sender that owes messages shows.
 type owedOne struct {
 	owed, anon, rss, disk float64
@@ -178,6 +198,14 @@
 		}
 		f.write(t, senderFile, run)
 	}
+	if strings.Contains(wanted, "met") {
+		f, run := &figures{}, machine("TestSenderAlone", "")
+		for _, n := range []int64{1000, 1000, 5000, 5000, 10000, 20000, 40000} {
+			t.Logf("%d destinations, each with a message delivered", n)
+			atMet(t, f, n)
+		}
+		f.write(t, senderFile, run)
+	}
 	if strings.Contains(wanted, "owed") {
 		f, run := &figures{}, machine("TestSenderAlone", "")
 		for _, n := range []int64{5000, 5000, 10000, 10000, 30000, 30000, 100000, 300000, 1000000} {
