Stand-ins of the daemon's tests read a watch's first object under the lock

Seen in a run of the whole with -race: a data race in TestSilentDiscoveryHoldsUpNoStartAndGivesUpNothing, between its write of w.held and world.first, where a call of the sender just killed is still looked at; it marks all tests in flight as failed. Cause: a test that sets the first object after a sender has run does so without the lock (two tests). world.hold sets it and first reads it under world.mu; counts of calls in two assertions likewise.

No assertion and no limit changes.

--- a/internal/daemon/program_test.go
+++ b/internal/daemon/program_test.go
@@ -288,9 +288,15 @@
 	}
 }
 
-// sender is a real process.
+// sender is a real process. It ends with its test at the latest, however that goes.
 func sender(w *world) *exec.Cmd {
 	cmd := exec.Command(os.Args[0])
+	w.t.Cleanup(func() {
+		if cmd.Process != nil {
+			_ = cmd.Process.Kill()
+			_ = cmd.Wait()
+		}
+	})
 	cmd.Env = append(os.Environ(), asSender+"=1", logLevel+"=error", asOperator+"="+w.operators)
 	for _, name := range []string{"RELAY_CONFIG", "RELAY_STATE", "RELAY_LISTEN", "RELAY_DISCOVERY"} {
 		cmd.Env = append(cmd.Env, name+"="+w.env(name))
@@ -574,7 +580,7 @@
 	w := newWorld(t, ok)
 	many := w.manyListed(10_000)
 	require.Greater(t, len(many), 1<<20)
-	w.held = func() string { return many }
+	w.hold(func() string { return many })
 	cmd := spawn(w)
 	c := w.dial()
 	require.Eventually(t, func() bool { return c.say(handIn("a", "c=once,d=8000,dest=10000", "")) == "+OK" }, long, glimpse)
@@ -591,16 +597,16 @@
 	assert.Equal(t, "+OK", w.dial().say(handIn("a", "c=notice,d=3000,dest=7", "")))
 	w.soon(func() bool { return w.calls["a"] > 0 })
 	kill(t, cmd)
-	before := w.calls["a"]
+	before := w.called("a")
 	hold := make(chan struct{})
-	w.held = func() string {
+	w.hold(func() string {
 		<-hold
 		return w.member("DRAINING")
-	}
+	})
 	time.AfterFunc(100*time.Millisecond, func() { close(hold) }) // long enough for a leg that does not wait; one that does, waits anyway
 	w.start()
 	w.soon(func() bool { return w.notices["a"] != "" })
-	assert.Equal(t, before, w.calls["a"], "its only receiver drains")
+	assert.Equal(t, before, w.called("a"), "its only receiver drains")
 }
 
 func TestDrainServesWhileClientsComeThenKeepsTheRest(t *testing.T) {
@@ -633,7 +639,7 @@
 	w.start()
 	w.tell(strings.Replace(w.member("SERVING"), `"cell":7`, `"cell":9`, 1))
 	w.soon(func() bool { return w.calls["held"] == 1 })
-	assert.Equal(t, 1, w.calls["slow"])
+	assert.Equal(t, 1, w.called("slow"))
 }
 
 // The folder is kept, discovery is silent, and the list from before the start names no destination.
@@ -644,10 +650,10 @@
 	assert.Equal(t, "+OK", w.dial().say(handIn("a", "c=notice,d=60000,dest=9", "")))
 	kill(t, cmd)
 	back := make(chan struct{})
-	w.held = func() string {
+	w.hold(func() string {
 		<-back
 		return strings.Replace(w.member("SERVING"), `"cell":7`, `"cell":9`, 1)
-	}
+	})
 	w.writeConfig()
 	text, err := os.ReadFile(w.env("RELAY_CONFIG"))
 	require.NoError(t, err)
@@ -670,7 +676,7 @@
 	const early = 1500 * time.Millisecond
 	w := newWorld(t, ok)
 	heard := make(chan struct{})
-	w.held = func() string { <-heard; return w.member("SERVING") }
+	w.hold(func() string { <-heard; return w.member("SERVING") })
 	w.writeConfig()
 	log := &lines{}
 	p, err := New(w.env, zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), zapcore.AddSync(log), zap.InfoLevel)), nil)
--- a/internal/daemon/standin_test.go
+++ b/internal/daemon/standin_test.go
@@ -40,13 +40,13 @@
 	list      *feed // for the watches at the newest platform
 	settings  string
 	diskMB    float64
-	operators string        // the operator's file, empty for none
-	held      func() string // the first object of each watch
+	operators string // the operator's file, empty for none
 	sender    *Program
 	rivals    bool           // no watch has its first object before there are two
 	before    func(*Program) // it runs
 
 	mu      sync.Mutex
+	held    func() string // the first object of each watch
 	calls   map[string]int
 	bodies  map[string]string
 	keys    map[string]string
@@ -214,12 +214,29 @@
 
 // first is a watch's first object: nothing has changed, where no test has it otherwise.
 func (w *world) first(in *http.Request) string {
-	if w.held != nil {
-		return w.held()
+	w.mu.Lock()
+	held := w.held
+	w.mu.Unlock()
+	if held != nil {
+		return held()
 	}
 	return fmt.Sprintf(`{"revision":%s,"complete":false,"members":[]}`, in.URL.Query().Get("from"))
 }
 
+// hold sets the first object of each watch from now on. Calls for the list of a sender that was killed may be looked at still.
+func (w *world) hold(first func() string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.held = first
+}
+
+// called counts the calls for a message.
+func (w *world) called(id string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.calls[id]
+}
+
 // member is the receiver as discovery lists it.
 func (w *world) member(phase string) string {
 	return fmt.Sprintf(`{"revision":2,"complete":false,"members":[{"id":"s-1","host_port":"%s","locality":"z","flavor":"m",`+
