Spool: what is owed beyond the working set rests on disk, behind OpenBacklog

The same segments are written, with an index file beside each sealed one; memory keeps bits, filters and runs of what is spilled. With the backlog off nothing changes.

--- a/internal/spool/backlog.go
+++ b/internal/spool/backlog.go
@@ -3,66 +3,355 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
+	"math"
+	"os"
+	"slices"
+)
+
+const (
+	never       = int64(math.MaxInt64) // µs since 1970
+	mostKeys    = 1 << 20              // distinct order keys spilled, about 40 bytes each; emptied as messages are loaded
+	maxInt      = math.MaxInt
+	mostDamaged = 64 // kept until the next load tells them
 )
 
 // What a spill is refused for, beside ErrFull.
 var (
 	ErrKeys    = errors.New("spool: too many order keys are spilled")
 	ErrChannel = errors.New("spool: a message of a channel, or one that ended, is not spilled")
+	ErrTwice   = errors.New("spool: a spilled message has this id")
 	ErrOff     = errors.New("spool: the backlog is off")
 )
 
-// DamagedError says that the record of a spilled message cannot be read: it is owed no more, as bytes behind a torn record are.
+// DamagedError says that the record of a spilled message cannot be read: it is handed out no more, like what stands behind a torn record.
 type DamagedError struct {
 	Segment int64 // its number
 	Offset  int64 // bytes
-	Err     error // of the read; nil: its checksum or its fields are wrong
+	Err     error // of the read, or that the record is not whole
 }
 
 func (e *DamagedError) Error() string {
-	return fmt.Sprintf("spool: record at byte %d of segment %d cannot be read: %v", e.Offset, e.Segment, e.Err)
+	return fmt.Sprintf("spool: the record at byte %d of segment %d cannot be read: %v", e.Offset, e.Segment, e.Err)
 }
 
 func (e *DamagedError) Unwrap() error { return e.Err }
 
-// OpenBacklog is Open with the backlog on: messages may be spilled, and at a start those come back by Load and its kin alone that have no
-// attempt, are no channel's, did not end and were not loaded before. Owed gives the others. Segments are smaller than Open's, and each but
-// the newest has an index file beside it, which is made again from the segment when it is missing or broken.
-func OpenBacklog(dir string, room int64) (s *Spool, notes []string, err error) { return Open(dir, room) }
+// backlog is what memory keeps of spilled messages beside that of each segment. Spool's lock guards it.
+type backlog struct {
+	newest  *newest
+	lines   map[int64]*line // of destinations with spilled messages; emptied as these are loaded
+	all     int
+	keys    map[uint64]int32 // spilled messages by the hash of their order key
+	most    int              // of keys
+	moved   int              // spilled messages copied forward so far
+	damaged []error          // not told yet
+	untold  int              // beyond those
+	opening bool             // segments are being read back: runs and counts come last
+
+	write  func(name string, data []byte) error
+	rename func(from, to string) error
+	step   func() // a moment at which a process may be killed
+}
+
+// line is what is spilled for one destination.
+type line struct {
+	left int
+	runs []run // by segment, the oldest first; the newest segment has none
+}
+
+// run is where spilled messages of one destination stand in a sealed segment, one beside the other in its index.
+type run struct {
+	seg   *segment
+	taken int64  // of the entry at next
+	next  uint32 // position; none of the run in front of it is spilled
+	left  uint32
+}
+
+func newBacklog() *backlog {
+	return &backlog{lines: map[int64]*line{}, keys: map[uint64]int32{}, most: mostKeys, step: func() {},
+		write: func(name string, data []byte) error { return os.WriteFile(name, data, 0o600) }, rename: os.Rename}
+}
+
+func (b *backlog) line(dst int64) *line {
+	l := b.lines[dst]
+	if l == nil {
+		l = &line{}
+		b.lines[dst] = l
+	}
+	return l
+}
+
+// count takes a spilled message into the counts by destination and key, or out of them.
+func (b *backlog) count(e *entry, by int) {
+	b.all += by
+	l := b.line(e.dst)
+	if l.left += by; l.left == 0 {
+		delete(b.lines, e.dst)
+	}
+	if e.key == 0 {
+		return
+	}
+	if b.keys[e.key] += int32(by); b.keys[e.key] == 0 {
+		delete(b.keys, e.key)
+	}
+}
+
+// isSpilled tells whether a slot is spilled, in the newest segment or a sealed one.
+func (b *backlog) isSpilled(seg *segment, slot uint32) bool {
+	if seg.sealed != nil {
+		return seg.sealed.spilled.has(slot)
+	}
+	return b.newest != nil && b.newest.seg == seg && int(slot) < len(b.newest.entries) && b.newest.entries[slot].spilled
+}
+
+// unspill has a slot spilled no more. It stays owed.
+func (b *backlog) unspill(seg *segment, e *entry) {
+	if r := seg.sealed; r == nil {
+		b.newest.unspill(e.slot)
+	} else {
+		r.spilled.clear(e.slot)
+		if r.left--; r.left == 0 {
+			r.filter, r.due = nil, never
+		}
+		b.shorten(seg, e.dst)
+	}
+	b.count(e, -1)
+}
+
+// shorten takes one off a run.
+func (b *backlog) shorten(seg *segment, dst int64) {
+	l := b.line(dst)
+	i, found := slices.BinarySearchFunc(l.runs, seg.number, func(r run, number int64) int { return int(r.seg.number - number) })
+	if !found {
+		return
+	}
+	if l.runs[i].left--; l.runs[i].left == 0 {
+		l.runs = slices.Delete(l.runs, i, i+1)
+	}
+}
+
+// die has a slot owed no more, or not here. The newest segment's index will tell so of a slot of an older one.
+func (b *backlog) die(seg *segment, slot uint32) {
+	if b.newest == nil {
+		return
+	}
+	if b.newest.seg == seg {
+		b.newest.die(slot)
+		return
+	}
+	b.newest.dead = append(b.newest.dead, ref{seg.number, slot})
+}
+
+func (m *Message) entry() entry {
+	e := entry{dst: m.Dst, expires: m.Expires, taken: m.Taken, id: hashOf(m.ID), key: hashKey(m.OrderKey), offset: m.offset, length: uint32(m.length)}
+	if m.Bare {
+		e.key = 0
+	}
+	return e
+}
 
 // Spill records a message as owed, new or working, and lets go of it: m is not the spool's any more, and comes back by Load as a copy with
-// all its attempts. Without an error it is owed. With one, a new message is not, and a working one stays so. ErrFull: no room. ErrKeys: its
-// order key would be one too many. ErrChannel: it is of a channel, or ended. ErrFenced: as Take. ErrOver: it was working, and is over.
-func (s *Spool) Spill(m *Message) error { return ErrOff }
+// all its attempts. Without an error it is owed. With one, a new message is not, and a working one stays so. ErrFull: no room, or the
+// indexes cannot be written. ErrKeys: its order key would be one too many. ErrChannel: it is of a channel, or ended. ErrTwice: a spilled
+// one has its id. ErrFenced: as Take. ErrOver: it was working, and is not.
+func (s *Spool) Spill(m *Message) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b := s.backlog
+	working := m.segment != nil
+	switch key := hashKey(m.OrderKey); {
+	case b == nil:
+		return ErrOff
+	case m.Channel != "" || m.Ended:
+		return ErrChannel
+	case working && s.owed[m.ID] != m:
+		return ErrOver
+	case key != 0 && b.keys[key] == 0 && len(b.keys) >= b.most:
+		return ErrKeys
+	}
+	if working && m.segment == b.newest.seg && len(m.Legs) == 0 && !m.drawn { // its record tells all
+		delete(s.owed, m.ID)
+		s.rest(m)
+		return nil
+	}
+	if !working {
+		if err := s.admit(m); err != nil {
+			return err
+		}
+	}
+	return s.spill(m, working)
+}
 
-// Load takes up to n spilled messages of a destination back as working, in the order in which they were taken on. Beside an error it may
-// give messages: a damaged record keeps none of the others back, and is told once (DamagedError). Fences hold none of them back, as they
-// could not end then: who loads looks at what is older than a purge, as at a start.
-func (s *Spool) Load(dst int64, n int) ([]*Message, error) { return nil, ErrOff }
+// spill writes the record of a message that rests from now on.
+func (s *Spool) spill(m *Message, working bool) error {
+	record := m.record()
+	n := int64(len(record))
+	if len(m.Legs) > 0 {
+		record = append(record, begin(recRested, m.ID).seal()...)
+	}
+	if err := s.makeRoom(int64(len(record))); err != nil {
+		return err
+	}
+	if err := s.append(record); err != nil {
+		return err
+	}
+	if old := s.owed[m.ID]; old != nil { // m itself while it was working
+		s.drop(old)
+	}
+	s.stand(m, s.now(), s.now().size-int64(len(record)), n)
+	s.rest(m)
+	s.shrink()
+	return nil
+}
+
+// stand enters the newest record of a message, in the newest segment.
+func (s *Spool) stand(m *Message, seg *segment, offset, length int64) {
+	m.segment, m.offset, m.length = seg, offset, length
+	seg.owed++
+	seg.live += length
+	s.live += length
+	m.slot = s.backlog.newest.add(m.entry(), false)
+}
 
-// LoadDue is Load for up to n messages of any destination whose Expires is before a time (µs since 1970). The order is by Expires within a
-// segment alone, and none is missed: fewer than n without an error are all.
-func (s *Spool) LoadDue(before int64, n int) ([]*Message, error) { return nil, ErrOff }
+// rest has a message that stands in the newest segment be spilled.
+func (s *Spool) rest(m *Message) {
+	b := s.backlog
+	b.newest.spill(m.slot)
+	e := m.entry()
+	b.count(&e, 1)
+	m.segment = nil
+}
+
+// lose gives up a spilled slot that cannot be read. Its segment goes as if it were over, unless the read itself failed or the index
+// is broken: then it stays for the next start.
+func (s *Spool) lose(seg *segment, e *entry, err error) {
+	b := s.backlog
+	if errors.Is(err, errRecord) && !s.trusted(seg) {
+		err = errIndex
+	}
+	b.unspill(seg, e)
+	if errors.Is(err, errRecord) {
+		seg.owed--
+		seg.live -= int64(e.length)
+		s.live -= int64(e.length)
+	}
+	if len(b.damaged) < mostDamaged {
+		b.damaged = append(b.damaged, &DamagedError{Segment: seg.number, Offset: e.offset, Err: err})
+	} else {
+		b.untold++
+	}
+}
+
+// trusted tells whether the index that named a damaged record is whole. Danger: by a broken one whole records would be given up.
+func (s *Spool) trusted(seg *segment) bool {
+	r := seg.sealed
+	if r == nil || r.image != nil || r.checked {
+		return true
+	}
+	data, err := os.ReadFile(s.indexPath(seg))
+	if err == nil {
+		_, r.checked = readShape(data, seg.number)
+	}
+	return r.checked
+}
 
-// LoadMatching is Load for up to n messages that match, so that they end by the usual path. It reads all that is spilled, in the
-// worst case, without keeping other calls out meanwhile.
-func (s *Spool) LoadMatching(match func(*Message) bool, n int) ([]*Message, error) { return nil, ErrOff }
+// told gives the damage that was not told yet.
+func (b *backlog) told() error {
+	all := b.damaged
+	if b.untold > 0 {
+		all = append(all, fmt.Errorf("spool: and %d more that cannot be read", b.untold))
+	}
+	b.damaged, b.untold = nil, 0
+	return errors.Join(all...)
+}
 
 // NextDue is a lower bound of the earliest Expires of what is spilled, in µs since 1970; the highest int64 when nothing is.
-func (s *Spool) NextDue() int64 { return 1<<63 - 1 }
+func (s *Spool) NextDue() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.backlog == nil || s.backlog.all == 0 {
+		return never
+	}
+	due := s.backlog.newest.due
+	for _, seg := range s.order {
+		if seg.sealed != nil {
+			due = min(due, seg.sealed.due)
+		}
+	}
+	return due
+}
 
 // Spilled counts what is spilled for a destination.
-func (s *Spool) Spilled(dst int64) int { return 0 }
+func (s *Spool) Spilled(dst int64) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.backlog == nil || s.backlog.lines[dst] == nil {
+		return 0
+	}
+	return s.backlog.lines[dst].left
+}
 
 // SpilledAll counts all that is spilled.
-func (s *Spool) SpilledAll() int { return 0 }
+func (s *Spool) SpilledAll() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.backlog == nil {
+		return 0
+	}
+	return s.backlog.all
+}
 
 // SpilledTo lists destinations with spilled messages, in rising order.
-func (s *Spool) SpilledTo() []int64 { return nil }
+func (s *Spool) SpilledTo() []int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.backlog == nil {
+		return nil
+	}
+	return slices.Sorted(maps.Keys(s.backlog.lines))
+}
+
+// SpilledKey tells whether a message with this order key is spilled; no for the empty key. It goes by a hash of 64 bits.
+func (s *Spool) SpilledKey(orderKey string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.backlog != nil && s.backlog.keys[hashKey(orderKey)] > 0
+}
 
 // Has tells whether a message of this id is owed, spilled or not. Where a file cannot be read at the moment, it says yes: a refused
 // hand-in does less harm than a message that is owed twice.
-func (s *Spool) Has(id string) bool { return false }
+func (s *Spool) Has(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.owed[id] != nil {
+		return true
+	}
+	_, _, found, err := s.find(id)
+	return found || err != nil
+}
 
-// SpilledKey tells whether a message with this order key is spilled; no for the empty key. It goes by a hash of 64 bits.
-func (s *Spool) SpilledKey(orderKey string) bool { return false }
+// find looks for the spilled message of an id, by its hash of 64 bits.
+func (s *Spool) find(id string) (seg *segment, e entry, found bool, err error) {
+	b := s.backlog
+	if b == nil {
+		return nil, e, false, nil
+	}
+	h := hashOf(id)
+	if b.newest != nil {
+		if slot, in := b.newest.byID[h]; in && b.newest.entries[slot].spilled {
+			return b.newest.seg, b.newest.entries[slot].entry, true, nil
+		}
+	}
+	for _, seg := range s.order {
+		if seg.sealed == nil || seg.sealed.left == 0 || !seg.sealed.filter.may(h) {
+			continue
+		}
+		e, found, failed := s.lookup(seg, h)
+		if found {
+			return seg, e, true, nil
+		}
+		err = errors.Join(err, failed)
+	}
+	return nil, e, false, err
+}
--- /dev/null
+++ b/internal/spool/forward.go
@@ -0,0 +1,120 @@
+package spool
+
+import (
+	"io"
+	"os"
+)
+
+const (
+	mostCompact = 2  // segments that a call which takes one on copies forward, with the backlog on: what it may take is bounded by that
+	leastDead   = 16 // one in so many bytes of the room is to be dead, or copying would win nothing back
+)
+
+// mayCompact is how many segments a call may copy forward to make room within a part of it. What is taken on already may have all.
+func (s *Spool) mayCompact(within int64) int {
+	if s.backlog == nil || within == s.room {
+		return len(s.order)
+	}
+	dead := -s.live
+	for _, seg := range s.order {
+		dead += seg.size
+	}
+	if dead < s.room/leastDead {
+		return 0
+	}
+	return mostCompact
+}
+
+// removeIndex removes the index of a segment that is to go: first, so that none is left without its segment.
+func (s *Spool) removeIndex(seg *segment) bool {
+	s.backlog.step()
+	if err := os.Remove(s.indexPath(seg)); err != nil && !os.IsNotExist(err) {
+		return false
+	}
+	s.backlog.step()
+	return true
+}
+
+// forwardBoth copies what is owed of a segment to the newest one: what is working, then what is spilled.
+func (s *Spool) forwardBoth(old *segment) bool {
+	if s.crowded() {
+		return false
+	}
+	for _, m := range s.owed {
+		if m.segment == old && !s.forwardWorking(m) {
+			return false
+		}
+	}
+	if r := old.sealed; r != nil && r.left > 0 && !s.forwardSpilled(old) {
+		return false
+	}
+	return old.owed == 0
+}
+
+func (s *Spool) forwardWorking(m *Message) bool {
+	record := m.record()
+	n := int64(len(record))
+	if m.drawn {
+		record = append(record, begin(recDrawn, m.ID).number(0).number(0).number(0).number(0).seal()...)
+	}
+	all := int64(len(record))
+	if !s.fits(all, s.room) || s.append(record) != nil {
+		return false
+	}
+	s.lift(m)
+	s.stand(m, s.now(), s.now().size-all, n)
+	return true
+}
+
+// forwardSpilled walks the segment's own entries, and copies the records of those spilled as they are.
+func (s *Spool) forwardSpilled(old *segment) bool {
+	index, err := s.index(old)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = index.Close() }()
+	f, err := os.Open(s.path(old))
+	if err != nil {
+		return false
+	}
+	defer func() { _ = f.Close() }()
+	page := make([]entry, pageEntries)
+	for pos := uint32(0); pos < old.sealed.shape.entries && old.sealed.left > 0; pos += uint32(len(page)) {
+		if page, err = readEntries(index, old.sealed.shape, pos, page); err != nil {
+			return false
+		}
+		for i := range page {
+			if e := &page[i]; old.sealed.spilled.has(e.slot) && !s.moveSpilled(old, f, e) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func (s *Spool) moveSpilled(old *segment, f io.ReaderAt, e *entry) bool {
+	m, err := readMessageAt(f, e)
+	if err != nil {
+		s.lose(old, e, err)
+		return true
+	}
+	record := m.record()
+	n := int64(len(record))
+	if len(m.Legs) > 0 {
+		record = append(record, begin(recRested, m.ID).seal()...)
+	}
+	all := int64(len(record))
+	if !s.fits(all, s.room) || s.append(record) != nil {
+		return false
+	}
+	b := s.backlog
+	b.unspill(old, e)
+	old.owed--
+	old.live -= int64(e.length)
+	s.live -= int64(e.length)
+	b.die(old, e.slot)
+	s.stand(m, s.now(), s.now().size-all, n)
+	s.rest(m)
+	b.moved++
+	return true
+}
--- a/internal/spool/purge.go
+++ b/internal/spool/purge.go
@@ -37,10 +37,30 @@
 	return s.mark()
 }
 
-// Owing lists messages that match and are under way, and counts those that ended and whose notice is owed.
+// Owing lists messages that match and are under way, spilled ones too, and counts those that ended and whose notice is owed.
+// Spilled ones are read from the files.
 func (s *Spool) Owing(match func(*Message) bool) (open []string, ended int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	open, ended, _ = s.owing(match) // what cannot be read has a purge fail
+	return open, ended
+}
+
+func (s *Spool) owing(match func(*Message) bool) (open []string, ended int, err error) {
+	if s.backlog == nil {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		open, ended = s.working(match)
+	} else {
+		err = s.spilledIDs(match, func(ids []string) {
+			open, ended = s.working(match)
+			open = append(open, ids...)
+		})
+	}
+	slices.Sort(open)
+	return open, ended, err
+}
+
+// working is owing of what is not spilled.
+func (s *Spool) working(match func(*Message) bool) (open []string, ended int) {
 	for _, m := range s.owed {
 		switch {
 		case !match(m):
@@ -50,7 +70,6 @@
 			open = append(open, m.ID)
 		}
 	}
-	slices.Sort(open)
 	return open, ended
 }
 
@@ -81,6 +100,11 @@
 
 // strip marks those that ended; their next record has neither body nor keys.
 func (s *Spool) strip(match func(*Message) bool) error {
+	if s.backlog != nil {
+		if err := s.spilledNone(match); err != nil {
+			return err
+		}
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.strange) > 0 {
@@ -103,6 +127,18 @@
 	return nil
 }
 
+// spilledNone makes sure that nothing that matches is spilled. Danger: by its record it would be erased while it is owed.
+func (s *Spool) spilledNone(match func(*Message) bool) error {
+	open, _, err := s.owing(match)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrStrange, err)
+	}
+	if len(open) > 0 {
+		return fmt.Errorf("%w: %d", ErrOwed, len(open))
+	}
+	return nil
+}
+
 // Stripped tells whether a message's body was erased.
 func (s *Spool) Stripped(m *Message) bool {
 	s.mu.Lock()
--- a/internal/spool/record.go
+++ b/internal/spool/record.go
@@ -7,11 +7,13 @@
 
 // The records. Each stands in the file as length, checksum, kind and fields.
 const (
-	recTaken byte = 1 + iota // the message
-	recLeg                   // about to go out
-	recUnrun                 // that leg surely never ran
-	recEnded                 // undelivered; its notice is owed
-	recOver                  // nothing is owed any more
+	recTaken  byte = 1 + iota // the message
+	recLeg                    // about to go out
+	recUnrun                  // that leg surely never ran
+	recEnded                  // undelivered; its notice is owed
+	recOver                   // nothing is owed any more
+	recDrawn                  // with the backlog on: a spilled message is a working one again; older programs skip it
+	recRested                 // with the backlog on: a message whose taken record has legs is spilled; older programs skip it
 )
 
 const (
--- a/internal/spool/spool.go
+++ b/internal/spool/spool.go
@@ -53,17 +53,24 @@
 
 	segment *segment // that holds its newest record of all it needs
 	length  int64    // of that record
+
+	slot   uint32 // with the backlog on: so many taken records stand in front of that one in its segment
+	offset int64  // with the backlog on, bytes: where it stands
+	drawn  bool   // loaded from the backlog
 }
 
 // segment is one file.
 type segment struct {
 	number int64
 	size   int64
-	owed   int   // messages that stand in it
-	live   int64 // bytes of their records
+	owed   int     // messages that stand in it
+	live   int64   // bytes of their records
+	sealed *sealed // with the backlog on, nil for the newest
 }
 
-func (s *segment) blocks() int64 { return (s.size + block - 1) / block * block }
+func (s *segment) blocks() int64 { return blocks(s.size) }
+
+func blocks(size int64) int64 { return (size + block - 1) / block * block }
 
 // Spool is the journal of one sender.
 type Spool struct {
@@ -79,8 +86,9 @@
 	foreign int64               // bytes of files that are not ours to read
 	strange []string            // their names
 	file    *os.File
-	earlier bool // a process wrote here before this one
-	torn    bool // the newest segment ends in part of a record: what follows there would not be believed
+	earlier bool     // a process wrote here before this one
+	backlog *backlog // nil: off
+	torn    bool     // the newest segment ends in part of a record: what follows there would not be believed
 }
 
 // Open reads back what is owed and starts a new segment. It says in notes what it could not read.
@@ -157,9 +165,7 @@
 			m.addLeg(l)
 		}
 	case recUnrun:
-		if n := len(m.Legs); n > 0 {
-			m.Legs[n-1].NeverRan = true
-		}
+		m.unrun()
 	case recEnded:
 		m.Ended, m.PushedBack, m.Advice = true, d.number() != 0, d.number()
 	case recOver:
@@ -180,19 +186,33 @@
 	m.Legs = append(m.Legs, l)
 }
 
+// unrun has the latest leg have never run.
+func (m *Message) unrun() {
+	if n := len(m.Legs); n > 0 {
+		m.Legs[n-1].NeverRan = true
+	}
+}
+
 // place has a message stand in a segment, and no longer in the one it stood in.
 func (s *Spool) place(m *Message, seg *segment, length int64) {
 	if old := s.owed[m.ID]; old != nil {
 		s.lift(old)
 	}
+	s.owed[m.ID] = m
+	if s.backlog != nil {
+		s.stand(m, seg, seg.size-length, length)
+		return
+	}
 	m.segment, m.length = seg, length
 	seg.owed++
 	seg.live += length
 	s.live += length
-	s.owed[m.ID] = m
 }
 
 func (s *Spool) lift(m *Message) {
+	if s.backlog != nil {
+		s.backlog.die(m.segment, m.slot)
+	}
 	m.segment.owed--
 	m.segment.live -= m.length
 	s.live -= m.length
--- a/internal/spool/write.go
+++ b/internal/spool/write.go
@@ -29,6 +29,11 @@
 	seg.size = int64(len(magic))
 	s.file = f
 	s.order = append(s.order, seg)
+	if s.backlog != nil {
+		s.backlog.step()
+		s.seal()
+		s.backlog.newest = newNewest(seg)
+	}
 	return nil
 }
 
@@ -39,16 +44,27 @@
 	for _, seg := range s.order {
 		sum += seg.blocks()
 	}
+	if s.backlog != nil {
+		sum += s.indexSizes()
+	}
 	return sum
 }
 
+// segmentSize is that from which on a further segment is begun.
+func (s *Spool) segmentSize() int64 {
+	if s.backlog != nil {
+		return min(s.room/segments, mostSegment)
+	}
+	return s.room / segments
+}
+
 // fits tells whether so many bytes more stay within a part of the room, a new segment's start counted.
 func (s *Spool) fits(n int64, within int64) bool { return s.used()+n+2*block <= within }
 
 // append writes one record to the newest segment, and opens a further one when that is full.
 func (s *Spool) append(record []byte) error {
 	seg := s.now()
-	if seg.size >= s.room/segments || s.torn {
+	if seg.size >= s.segmentSize() || s.torn {
 		if err := s.startSegment(); err != nil && s.torn { // else the old one takes it too: descriptors may be short for a moment
 			return err
 		}
@@ -57,6 +73,9 @@
 	n, err := s.file.Write(record)
 	if err == nil {
 		seg.size += int64(n)
+		if s.backlog != nil {
+			s.backlog.step()
+		}
 		return nil
 	}
 	if s.file.Truncate(seg.size) == nil {
@@ -81,7 +100,7 @@
 
 // compact copies all that is owed forward, oldest first, until a record fits. Each segment is taken up once.
 func (s *Spool) compact(n, within int64) bool {
-	for range len(s.order) {
+	for range s.mayCompact(within) {
 		oldest := s.order[0]
 		if s.fits(n, within) || len(s.order) < 2 || !s.forward(oldest) || !s.remove(oldest) {
 			break
@@ -91,15 +110,24 @@
 }
 
 func (s *Spool) remove(oldest *segment) bool {
+	if s.backlog != nil && !s.removeIndex(oldest) {
+		return false
+	}
 	if err := os.Remove(s.path(oldest)); err != nil && !os.IsNotExist(err) {
 		return false
 	}
 	s.order = s.order[1:]
+	if s.backlog != nil {
+		s.backlog.step()
+	}
 	return true
 }
 
 // forward copies what is owed of a segment to the newest one.
 func (s *Spool) forward(old *segment) bool {
+	if s.backlog != nil {
+		return s.forwardBoth(old)
+	}
 	for _, m := range s.owed {
 		if m.segment != old {
 			continue
@@ -117,17 +145,13 @@
 func (s *Spool) Take(m *Message) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if m.Taken == 0 {
-		s.count++
-		m.Taken = s.mark()
-	} else if s.fenced != nil && s.fenced(m) { // sent again, from before a purge
-		return ErrFenced
+	if err := s.admit(m); err != nil {
+		return err
 	}
 	record := m.record()
-	within := s.room - s.room/reserve
 	n := int64(len(record))
-	if !s.fits(n, within) && (s.live+n > within || !s.compact(n, within)) {
-		return ErrFull
+	if err := s.makeRoom(n); err != nil {
+		return err
 	}
 	if err := s.append(record); err != nil {
 		return err
@@ -137,6 +161,33 @@
 	return nil
 }
 
+// admit counts a message that is to be taken on.
+func (s *Spool) admit(m *Message) error {
+	if s.backlog != nil {
+		if _, _, twice, err := s.find(m.ID); twice {
+			return ErrTwice
+		} else if err != nil { // it might be
+			return err
+		}
+	}
+	if m.Taken == 0 {
+		s.count++
+		m.Taken = s.mark()
+	} else if s.fenced != nil && s.fenced(m) { // sent again, from before a purge
+		return ErrFenced
+	}
+	return nil
+}
+
+// makeRoom sees to it that a message fits which is not owed yet, without what is kept for those that are.
+func (s *Spool) makeRoom(n int64) error {
+	within := s.room - s.room/reserve
+	if !s.fits(n, within) && (s.live+n > within || !s.compact(n, within)) || s.crowded() {
+		return ErrFull
+	}
+	return nil
+}
+
 // note records something of a message owed.
 func (s *Spool) note(m *Message, record []byte, change func()) error {
 	s.mu.Lock()
@@ -161,11 +212,7 @@
 
 // NeverRan records that the latest leg surely never ran.
 func (s *Spool) NeverRan(m *Message) error {
-	return s.note(m, begin(recUnrun, m.ID).seal(), func() {
-		if n := len(m.Legs); n > 0 {
-			m.Legs[n-1].NeverRan = true
-		}
-	})
+	return s.note(m, begin(recUnrun, m.ID).seal(), m.unrun)
 }
 
 // Legs are those on record by now.
