Spool: kills, torn and flipped files of the backlog are explored in tests

Each record, rename and removal of random lives is a kill; sealed segments and indexes are cut and flipped at every byte. Found so: a record that cannot be read was told at the start and once more by Load; legs said by an index were lost with its segment's header. Over now works for a message given to Spill, SpilledKey tells of other destinations, Has says no to one whose notice alone is owed.

--- a/internal/spool/backlog.go
+++ b/internal/spool/backlog.go
@@ -42,12 +42,14 @@
 	newest  *newest
 	lines   map[int64]*line // of destinations with spilled messages; emptied as these are loaded
 	all     int
-	keys    map[uint64]int32 // spilled messages by the hash of their order key
-	most    int              // of keys
-	moved   int              // spilled messages copied forward so far
-	damaged []error          // not told yet
-	untold  int              // beyond those
-	opening bool             // segments are being read back: runs and counts come last
+	keys    map[uint64]spilledKey // by the hash of the order key
+	most    int                   // of keys
+	moved   int                   // spilled messages copied forward so far
+	damaged []error               // not told yet
+	untold  int                   // beyond those
+	opening bool                  // segments are being read back: runs and counts come last
+
+	segment int64 // bytes, at most, of one
 
 	write  func(name string, data []byte) error
 	rename func(from, to string) error
@@ -69,7 +71,7 @@
 }
 
 func newBacklog() *backlog {
-	return &backlog{lines: map[int64]*line{}, keys: map[uint64]int32{}, most: mostKeys, step: func() {},
+	return &backlog{lines: map[int64]*line{}, keys: map[uint64]spilledKey{}, most: mostKeys, segment: mostSegment, step: func() {},
 		write: func(name string, data []byte) error { return os.WriteFile(name, data, 0o600) }, rename: os.Rename}
 }
 
@@ -89,12 +91,30 @@
 	if l.left += by; l.left == 0 {
 		delete(b.lines, e.dst)
 	}
-	if e.key == 0 {
-		return
+	if e.key != 0 {
+		b.countKey(e, by)
+	}
+}
+
+// spilledKey is what is known of an order key.
+type spilledKey struct {
+	dst     int64 // of the first one spilled
+	count   int32
+	several bool // at another destination too, at some time
+}
+
+func (b *backlog) countKey(e *entry, by int) {
+	k, known := b.keys[e.key]
+	if !known {
+		k.dst = e.dst
 	}
-	if b.keys[e.key] += int32(by); b.keys[e.key] == 0 {
+	k.count += int32(by)
+	k.several = k.several || k.dst != e.dst
+	if k.count == 0 {
 		delete(b.keys, e.key)
+		return
 	}
+	b.keys[e.key] = k
 }
 
 // isSpilled tells whether a slot is spilled, in the newest segment or a sealed one.
@@ -151,8 +171,8 @@
 	return e
 }
 
-// Spill records a message as owed, new or working, and lets go of it: m is not the spool's any more, and comes back by Load as a copy with
-// all its attempts. Without an error it is owed. With one, a new message is not, and a working one stays so. ErrFull: no room, or the
+// Spill records a message as owed, new or working, and lets go of it: m is not the spool's any more but for Over, and comes back by Load as a
+// copy with all its attempts. Without an error it is owed. With one, a new message is not, and a working one stays so. ErrFull: no room, or the
 // indexes cannot be written. ErrKeys: its order key would be one too many. ErrChannel: it is of a channel, or ended. ErrTwice: a spilled
 // one has its id. ErrFenced: as Take. ErrOver: it was working, and is not.
 func (s *Spool) Spill(m *Message) error {
@@ -167,7 +187,7 @@
 		return ErrChannel
 	case working && s.owed[m.ID] != m:
 		return ErrOver
-	case key != 0 && b.keys[key] == 0 && len(b.keys) >= b.most:
+	case key != 0 && b.keys[key].count == 0 && len(b.keys) >= b.most:
 		return ErrKeys
 	}
 	if working && m.segment == b.newest.seg && len(m.Legs) == 0 && !m.drawn { // its record tells all
@@ -232,9 +252,7 @@
 	}
 	b.unspill(seg, e)
 	if errors.Is(err, errRecord) {
-		seg.owed--
-		seg.live -= int64(e.length)
-		s.live -= int64(e.length)
+		s.discard(seg, e)
 	}
 	if len(b.damaged) < mostDamaged {
 		b.damaged = append(b.damaged, &DamagedError{Segment: seg.number, Offset: e.offset, Err: err})
@@ -312,19 +330,69 @@
 	return slices.Sorted(maps.Keys(s.backlog.lines))
 }
 
-// SpilledKey tells whether a message with this order key is spilled; no for the empty key. It goes by a hash of 64 bits.
-func (s *Spool) SpilledKey(orderKey string) bool {
+// SpilledKey tells whether a message with this order key is spilled, and whether one may be at another destination than dst: that yes
+// may be out of date until the key's last one is loaded. Both are no for the empty key. It goes by a hash of 64 bits.
+func (s *Spool) SpilledKey(orderKey string, dst int64) (rests, elsewhere bool) {
+	if orderKey == "" {
+		return false, false
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.backlog != nil && s.backlog.keys[hashKey(orderKey)] > 0
+	if s.backlog == nil {
+		return false, false
+	}
+	k := s.backlog.keys[hashKey(orderKey)]
+	return k.count > 0, k.count > 0 && (k.several || k.dst != dst)
+}
+
+// withdraw has a message be over that was spilled, or was loaded again since. Over calls it, for who gave it to Spill has no other hold on it.
+func (s *Spool) withdraw(m *Message) error {
+	if m.segment != nil || m.Taken == 0 {
+		return ErrOver
+	}
+	if now := s.owed[m.ID]; now != nil && now.Taken == m.Taken {
+		return s.recordOver(now)
+	}
+	seg, e, found, err := s.find(m.ID)
+	if err != nil {
+		return err
+	}
+	if !found || e.taken != m.Taken {
+		return ErrOver
+	}
+	record := begin(recOver, m.ID).seal()
+	n, moved := int64(len(record)), s.backlog.moved
+	if !s.fits(n, s.room) && !s.compact(n, s.room) {
+		return ErrFull
+	}
+	if s.backlog.moved != moved { // making room had it copied forward
+		if seg, e, found, err = s.find(m.ID); err != nil || !found {
+			return errors.Join(ErrOver, err)
+		}
+	}
+	if err := s.append(record); err != nil {
+		return err
+	}
+	s.backlog.unspill(seg, &e)
+	s.discard(seg, &e)
+	s.backlog.die(seg, e.slot)
+	s.shrink()
+	return nil
+}
+
+// discard has a slot that is spilled no more count as owed no more in its segment.
+func (s *Spool) discard(seg *segment, e *entry) {
+	seg.owed--
+	seg.live -= int64(e.length)
+	s.live -= int64(e.length)
 }
 
-// Has tells whether a message of this id is owed, spilled or not. Where a file cannot be read at the moment, it says yes: a refused
+// Has tells whether a message of this id is owed, spilled or not; one of which the notice alone is owed does not count. Where a file cannot be read at the moment, it says yes: a refused
 // hand-in does less harm than a message that is owed twice.
 func (s *Spool) Has(id string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.owed[id] != nil {
+	if m := s.owed[id]; m != nil && !m.Ended {
 		return true
 	}
 	_, _, found, err := s.find(id)
--- a/internal/spool/backlog_test.go
+++ b/internal/spool/backlog_test.go
@@ -6,7 +6,9 @@
 	"maps"
 	"math/rand/v2"
 	"os"
+	"reflect"
 	"slices"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -20,6 +22,17 @@
 	return s
 }
 
+// small has segments of so many bytes.
+func small(t *testing.T, dir string, room, segment int64) *Spool {
+	t.Helper()
+	b := newBacklog()
+	b.segment = segment
+	s, _, err := openBacklog(dir, room, b)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = s.Close() })
+	return s
+}
+
 func addressed(id string, dst int64, size int) *Message {
 	m := message(id, size)
 	m.Dst, m.Expires = dst, 1e15+int64(len(id))
@@ -45,9 +58,36 @@
 type model struct {
 	working map[string]*Message
 	spilled map[string]Message
+	given   map[string]*Message // to Spill, by now
 }
 
-func newModel() *model { return &model{map[string]*Message{}, map[string]Message{}} }
+func newModel() *model {
+	return &model{map[string]*Message{}, map[string]Message{}, map[string]*Message{}}
+}
+
+// same compares what is owed, and tells what differs in few words.
+func same(t *testing.T, want, got map[string]Message, what string, args ...any) {
+	t.Helper()
+	if reflect.DeepEqual(want, got) {
+		return
+	}
+	var lines []string
+	for id, m := range want {
+		if g, in := got[id]; !in {
+			lines = append(lines, "missing "+id)
+		} else if !reflect.DeepEqual(m, g) {
+			m.Body, g.Body = nil, nil
+			lines = append(lines, fmt.Sprintf("%+v\nis %+v", m, g))
+		}
+	}
+	for id := range got {
+		if _, in := want[id]; !in {
+			lines = append(lines, "too much "+id)
+		}
+	}
+	slices.Sort(lines)
+	require.Fail(t, fmt.Sprintf(what, args...), strings.Join(lines[:min(len(lines), 6)], "\n"))
+}
 
 // all lists everything owed by id.
 func (w *model) all() map[string]Message {
@@ -88,14 +128,20 @@
 		byDst[m.Dst]++
 		due = min(due, m.Expires)
 		require.True(t, s.Has(id), id)
-		require.Equal(t, m.OrderKey != "", s.SpilledKey(m.OrderKey), id)
+		rests, _ := s.SpilledKey(m.OrderKey, 0)
+		require.Equal(t, m.OrderKey != "", rests, id)
+		if m.OrderKey != "" {
+			_, elsewhere := s.SpilledKey(m.OrderKey, m.Dst+1)
+			require.True(t, elsewhere)
+		}
 	}
 	require.LessOrEqual(t, s.NextDue(), due)
 	require.Equal(t, slices.Sorted(maps.Keys(byDst)), s.SpilledTo())
 	for dst, n := range byDst {
 		require.Equal(t, n, s.Spilled(dst))
 	}
-	require.False(t, s.SpilledKey("never used"))
+	rests, elsewhere := s.SpilledKey("never used", 1)
+	require.False(t, rests || elsewhere)
 	require.False(t, s.Has("never used"))
 	owed, live := 0, int64(0)
 	for _, seg := range s.order {
@@ -162,7 +208,7 @@
 			}
 		}
 	}
-	require.Equal(t, want, got)
+	same(t, want, got, "drained")
 	require.Zero(t, s.SpilledAll())
 	require.NoError(t, s.Close())
 }
@@ -209,7 +255,8 @@
 		if !w.refused(t, s.Spill(m)) {
 			delete(w.working, m.ID)
 			w.spilled[m.ID] = plain(m)
-			require.ErrorIs(t, s.Over(m), ErrOver, "it is let go of")
+			require.ErrorIs(t, s.Leg(m, Leg{}), ErrOver, "it is let go of")
+			w.given[m.ID] = m
 		}
 	case what < 12:
 		dst, n := int64(r.IntN(5)), 1+r.IntN(6)
@@ -232,11 +279,10 @@
 			require.Less(t, m.Expires, before)
 		}
 		w.loaded(t, ms)
+	case what == 13 && m != nil && len(m.Legs) > 0 && r.IntN(2) == 0:
+		require.NoError(t, s.NeverRan(m))
 	case what == 13 && m != nil:
 		require.NoError(t, s.Leg(m, Leg{SentAt: int64(i), Zone: r.IntN(3)}))
-		if r.IntN(2) == 0 {
-			require.NoError(t, s.NeverRan(m))
-		}
 	case what == 14 && m != nil:
 		require.NoError(t, s.End(m, r.IntN(2) == 0, int64(i)))
 	case what == 15:
@@ -251,6 +297,17 @@
 		}
 		require.Len(t, ms, min(matching, 3))
 		w.loaded(t, ms)
+	case what == 16 && len(w.given) > 0: // withdrawn, while it rests, works again or is over
+		m := w.given[slices.Min(slices.Collect(maps.Keys(w.given)))]
+		delete(w.given, m.ID)
+		_, rests := w.spilled[m.ID]
+		if w.working[m.ID] == nil && !rests {
+			require.ErrorIs(t, s.Over(m), ErrOver)
+			return
+		}
+		require.NoError(t, s.Over(m))
+		delete(w.spilled, m.ID)
+		delete(w.working, m.ID)
 	case m != nil:
 		require.NoError(t, s.Over(m))
 		delete(w.working, m.ID)
@@ -289,7 +346,7 @@
 					for _, m := range off.Owed() {
 						got[m.ID] = plain(m)
 					}
-					require.Equal(t, w.all(), got)
+					same(t, w.all(), got, "the old way")
 					drain(t, off.dir, room, w.all())
 				}
 				if r.IntN(2) == 0 {
--- /dev/null
+++ b/internal/spool/damage_test.go
@@ -0,0 +1,280 @@
+package spool
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// rested is a folder with n messages to two destinations, sealed in some segments, some worked at and over.
+func rested(t *testing.T, dir string, room int64, n int) map[string]Message {
+	t.Helper()
+	s, all := small(t, dir, room, 900), map[string]Message{}
+	for i := range n {
+		m := addressed(fmt.Sprint("m", i), int64(1+i%2), 30)
+		m.OrderKey = fmt.Sprint("k", i%3)
+		if i%5 > 0 {
+			require.NoError(t, s.Spill(m))
+			all[m.ID] = plain(m)
+			continue
+		}
+		require.NoError(t, s.Take(m))
+		require.NoError(t, s.Leg(m, Leg{SentAt: int64(i + 1)}))
+		switch i % 3 {
+		case 0:
+			require.NoError(t, s.Over(m))
+			continue
+		case 1:
+			require.NoError(t, s.End(m, true, 9))
+		}
+		all[m.ID] = plain(m)
+	}
+	require.NoError(t, s.Close())
+	return all
+}
+
+func indexesOf(t *testing.T, dir string) []string {
+	t.Helper()
+	names, err := filepath.Glob(filepath.Join(dir, "*"+indexExtension))
+	require.NoError(t, err)
+	return names
+}
+
+// resum gives an index the checksum of what it says now.
+func resum(data []byte) {
+	end := len(data) - 4
+	binary.LittleEndian.PutUint32(data[end:], crc32.ChecksumIEEE(data[:end]))
+}
+
+// An index with any byte flipped, cut anywhere, of another version, another segment's or gone is made again from its segment.
+func TestSpoiltIndexIsMadeAgain(t *testing.T) {
+	const room = plenty
+	dir := t.TempDir()
+	want := rested(t, dir, room, 36)
+	names := indexesOf(t, dir)
+	require.Greater(t, len(names), 2)
+	for _, at := range []int{0, len(names) / 2, len(names) - 1} {
+		whole, err := os.ReadFile(names[at])
+		require.NoError(t, err)
+		spoil := func(data []byte, what string, i int) {
+			next := copied(t, dir)
+			name := filepath.Join(next, filepath.Base(names[at]))
+			require.NoError(t, os.WriteFile(name, data, 0o600))
+			same(t, want, owedIn(t, next, room), "%s at byte %d of index %d", what, i, at)
+			made, err := os.ReadFile(name)
+			if err == nil { // its segment may be gone by now
+				p, ok := readShape(made, int64(binary.LittleEndian.Uint64(whole[8:])))
+				require.True(t, ok, "%s at byte %d", what, i)
+				require.Equal(t, whole[indexHead:p.statesAt()], made[indexHead:p.statesAt()], "%s at byte %d", what, i)
+			}
+			require.NoError(t, os.RemoveAll(next))
+		}
+		for i := range whole {
+			flipped := slices.Clone(whole)
+			flipped[i] ^= 1 << (i % 8)
+			spoil(flipped, "flipped", i)
+			if i%7 == 0 {
+				spoil(whole[:i], "cut", i)
+			}
+		}
+		other := slices.Clone(whole)
+		other[6] = '9'
+		resum(other)
+		spoil(other, "unknown version", 6)
+		other, err = os.ReadFile(names[(at+1)%len(names)])
+		require.NoError(t, err)
+		spoil(other, "another's", 0)
+	}
+	for _, name := range names {
+		require.NoError(t, os.Remove(name))
+	}
+	same(t, want, owedIn(t, dir, room), "another start")
+}
+
+// records lists where each record of a segment begins, and where the last ends.
+func records(t *testing.T, data []byte) (at []int) {
+	t.Helper()
+	rest := data[len(magic):]
+	for len(rest) > 0 {
+		at = append(at, len(data)-len(rest))
+		var record []byte
+		record, rest = next(rest)
+		require.NotNil(t, record)
+	}
+	return append(at, len(data))
+}
+
+// spilledOf loads all, and gives the damage told.
+func spilledOf(t *testing.T, s *Spool) (got map[string]Message, damage []*DamagedError) {
+	t.Helper()
+	got = map[string]Message{}
+	for _, m := range s.Owed() {
+		got[m.ID] = plain(m)
+	}
+	for _, dst := range s.SpilledTo() {
+		ms, err := s.Load(dst, 1000)
+		for _, m := range ms {
+			got[m.ID] = plain(m)
+		}
+		damage = append(damage, damages(t, err)...)
+	}
+	require.Zero(t, s.SpilledAll())
+	return got, damage
+}
+
+func damages(t *testing.T, err error) (all []*DamagedError) {
+	t.Helper()
+	if err == nil {
+		return nil
+	}
+	var joined interface{ Unwrap() []error }
+	if errors.As(err, &joined) {
+		for _, one := range joined.Unwrap() {
+			all = append(all, damages(t, one)...)
+		}
+		return all
+	}
+	var one *DamagedError
+	require.ErrorAs(t, err, &one)
+	return append(all, one)
+}
+
+// A byte flipped anywhere in a sealed segment costs the message whose record it is in, is told once, and costs no other.
+func TestFlippedRecordCostsItsMessageAlone(t *testing.T) {
+	const room = plenty
+	dir := t.TempDir()
+	want := rested(t, dir, room, 36)
+	name := filepath.Join(dir, "000000000002.seg")
+	whole, err := os.ReadFile(name)
+	require.NoError(t, err)
+	at := records(t, whole)
+	for i := len(magic); i < len(whole); i++ {
+		next := copied(t, dir)
+		flipped := slices.Clone(whole)
+		flipped[i] ^= 1 << (i % 8)
+		require.NoError(t, os.WriteFile(filepath.Join(next, filepath.Base(name)), flipped, 0o600))
+		s, notes, err := OpenBacklog(next, room)
+		require.NoError(t, err)
+		got, damage := spilledOf(t, s)
+		k, _ := slices.BinarySearch(at, i+1)
+		record := whole[at[k-1]+headSize : at[k]]
+		d := &decoder{left: record[1:]}
+		id := string(d.text())
+		left := maps.Clone(want)
+		_, owed := want[id]
+		if owed && record[0] == recTaken {
+			delete(left, id)
+			require.Equal(t, 1, len(damage)+len(notes), "byte %d", i)
+			for _, e := range damage {
+				require.Equal(t, DamagedError{Segment: 2, Offset: int64(at[k-1]), Err: e.Err}, *e)
+			}
+		}
+		same(t, left, got, "byte %d", i)
+		_, again := spilledOf(t, s)
+		require.Empty(t, again, "told once")
+		require.NoError(t, s.Close())
+		require.NoError(t, os.RemoveAll(next))
+	}
+}
+
+// A segment that was cut loses what stood behind the cut; without its index too, and then also what was said there of older messages.
+func TestTornSegmentLosesWhatIsTornAlone(t *testing.T) {
+	const room = plenty
+	dir := t.TempDir()
+	want := rested(t, dir, room, 36)
+	name := filepath.Join(dir, "000000000003.seg")
+	whole, err := os.ReadFile(name)
+	require.NoError(t, err)
+	at := records(t, whole)
+	for i := len(magic); i < len(whole); i++ {
+		next := copied(t, dir)
+		require.NoError(t, os.WriteFile(filepath.Join(next, filepath.Base(name)), whole[:i], 0o600))
+		left := maps.Clone(want)
+		for k := range len(at) - 1 {
+			record := whole[at[k]+headSize : at[k+1]]
+			if d := (&decoder{left: record[1:]}); at[k+1] > i && record[0] == recTaken {
+				delete(left, string(d.text()))
+			}
+		}
+		got, _ := spilledOf(t, openRoom(t, copied(t, next), room))
+		same(t, left, got, "cut at %d", i)
+
+		require.NoError(t, os.Remove(filepath.Join(next, "000000000003.idx")))
+		old := idsOf(open(t, copied(t, next), room).Owed())
+		slices.Sort(old)
+		got, _ = spilledOf(t, openRoom(t, next, room))
+		require.Equal(t, old, slices.Sorted(maps.Keys(got)), "as by the old way, cut at %d", i)
+		require.NoError(t, os.RemoveAll(next))
+	}
+}
+
+func TestUnknownSegmentIsLeftAloneAndTheOthersAreOwed(t *testing.T) {
+	const room = plenty
+	dir := t.TempDir()
+	want := rested(t, dir, room, 36)
+	name := filepath.Join(dir, "000000000002.seg")
+	data, err := os.ReadFile(name)
+	require.NoError(t, err)
+	data[5] = '9'
+	require.NoError(t, os.WriteFile(name, data, 0o600))
+	s, notes, err := OpenBacklog(dir, room)
+	require.NoError(t, err)
+	require.Len(t, notes, 1)
+	got, _ := spilledOf(t, s)
+	require.Less(t, len(got), len(want))
+	for id, m := range got {
+		require.Equal(t, want[id], m)
+	}
+	require.FileExists(t, name)
+}
+
+// A read that fails keeps the messages for the next start, and the others of their destination come.
+func TestFailedReadKeepsTheMessagesForTheNextStart(t *testing.T) {
+	const room = plenty
+	dir := t.TempDir()
+	want := rested(t, dir, room, 36)
+	s := openRoom(t, dir, room)
+	name, aside := filepath.Join(dir, "000000000002.seg"), filepath.Join(t.TempDir(), "aside")
+	require.NoError(t, os.Rename(name, aside))
+	require.NoError(t, os.Mkdir(name, 0o700)) // it opens, and a read of it fails
+	got, damage := spilledOf(t, s)
+	require.NotEmpty(t, damage)
+	for _, e := range damage {
+		assert.Equal(t, int64(2), e.Segment)
+		require.NotErrorIs(t, e, errRecord)
+	}
+	require.Equal(t, len(want), len(got)+len(damage))
+	require.NoError(t, s.Close())
+	require.NoError(t, os.Remove(name))
+	require.NoError(t, os.Rename(aside, name))
+	same(t, want, owedIn(t, dir, room), "another start")
+}
+
+// An index spoilt while the process runs costs nothing: what it misnames is kept for the next start, which makes it again.
+func TestIndexSpoiltMeanwhileLosesNothing(t *testing.T) {
+	const room = plenty
+	dir := t.TempDir()
+	want := rested(t, dir, room, 36)
+	s := openRoom(t, dir, room)
+	name := filepath.Join(dir, "000000000002.idx")
+	data, err := os.ReadFile(name)
+	require.NoError(t, err)
+	for pos := range 3 {
+		data[entryAt(uint32(pos))+40] ^= 1 // its offset
+	}
+	require.NoError(t, os.WriteFile(name, data, 0o600))
+	got, damage := spilledOf(t, s)
+	require.NotEmpty(t, damage)
+	require.Equal(t, len(want), len(got)+len(damage))
+	require.NoError(t, s.Close())
+	same(t, want, owedIn(t, dir, room), "another start")
+}
--- a/internal/spool/forward.go
+++ b/internal/spool/forward.go
@@ -109,9 +109,7 @@
 	}
 	b := s.backlog
 	b.unspill(old, e)
-	old.owed--
-	old.live -= int64(e.length)
-	s.live -= int64(e.length)
+	s.discard(old, e)
 	b.die(old, e.slot)
 	s.stand(m, s.now(), s.now().size-all, n)
 	s.rest(m)
--- a/internal/spool/recover.go
+++ b/internal/spool/recover.go
@@ -99,11 +99,13 @@
 	case err != nil && !cut:
 		s.strange = append(s.strange, base)
 		r.note("left alone, not readable: %v", err)
+		r.hear(seg)
 		return
 	case misnamed != nil || !cut && string(head) != magic:
 		s.foreign += seg.blocks()
 		s.strange = append(s.strange, base)
 		r.note("left alone, of an unknown version: %s", base)
+		r.hear(seg)
 		return
 	}
 	s.order = append(s.order, seg)
@@ -124,10 +126,6 @@
 		r.note("made again, not whole: %s", filepath.Base(s.indexPath(seg)))
 		return false
 	}
-	for _, m := range s.owed { // the index's own states tell which of them still work
-		r.rest(m)
-	}
-	clear(s.owed)
 	seg.sealed = &sealed{shape: p, spilled: newBitmap(p.slots)}
 	eachEntry(data, p, func(_ uint32, e *entry) {
 		if seg.sealed.spilled.set(e.slot) {
@@ -135,13 +133,34 @@
 		}
 	})
 	s.backlog.adopt(seg, data)
+	r.words(data, p)
+	return true
+}
+
+// hear takes what a whole index says of older messages, where its segment itself is left alone.
+func (r *recovery) hear(seg *segment) {
+	data, err := os.ReadFile(r.s.indexPath(seg))
+	if err != nil {
+		return
+	}
+	if p, whole := readShape(data, seg.number); whole {
+		r.words(data, p)
+	}
+}
+
+// words takes in what an index says of messages that stand elsewhere. Its own states tell which of those that worked so far still do.
+func (r *recovery) words(data []byte, p shape) {
+	s := r.s
+	for _, m := range s.owed {
+		r.rest(m)
+	}
+	clear(s.owed)
 	eachDead(data, p, func(d ref) {
-		if of := s.numbered(d.segment); of != nil && of != seg {
+		if of := s.numbered(d.segment); of != nil {
 			r.take(of, d.slot)
 		}
 	})
 	r.states = slices.Clone(data[p.statesAt() : len(data)-4])
-	return true
 }
 
 // numbered is the segment of a number; nil when there is none.
@@ -171,7 +190,7 @@
 	}
 }
 
-// load has a message work, as its record says; id is empty when it is not known. One that cannot be read leaves the slot as it is.
+// load has a message work, as its record says; id is empty when it is not known. A damaged one is owed no more.
 func (r *recovery) load(seg *segment, slot uint32, offset, length int64, id string) *Message {
 	if r.of != seg {
 		_ = r.file.Close()
@@ -188,6 +207,9 @@
 	}
 	if err != nil {
 		r.note("%v", &DamagedError{Segment: seg.number, Offset: offset, Err: err})
+		if errors.Is(err, errRecord) {
+			r.take(seg, slot)
+		}
 		return nil
 	}
 	r.take(seg, slot)
--- a/internal/spool/write.go
+++ b/internal/spool/write.go
@@ -53,7 +53,7 @@
 // segmentSize is that from which on a further segment is begun.
 func (s *Spool) segmentSize() int64 {
 	if s.backlog != nil {
-		return min(s.room/segments, mostSegment)
+		return min(s.room/segments, s.backlog.segment)
 	}
 	return s.room / segments
 }
@@ -192,6 +192,11 @@
 func (s *Spool) note(m *Message, record []byte, change func()) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.noteHeld(m, record, change)
+}
+
+// noteHeld is note with the lock held.
+func (s *Spool) noteHeld(m *Message, record []byte, change func()) error {
 	if s.owed[m.ID] != m {
 		return ErrOver
 	}
@@ -229,9 +234,18 @@
 	})
 }
 
-// Over records that nothing is owed for a message any more.
+// Over records that nothing is owed for a message any more, also for one that was given to Spill.
 func (s *Spool) Over(m *Message) error {
-	return s.note(m, begin(recOver, m.ID).seal(), func() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.backlog != nil && s.owed[m.ID] != m {
+		return s.withdraw(m)
+	}
+	return s.recordOver(m)
+}
+
+func (s *Spool) recordOver(m *Message) error {
+	return s.noteHeld(m, begin(recOver, m.ID).seal(), func() {
 		s.drop(m)
 		s.shrink()
 	})
