Spool: a start reads the front part of each index alone, not its entries

An index is a brief (runs by destination, counts by order key, filter, bits, the dead, open states) and a body (entries and their orders), each with its checksum. A start reads the briefs; the body is checked when something is first looked for in it, and made again from the segment if it is broken. Room: copies are begun while a segment still fits, and what is owed already may use room that only indexes would exceed.

--- a/internal/spool/backlog.go
+++ b/internal/spool/backlog.go
@@ -1,6 +1,7 @@
 package spool
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"maps"
@@ -48,10 +49,13 @@
 	moved   int                   // spilled messages copied forward so far
 	damaged []error               // not told yet
 	untold  int                   // beyond those
-	opening bool                  // segments are being read back: runs and counts come last
+	opening bool                  // segments are being read back: nothing is forgotten yet of which none is spilled
+	probes  []probe               // of sealed segments, as of when one was begun
+	probed  *segment              // that one
 
 	segment int64 // bytes, at most, of one
-	closed  int64 // bytes in use by sealed segments and their indexes
+	closed  int64 // bytes in use by sealed segments
+	indexes int64 // bytes in use by their indexes
 	waiting int   // indexes in memory that could not be written yet
 
 	write  func(name string, data []byte) error
@@ -87,15 +91,31 @@
 	return l
 }
 
+// prune forgets a destination of which nothing is spilled.
+func (b *backlog) prune(dst int64, l *line) {
+	if l.left == 0 && !b.opening {
+		delete(b.lines, dst)
+	}
+}
+
+// of finds a segment's run.
+func (l *line) of(seg *segment) (i int, found bool) {
+	return slices.BinarySearchFunc(l.runs, seg.number, func(r run, number int64) int { return cmp.Compare(r.seg.number, number) })
+}
+
+func (l *line) add(r run) {
+	i, _ := l.of(r.seg)
+	l.runs = slices.Insert(l.runs, i, r)
+}
+
 // count takes a spilled message into the counts by destination and key, or out of them.
 func (b *backlog) count(e *entry, by int) {
 	b.all += by
 	l := b.line(e.dst)
-	if l.left += by; l.left == 0 {
-		delete(b.lines, e.dst)
-	}
+	l.left += by
+	b.prune(e.dst, l)
 	if e.key != 0 && !b.unkeyed {
-		b.countKey(e, by)
+		b.countKey(e.key, e.dst, int32(by))
 	}
 }
 
@@ -115,18 +135,18 @@
 	several bool // at another destination too, at some time
 }
 
-func (b *backlog) countKey(e *entry, by int) {
-	k, known := b.keys[e.key]
+func (b *backlog) countKey(key uint64, dst int64, by int32) {
+	k, known := b.keys[key]
 	if !known {
-		k.dst = e.dst
+		k.dst = dst
 	}
-	k.count += int32(by)
-	k.several = k.several || k.dst != e.dst
+	k.count += by
+	k.several = k.several || k.dst != dst
 	if k.count == 0 {
-		delete(b.keys, e.key)
+		delete(b.keys, key)
 		return
 	}
-	b.keys[e.key] = k
+	b.keys[key] = k
 }
 
 // isSpilled tells whether a slot is spilled, in the newest segment or a sealed one.
@@ -143,7 +163,7 @@
 		b.newest.unspill(e.slot)
 	} else {
 		r.spilled.clear(e.slot)
-		if r.left--; r.left == 0 {
+		if r.left--; r.left == 0 && !b.opening {
 			r.filter, r.due = nil, never
 		}
 		b.shorten(seg, e.dst)
@@ -154,29 +174,34 @@
 // shorten takes one off a run.
 func (b *backlog) shorten(seg *segment, dst int64) {
 	l := b.line(dst)
-	i, found := slices.BinarySearchFunc(l.runs, seg.number, func(r run, number int64) int { return int(r.seg.number - number) })
+	i, found := l.of(seg)
 	if !found {
 		return
 	}
-	if l.runs[i].left--; l.runs[i].left == 0 {
+	if l.runs[i].left--; l.runs[i].left == 0 && !b.opening {
 		l.runs = slices.Delete(l.runs, i, i+1)
 	}
 }
 
 // die has a slot owed no more, or not here. The newest segment's index will tell so of a slot of an older one.
-func (b *backlog) die(seg *segment, slot uint32) {
-	if b.newest == nil {
-		return
-	}
+func (b *backlog) die(seg *segment, e *entry) {
 	if b.newest.seg == seg {
-		b.newest.die(slot)
+		b.newest.die(e.slot)
 		return
 	}
-	b.newest.dead = append(b.newest.dead, ref{seg.number, slot})
+	b.newest.dead = append(b.newest.dead, dead{seg.number, *e})
+}
+
+// overSpilled has a spilled slot be owed no more, or not here.
+func (s *Spool) overSpilled(seg *segment, e *entry) {
+	s.backlog.unspill(seg, e)
+	s.discard(seg, e)
+	s.backlog.die(seg, e)
 }
 
 func (m *Message) entry() entry {
-	e := entry{dst: m.Dst, expires: m.Expires, taken: m.Taken, id: hashOf(m.ID), key: hashKey(m.OrderKey), offset: m.offset, length: uint32(m.length)}
+	e := entry{dst: m.Dst, expires: m.Expires, taken: m.Taken, id: hashOf(m.ID), key: hashKey(m.OrderKey), offset: m.offset,
+		length: uint32(m.length), slot: m.slot}
 	if m.Bare {
 		e.key = 0
 	}
@@ -202,7 +227,7 @@
 	case key != 0 && !b.unkeyed && b.keys[key].count == 0 && len(b.keys) >= b.most:
 		return ErrKeys
 	}
-	if working && m.segment == b.newest.seg && len(m.Legs) == 0 && !m.drawn { // its record tells all
+	if working && m.segment == b.newest.seg && m.fresh() { // its record tells all
 		delete(s.owed, m.ID)
 		s.rest(m)
 		return nil
@@ -265,27 +290,20 @@
 	b.unspill(seg, e)
 	if errors.Is(err, errRecord) {
 		s.discard(seg, e)
+	} else if seg.sealed != nil {
+		seg.sealed.pinned = true
 	}
+	b.noteDamage(&DamagedError{Segment: seg.number, Offset: e.offset, Err: err})
+}
+
+func (b *backlog) noteDamage(err error) {
 	if len(b.damaged) < mostDamaged {
-		b.damaged = append(b.damaged, &DamagedError{Segment: seg.number, Offset: e.offset, Err: err})
+		b.damaged = append(b.damaged, err)
 	} else {
 		b.untold++
 	}
 }
 
-// trusted tells whether the index that named a damaged record is whole. Danger: by a broken one whole records would be given up.
-func (s *Spool) trusted(seg *segment) bool {
-	r := seg.sealed
-	if r == nil || r.image != nil || r.checked {
-		return true
-	}
-	data, err := os.ReadFile(s.indexPath(seg))
-	if err == nil {
-		_, r.checked = readShape(data, seg.number)
-	}
-	return r.checked
-}
-
 // told gives the damage that was not told yet.
 func (b *backlog) told() error {
 	all := b.damaged
@@ -373,9 +391,9 @@
 		return ErrOver
 	}
 	record := begin(recOver, m.ID).seal()
-	n, moved := int64(len(record)), s.backlog.moved
-	if !s.fits(n, s.room) && !s.compact(n, s.room) {
-		return ErrFull
+	moved := s.backlog.moved
+	if err := s.noteRoom(int64(len(record))); err != nil {
+		return err
 	}
 	if s.backlog.moved != moved { // making room had it copied forward
 		if seg, e, found, err = s.find(m.ID); err != nil || !found {
@@ -385,9 +403,7 @@
 	if err := s.append(record); err != nil {
 		return err
 	}
-	s.backlog.unspill(seg, &e)
-	s.discard(seg, &e)
-	s.backlog.die(seg, e.slot)
+	s.overSpilled(seg, &e)
 	s.shrink()
 	return nil
 }
@@ -410,28 +426,3 @@
 	_, _, found, err := s.find(id)
 	return found || err != nil
 }
-
-// find looks for the spilled message of an id, by its hash of 64 bits.
-func (s *Spool) find(id string) (seg *segment, e entry, found bool, err error) {
-	b := s.backlog
-	if b == nil {
-		return nil, e, false, nil
-	}
-	h := hashOf(id)
-	if b.newest != nil {
-		if slot, in := b.newest.byID[h]; in && b.newest.entries[slot].spilled {
-			return b.newest.seg, b.newest.entries[slot].entry, true, nil
-		}
-	}
-	for _, seg := range s.order {
-		if seg.sealed == nil || seg.sealed.left == 0 || !seg.sealed.filter.may(h) {
-			continue
-		}
-		e, found, failed := s.lookup(seg, h)
-		if found {
-			return seg, e, true, nil
-		}
-		err = errors.Join(err, failed)
-	}
-	return nil, e, false, err
-}
--- a/internal/spool/filter.go
+++ b/internal/spool/filter.go
@@ -1,11 +1,24 @@
 package spool
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"math/bits"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // bitmap holds one bit a slot.
 type bitmap []uint64
 
-func newBitmap(n uint32) bitmap { return make(bitmap, (int(n)+63)/64) }
+func bitmapLen(n uint32) int { return (int(n) + 63) / 64 }
+
+func newBitmap(n uint32) bitmap { return make(bitmap, bitmapLen(n)) }
+
+func (b bitmap) count() (n int) {
+	for _, w := range b {
+		n += bits.OnesCount64(w)
+	}
+	return n
+}
 
 func (b bitmap) has(i uint32) bool { return int(i/64) < len(b) && b[i/64]>>(i%64)&1 != 0 }
 
@@ -37,7 +50,9 @@
 // filter is a blocked Bloom filter of ids: about three in a thousand that are not there pass.
 type filter []uint64
 
-func newFilter(n int) filter { return make(filter, (n*filterBits/blockBits+1)*filterWords) }
+func filterLen(n int) int { return (n*filterBits/blockBits + 1) * filterWords }
+
+func newFilter(n int) filter { return make(filter, filterLen(n)) }
 
 func (f filter) block(h uint64) ([]uint64, uint64) {
 	at := int((h>>32)*uint64(len(f)/filterWords)>>32) * filterWords
--- a/internal/spool/forward.go
+++ b/internal/spool/forward.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"os"
+	"slices"
 )
 
 const (
@@ -10,9 +11,9 @@
 	leastDead   = 16 // one in so many bytes of the room is to be dead, or copying would win nothing back
 )
 
-// mayCompact is how many segments a call may copy forward to make room within a part of it. What is taken on already may have all.
-func (s *Spool) mayCompact(within int64) int {
-	if s.backlog == nil || within == s.room {
+// mayCompact is how many segments a call that takes a message on may copy forward to make room.
+func (s *Spool) mayCompact() int {
+	if s.backlog == nil {
 		return len(s.order)
 	}
 	dead := -s.live
@@ -25,6 +26,37 @@
 	return mostCompact
 }
 
+// noteRoom sees to it that a record of a message fits that is owed already. With the backlog on, room is won back while there is enough left to
+// copy a segment. Danger: later, the notes of many messages that are loaded and end could find no room, nor could any copy.
+func (s *Spool) noteRoom(n int64) error {
+	if s.backlog == nil {
+		if !s.fits(n, s.room) && !s.compact(n, s.room) {
+			return ErrFull
+		}
+		return nil
+	}
+	if spare := n + s.spare(); !s.fits(spare, s.room) {
+		s.compactSome(spare, s.room, s.mayCompact())
+	}
+	if !s.fitsBare(n) && !s.compactSome(n, s.room, len(s.order)) && !s.fitsBare(n) {
+		return ErrFull
+	}
+	return nil
+}
+
+// spare is what has to be free for a copy of a segment, its index and what tells that the old ones are dead, in bytes, and for what is
+// written until enough is dead to be won back.
+func (s *Spool) spare() int64 { return s.segmentSize()*5/2 + s.room/leastDead + 8*block }
+
+// within is the part of the room that messages may take which are not owed yet.
+func (s *Spool) within() int64 {
+	kept := s.room / reserve
+	if s.backlog != nil {
+		kept = max(kept, s.spare())
+	}
+	return s.room - kept
+}
+
 // removeIndex removes the index of a segment that is to go: first, so that none is left without its segment.
 func (s *Spool) removeIndex(seg *segment) bool {
 	s.backlog.step()
@@ -39,17 +71,20 @@
 func (s *Spool) gone(seg *segment) {
 	b := s.backlog
 	if r := seg.sealed; r != nil {
-		b.closed -= seg.bothBlocks()
+		b.weigh(seg, -1)
 		if r.image != nil {
 			b.waiting--
 		}
 	}
+	if b.newest != nil {
+		b.newest.dead = slices.DeleteFunc(b.newest.dead, func(d dead) bool { return d.segment <= seg.number })
+	}
 	b.step()
 }
 
 // forwardBoth copies what is owed of a segment to the newest one: what is working, then what is spilled.
 func (s *Spool) forwardBoth(old *segment) bool {
-	if s.crowded() {
+	if s.crowded() || !s.fitsBare(old.live) { // half a copy would win nothing back
 		return false
 	}
 	for _, m := range s.owed {
@@ -70,7 +105,7 @@
 		record = append(record, begin(recDrawn, m.ID).number(0).number(0).number(0).number(0).seal()...)
 	}
 	all := int64(len(record))
-	if !s.fits(all, s.room) || s.append(record) != nil {
+	if !s.fitsBare(all) || s.append(record) != nil {
 		return false
 	}
 	s.lift(m)
@@ -80,6 +115,9 @@
 
 // forwardSpilled walks the segment's own entries, and copies the records of those spilled as they are.
 func (s *Spool) forwardSpilled(old *segment) bool {
+	if _, err := s.check(old); err != nil {
+		return false
+	}
 	index, err := s.index(old)
 	if err != nil {
 		return false
@@ -116,15 +154,12 @@
 		record = append(record, begin(recRested, m.ID).seal()...)
 	}
 	all := int64(len(record))
-	if !s.fits(all, s.room) || s.append(record) != nil {
+	if !s.fitsBare(all) || s.append(record) != nil {
 		return false
 	}
-	b := s.backlog
-	b.unspill(old, e)
-	s.discard(old, e)
-	b.die(old, e.slot)
+	s.overSpilled(old, e)
 	s.stand(m, s.now(), s.now().size-all, n)
 	s.rest(m)
-	b.moved++
+	s.backlog.moved++
 	return true
 }
--- a/internal/spool/load.go
+++ b/internal/spool/load.go
@@ -14,6 +14,7 @@
 
 const (
 	mostLoad  = 1024 // messages drawn by one record write
+	noteSize  = 64   // bytes, about, of the note that one is drawn
 	drawTries = 4    // as copying forward moves what was chosen
 )
 
@@ -57,13 +58,15 @@
 		return nil, ErrOff
 	}
 	for tries := 0; len(all) < n && tries < drawTries; {
+		some := min(n-len(all), mostLoad)
+		_ = s.noteRoom(int64(some) * noteSize) // an estimate: take makes sure
 		moved := b.moved
-		picks, failed := choose(min(n-len(all), mostLoad))
+		picks, failed := choose(some)
 		if len(picks) == 0 {
 			return all, failed
 		}
-		some, again, err := s.take(picks, moved)
-		all = append(all, some...)
+		ms, again, err := s.take(picks, moved)
+		all = append(all, ms...)
 		if err = errors.Join(err, failed); err != nil {
 			return all, err
 		}
@@ -85,7 +88,7 @@
 	for i, p := range picks {
 		note = append(note, drawn(ms[i].ID, p.seg, &picks[i].entry)...)
 	}
-	if n := int64(len(note)); !s.fits(n, s.room) && !s.compact(n, s.room) {
+	if n := int64(len(note)); !s.fitsBare(n) && s.noteRoom(n) != nil {
 		return nil, false, ErrFull
 	}
 	if b.moved != moved {
@@ -207,7 +210,14 @@
 	for len(picks) < most {
 		best := first(open)
 		if len(closed) > 0 && (best == nil || l.runs[closed[0]].taken <= best.head().taken) {
-			c, failed := s.openRun(&l.runs[closed[0]], dst)
+			remade, failed := s.check(l.runs[closed[0]].seg)
+			if remade { // its runs are others now
+				return s.oldest(dst, most)
+			}
+			var c *cursor
+			if failed == nil {
+				c, failed = s.openRun(&l.runs[closed[0]], dst)
+			}
 			if short(failed) {
 				return picks, failed
 			}
@@ -360,6 +370,9 @@
 
 // dueOf goes on in a sealed segment's order by Expires.
 func (s *Spool) dueOf(seg *segment, before int64, most int) (picks []pick, err error) {
+	if _, err := s.check(seg); err != nil {
+		return nil, err
+	}
 	f, err := s.index(seg)
 	if err != nil {
 		return nil, err
@@ -369,7 +382,7 @@
 	var at [4]byte
 	page, met := make([]entry, 1), false
 	for i := r.cursor; i < r.shape.entries && len(picks) < most; i++ {
-		if _, err := f.ReadAt(at[:], r.shape.byExpires()+int64(i)*4); err != nil {
+		if _, err := f.ReadAt(at[:], r.shape.byExpiresAt()+int64(i)*4); err != nil {
 			return picks, fmt.Errorf("spool: %w", err)
 		}
 		if page, err = readEntries(f, r.shape, binary.LittleEndian.Uint32(at[:]), page[:1]); err != nil || len(page) == 0 {
--- a/internal/spool/measure_test.go
+++ b/internal/spool/measure_test.go
@@ -101,6 +101,9 @@
 
 // loadAll loads some at a time for each destination by turns, at most 100,000, and looks for ids.
 func loadAll(b *testing.B, s *Spool, some int) {
+	for i := range 20_000 { // each index is checked once
+		s.Has(strconv.Itoa(i))
+	}
 	began, hits := time.Now(), 0
 	for range 2000 {
 		if s.Has("not there " + strconv.Itoa(hits)) {
--- a/internal/spool/scan.go
+++ b/internal/spool/scan.go
@@ -26,6 +26,7 @@
 func (s *Spool) nextView(after int64) (v view, ok bool) {
 	for _, seg := range s.order {
 		if r := seg.sealed; r != nil && seg.number > after && r.left > 0 {
+			_, _ = s.check(seg) // hits tells of an index that is not whole
 			return view{seg: seg, path: s.path(seg), index: s.indexPath(seg), image: r.image, shape: r.shape,
 				spilled: slices.Clone(r.spilled), size: seg.size}, true
 		}
@@ -43,8 +44,7 @@
 			return nil, nil, fmt.Errorf("spool: %w", err)
 		}
 	}
-	p, whole := readShape(data, v.seg.number)
-	if !whole {
+	if int64(len(data)) != v.shape.size() || !bodyWhole(data[v.shape.bodyAt():]) {
 		return nil, nil, fmt.Errorf("%w: %s", errIndex, v.index)
 	}
 	f, err := openAll(v.path, v.size)
@@ -54,7 +54,7 @@
 		return nil, nil, err
 	}
 	defer func() { _ = f.Close() }()
-	eachEntry(data, p, func(_ uint32, e *entry) {
+	eachEntry(data[v.shape.bodyAt():], v.shape, func(_ uint32, e *entry) {
 		if len(picks) >= most || !v.spilled.has(e.slot) {
 			return
 		}
--- a/internal/spool/seal.go
+++ b/internal/spool/seal.go
@@ -10,7 +10,7 @@
 const (
 	mostSegment = 2 << 20 // bytes, with the backlog on: bounds the entries in memory, the replay at a start, and the time that sealing takes
 	mostImages  = 4       // indexes that wait in memory to be written, before nothing more is taken on
-	perWorking  = 32      // bytes of an index, about, for each message that is working
+	perWorking  = 48      // bytes of an index, about, for each message that is working
 )
 
 // sealed is what memory keeps of a segment that is written no more.
@@ -22,7 +22,9 @@
 	due     int64  // lower bound of Expires of what is spilled, µs since 1970
 	cursor  uint32 // into the order by Expires: nothing in front of it is spilled
 	image   []byte // the index, as long as it could not be written; nil then
-	checked bool   // the index was found whole when a record was not
+	checked bool   // the body of the index was found whole
+	trusted bool   // and again, when a record was not
+	pinned  bool   // some that could not be read are kept for the next start
 }
 
 // slotted is an entry of the newest segment.
@@ -44,7 +46,7 @@
 	entries []slotted         // of all taken records, by slot
 	byID    map[uint64]uint32 // the latest slot
 	byDst   map[int64]*list
-	dead    []ref // of older segments, that records of this one ended or moved
+	dead    []dead // of older segments, that records of this one ended or moved
 	owed    int
 	left    int   // spilled
 	due     int64 // lower bound, as of a sealed one
@@ -128,7 +130,8 @@
 
 // indexSize is about that of the index to come.
 func (n *newest) indexSize(working int) int64 {
-	p := shape{entries: uint32(n.owed), dead: uint32(len(n.dead)), states: uint32(working * perWorking)}
+	p := shape{slots: uint32(len(n.entries)), entries: uint32(n.owed), runs: uint32(min(n.owed, len(n.byDst))), dead: uint32(len(n.dead)),
+		states: uint32(working * perWorking)}
 	return p.size()
 }
 
@@ -139,71 +142,47 @@
 	if n == nil {
 		return
 	}
-	image, p := encodeIndex(n.seg, n, s.owed)
-	n.seg.sealed = &sealed{shape: p, spilled: newBitmap(p.slots), left: n.left, image: image}
-	for i := range n.entries {
-		if n.entries[i].spilled {
-			n.seg.sealed.spilled.set(uint32(i))
+	c := contents{number: n.seg.number, size: n.seg.size, slots: uint32(len(n.entries)), entries: n.sorted(), dead: n.dead,
+		states: encodeStates(s.owed)}
+	r := &sealed{spilled: newBitmap(c.slots), left: n.left, filter: newFilter(len(c.entries))}
+	r.image, r.shape = c.encode()
+	for i := range c.entries {
+		if e := &c.entries[i]; n.entries[e.slot].spilled {
+			r.spilled.set(e.slot)
 		}
+		r.filter.add(c.entries[i].id)
 	}
-	b.newest = nil
-	b.closed += n.seg.bothBlocks()
+	n.seg.sealed, b.newest = r, nil
+	b.weigh(n.seg, 1)
 	b.waiting++
-	b.adopt(n.seg, image)
-	if !b.opening {
-		b.settle(n.seg, tallyOf(n.seg, image, func(*entry) {}))
-	}
+	b.settle(n.seg, c.entries, false)
 	s.flush()
 }
 
-// adopt makes the filter of a sealed segment.
-func (b *backlog) adopt(seg *segment, index []byte) {
-	r := seg.sealed
-	r.filter = newFilter(int(r.shape.entries))
-	eachEntry(index, r.shape, func(_ uint32, e *entry) { r.filter.add(e.id) })
-}
-
-// tally is what the spilled entries of a sealed segment come to.
-type tally struct {
-	dsts  []int64 // of the runs
-	runs  []run
-	due   int64
-	bytes int64 // of their records
-	keyed bool  // some have an order key
-}
-
-// tallyOf goes through an index. Entries of a destination stand together there.
-func tallyOf(seg *segment, index []byte, key func(*entry)) (t tally) {
-	t.due = never
+// settle has the runs of a sealed segment stand; count says whether what is spilled is to be counted by destination, too.
+func (b *backlog) settle(seg *segment, entries []entry, count bool) {
 	r := seg.sealed
-	eachEntry(index, r.shape, func(pos uint32, e *entry) {
-		if !r.spilled.has(e.slot) {
-			return
-		}
-		t.due = min(t.due, e.expires)
-		t.bytes += int64(e.length)
-		if k := len(t.dsts); k == 0 || t.dsts[k-1] != e.dst {
-			t.dsts = append(t.dsts, e.dst)
-			t.runs = append(t.runs, run{seg: seg, taken: e.taken, next: pos})
+	r.due, r.cursor = never, 0
+	for i := 0; i < len(entries); {
+		dst, of := entries[i].dst, run{seg: seg, taken: entries[i].taken, next: uint32(i)}
+		for ; i < len(entries) && entries[i].dst == dst; i++ {
+			if r.spilled.has(entries[i].slot) {
+				of.left++
+				r.due = min(r.due, entries[i].expires)
+			}
 		}
-		t.runs[len(t.runs)-1].left++
-		if e.key != 0 {
-			t.keyed = true
-			key(e)
+		if of.left == 0 && !b.opening {
+			continue
 		}
-	})
-	return t
-}
-
-// settle has the runs of a sealed segment stand.
-func (b *backlog) settle(seg *segment, t tally) {
-	seg.sealed.due, seg.sealed.cursor = t.due, 0
-	for i, dst := range t.dsts {
 		l := b.line(dst)
-		l.runs = append(l.runs, t.runs[i])
+		l.add(of)
+		if count {
+			l.left += int(of.left)
+			b.all += int(of.left)
+		}
 	}
-	if seg.sealed.left == 0 {
-		seg.sealed.filter = nil
+	if r.left == 0 && !b.opening {
+		r.filter = nil
 	}
 }
 
@@ -251,14 +230,29 @@
 	return s.backlog.waiting >= mostImages
 }
 
+// weigh takes the bytes of a sealed segment and its index into the sums, or out of them.
+func (b *backlog) weigh(seg *segment, by int64) {
+	b.closed += by * seg.blocks()
+	b.indexes += by * blocks(seg.sealed.shape.size())
+}
+
 // usedBoth is the part of the room that is in use with the backlog on: segments and indexes, the newest one's to come too.
 func (s *Spool) usedBoth() int64 {
+	sum := s.usedBySegments() + s.backlog.indexes
+	if n := s.backlog.newest; n != nil {
+		sum += blocks(n.indexSize(len(s.owed)))
+	}
+	return sum
+}
+
+func (s *Spool) usedBySegments() int64 {
 	sum := s.foreign + s.backlog.closed
 	if n := s.backlog.newest; n != nil {
-		sum += n.seg.blocks() + blocks(n.indexSize(len(s.owed)))
+		sum += n.seg.blocks()
 	}
 	return sum
 }
 
-// bothBlocks is what a sealed segment and its index take.
-func (seg *segment) bothBlocks() int64 { return seg.blocks() + blocks(seg.sealed.shape.size()) }
+// fitsBare tells whether so many bytes more stay within the room, indexes not counted. Danger: with them counted, a folder that was full the
+// old way could get rid of nothing any more.
+func (s *Spool) fitsBare(n int64) bool { return s.usedBySegments()+n+2*block <= s.room }
--- a/internal/spool/spool.go
+++ b/internal/spool/spool.go
@@ -211,7 +211,8 @@
 
 func (s *Spool) lift(m *Message) {
 	if s.backlog != nil {
-		s.backlog.die(m.segment, m.slot)
+		e := m.entry()
+		s.backlog.die(m.segment, &e)
 	}
 	m.segment.owed--
 	m.segment.live -= m.length
--- a/internal/spool/write.go
+++ b/internal/spool/write.go
@@ -99,8 +99,11 @@
 }
 
 // compact copies all that is owed forward, oldest first, until a record fits. Each segment is taken up once.
-func (s *Spool) compact(n, within int64) bool {
-	for range s.mayCompact(within) {
+func (s *Spool) compact(n, within int64) bool { return s.compactSome(n, within, s.mayCompact()) }
+
+// compactSome copies the owed messages of at most so many segments.
+func (s *Spool) compactSome(n, within int64, most int) bool {
+	for range most {
 		oldest := s.order[0]
 		if s.fits(n, within) || len(s.order) < 2 || !s.forward(oldest) || !s.remove(oldest) {
 			break
@@ -181,7 +184,7 @@
 
 // makeRoom sees to it that a message fits which is not owed yet, without what is kept for those that are.
 func (s *Spool) makeRoom(n int64) error {
-	within := s.room - s.room/reserve
+	within := s.within()
 	if !s.fits(n, within) && (s.live+n > within || !s.compact(n, within)) || s.crowded() {
 		return ErrFull
 	}
@@ -200,8 +203,8 @@
 	if s.owed[m.ID] != m {
 		return ErrOver
 	}
-	if n := int64(len(record)); !s.fits(n, s.room) && !s.compact(n, s.room) {
-		return ErrFull
+	if err := s.noteRoom(int64(len(record))); err != nil {
+		return err
 	}
 	if err := s.append(record); err != nil {
 		return err
