Spool: parts of the backlog by concern; loads that others cross are told

A load whose messages were copied forward again and again gives an error instead of fewer messages; a purge's load looks at a segment once more when others drew from it meanwhile; an index that is gone while its segment is there fails a purge.

--- a/internal/spool/forward.go
+++ b/internal/spool/forward.go
@@ -26,8 +26,8 @@
 	return mostCompact
 }
 
-// noteRoom sees to it that a record of a message fits that is owed already. With the backlog on, room is won back while there is enough left to
-// copy a segment. Danger: later, the notes of many messages that are loaded and end could find no room, nor could any copy.
+// noteRoom sees to it that a record of a message fits that is owed already. With the backlog on, room is won back while there is enough
+// left to copy a segment. Danger: later, the notes of many messages that are loaded and end could find no room, nor could any copy.
 func (s *Spool) noteRoom(n int64) error {
 	if s.backlog == nil {
 		if !s.fits(n, s.room) && !s.compact(n, s.room) {
--- a/internal/spool/full_test.go
+++ b/internal/spool/full_test.go
@@ -9,7 +9,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// Each way to write with the backlog on fails once on a full disk: nothing changes by it, a kill finds the same, and it counts the next time.
+// Each way to write with the backlog on fails once on a full disk: nothing changes, a kill finds the same, and the next time it counts.
 func TestFullDiskChangesNothingThatIsSpilled(t *testing.T) {
 	dir := t.TempDir()
 	s, w := small(t, dir, plenty, 700), newModel()
--- a/internal/spool/load.go
+++ b/internal/spool/load.go
@@ -18,7 +18,10 @@
 	drawTries = 4    // as copying forward moves what was chosen
 )
 
-var errRecord = errors.New("not a whole record of this message")
+var (
+	errRecord = errors.New("not a whole record of this message")
+	errMoved  = errors.New("spool: what was to be loaded is being copied forward")
+)
 
 // pick is a spilled message chosen to be drawn.
 type pick struct {
@@ -57,7 +60,7 @@
 	if b == nil {
 		return nil, ErrOff
 	}
-	for tries := 0; len(all) < n && tries < drawTries; {
+	for tries := 0; len(all) < n; {
 		some := min(n-len(all), mostLoad)
 		_ = s.noteRoom(int64(some) * noteSize) // an estimate: take makes sure
 		moved := b.moved
@@ -70,8 +73,11 @@
 		if err = errors.Join(err, failed); err != nil {
 			return all, err
 		}
-		if again {
-			tries++
+		if !again {
+			continue
+		}
+		if tries++; tries == drawTries {
+			return all, errMoved
 		}
 	}
 	return all, nil
--- a/internal/spool/recover.go
+++ b/internal/spool/recover.go
@@ -220,8 +220,8 @@
 	return decode(data)
 }
 
-// load has a spilled message work, as its record says. Danger: one that cannot be read, and of which more is known than its record says, must
-// not be handed out by that record later on. So it is given up, or kept for the next start when the read itself failed.
+// load has a spilled message work, as its record says. Danger: one that cannot be read, and of which more is known than its record says,
+// must not be handed out by that record later on. So it is given up, or kept for the next start when the read itself failed.
 func (r *recovery) load(seg *segment, e *entry) *Message {
 	if !r.s.backlog.isSpilled(seg, e.slot) {
 		return nil
--- a/internal/spool/scan.go
+++ b/internal/spool/scan.go
@@ -38,9 +38,7 @@
 func (v view) hits(match func(*Message) bool, most int) (picks []pick, ids []string, err error) {
 	data := v.image
 	if data == nil {
-		if data, err = os.ReadFile(v.index); errors.Is(err, os.ErrNotExist) { // gone meanwhile, and what was owed copied forward
-			return nil, nil, nil
-		} else if err != nil {
+		if data, err = os.ReadFile(v.index); err != nil {
 			return nil, nil, fmt.Errorf("spool: %w", err)
 		}
 	}
@@ -48,9 +46,7 @@
 		return nil, nil, fmt.Errorf("%w: %s", errIndex, v.index)
 	}
 	f, err := openAll(v.path, v.size)
-	if errors.Is(err, os.ErrNotExist) {
-		return nil, nil, nil
-	} else if err != nil {
+	if err != nil {
 		return nil, nil, err
 	}
 	defer func() { _ = f.Close() }()
@@ -69,6 +65,14 @@
 	return picks, ids, err
 }
 
+// unlessGone is no fault when the segment went meanwhile: what was owed of it stands in a later one, which comes next.
+func (s *Spool) unlessGone(v view, err error) error {
+	if s.numbered(v.seg.number) == nil {
+		return nil
+	}
+	return err
+}
+
 // openAll reads a segment that is not too long at once.
 func openAll(path string, size int64) (file, error) {
 	if size > mostHeld {
@@ -139,8 +143,8 @@
 		for i := range picks {
 			hits = append(hits, hit{picks[i], ids[i]})
 		}
-		err = errors.Join(err, failed)
 		s.mu.Lock()
+		err = errors.Join(err, s.unlessGone(v, failed))
 	}
 	defer s.mu.Unlock()
 	_, ids, failed := s.newestHits(match, maxInt)
@@ -154,22 +158,26 @@
 }
 
 // LoadMatching is Load for up to n messages that match, so that they end by the usual path. It reads all that is spilled, in the worst
-// case; the lock is not held while it reads sealed segments. Called again until nothing comes, it has all that were spilled at the first call.
+// case; the lock is not held while it reads sealed segments. Called until nothing comes, it has all that were spilled at first.
 func (s *Spool) LoadMatching(match func(*Message) bool, n int) (all []*Message, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.backlog == nil {
 		return nil, ErrOff
 	}
-	for v, ok := s.nextView(0); ok && len(all) < n; v, ok = s.nextView(v.seg.number) {
+	after := int64(0)
+	for v, ok := s.nextView(after); ok && len(all) < n; v, ok = s.nextView(after) {
 		s.mu.Unlock()
 		picks, _, failed := v.hits(match, n-len(all))
 		s.mu.Lock()
 		some, hard := s.drawThese(picks, n-len(all))
-		all, err = append(all, some...), errors.Join(err, failed)
+		all, err = append(all, some...), errors.Join(err, s.unlessGone(v, failed))
 		if hard != nil { // the next would fail too
 			return s.tell(all, errors.Join(err, hard))
 		}
+		if len(some) == len(picks) { // else others drew some of them, and more may match
+			after = v.seg.number
+		}
 	}
 	if len(all) < n {
 		picks, _, failed := s.newestHits(match, n-len(all))
--- a/internal/spool/spool.go
+++ b/internal/spool/spool.go
@@ -51,12 +51,11 @@
 	Taken                   int64 // by the sender's own count, which grows also over restarts; 0 until taken, or of an older version
 	Bare                    bool  // ended, and its body and keys were erased on a purge's order
 
+	drawn   bool     // loaded from the backlog
+	slot    uint32   // with the backlog on: so many taken records stand in front of its newest one in that segment
 	segment *segment // that holds its newest record of all it needs
 	length  int64    // of that record
-
-	slot   uint32 // with the backlog on: so many taken records stand in front of that one in its segment
-	offset int64  // with the backlog on, bytes: where it stands
-	drawn  bool   // loaded from the backlog
+	offset  int64    // with the backlog on, bytes: where it stands
 }
 
 // segment is one file.
