Spool: segments of the backlog end by what they hold, at 4 MiB at the latest

Cause: a start looks at each segment's filter and index, so few segments are wanted, but sealing sorts what one holds with the lock held. Now 26,000 taken records and dead ones bound that, and 4 MiB what a start replays; 2 MiB alone before.

--- a/internal/spool/backlog.go
+++ b/internal/spool/backlog.go
@@ -39,6 +39,7 @@
 	probed  *segment              // that one
 
 	segment int64 // bytes, at most, of one
+	slots   int   // of one, about
 	closed  int64 // bytes in use by sealed segments
 	indexes int64 // bytes in use by their indexes
 	waiting int   // indexes in memory that could not be written yet
@@ -49,7 +50,7 @@
 }
 
 func newBacklog() *backlog {
-	return &backlog{lines: map[int64]*line{}, keys: map[uint64]spilledKey{}, most: mostKeys, segment: mostSegment, step: func() {},
+	return &backlog{lines: map[int64]*line{}, keys: map[uint64]spilledKey{}, most: mostKeys, segment: mostSegment, slots: mostSlots, step: func() {},
 		write: func(name string, data []byte) error { return os.WriteFile(name, data, 0o600) }, rename: os.Rename}
 }
 
--- a/internal/spool/full_test.go
+++ b/internal/spool/full_test.go
@@ -230,3 +230,22 @@
 	require.False(t, s.Has("a"), "its notice alone is owed")
 	require.Empty(t, indexesOf(t, dir))
 }
+
+// A segment ends by what it holds, too: by taken records, and by what is told of older ones.
+func TestSegmentEndsByWhatItHolds(t *testing.T) {
+	dir, b := t.TempDir(), newBacklog()
+	b.slots = 10
+	s, _, err := openBacklog(dir, plenty, b)
+	require.NoError(t, err)
+	for i := range 35 {
+		require.NoError(t, s.Spill(addressed(fmt.Sprint("m", i), 1, 3)))
+	}
+	require.Len(t, s.order, 4)
+	ms, err := s.Load(1, 35)
+	require.NoError(t, err)
+	for _, m := range ms[1:] { // the first keeps all segments
+		require.NoError(t, s.Over(m))
+	}
+	require.GreaterOrEqual(t, len(s.order), 6)
+	require.Len(t, owedIn(t, dir, plenty), 1)
+}
--- a/internal/spool/seal.go
+++ b/internal/spool/seal.go
@@ -8,7 +8,8 @@
 )
 
 const (
-	mostSegment = 2 << 20 // bytes, with the backlog on: bounds the entries in memory, the replay at a start, and the time that sealing takes
+	mostSegment = 4 << 20 // bytes, with the backlog on: bounds the replay at a start
+	mostSlots   = 26_000  // taken records of a segment and dead ones that its index tells of: bounds memory and the time that sealing takes
 	mostImages  = 4       // indexes that wait in memory to be written, before nothing more is taken on
 	perWorking  = 48      // bytes of an index, about, for each message that is working
 )
@@ -128,6 +129,9 @@
 	}
 }
 
+// full tells whether there is enough to seal. Danger: sealing sorts it all with the lock held.
+func (n *newest) full(most int) bool { return len(n.entries)+len(n.dead) >= most }
+
 // indexSize is about that of the index to come.
 func (n *newest) indexSize(working int) int64 {
 	p := shape{slots: uint32(len(n.entries)), entries: uint32(n.owed), runs: uint32(min(n.owed, len(n.byDst))), dead: uint32(len(n.dead)),
--- a/internal/spool/write.go
+++ b/internal/spool/write.go
@@ -64,7 +64,7 @@
 // append writes one record to the newest segment, and opens a further one when that is full.
 func (s *Spool) append(record []byte) error {
 	seg := s.now()
-	if seg.size >= s.segmentSize() || s.torn {
+	if seg.size >= s.segmentSize() || s.torn || s.backlog != nil && s.backlog.newest.full(s.backlog.slots) {
 		if err := s.startSegment(); err != nil && s.torn { // else the old one takes it too: descriptors may be short for a moment
 			return err
 		}
