Spool: a segment with messages kept for the next start is tested to stay

Of six faults planted in a scratch copy (no search for what a copy replaces, the dead not applied, no note that a message rests or is drawn, no open states, a segment given up with messages left) this last one was seen by no test; now it is. The other five were.

--- a/internal/spool/damage_test.go
+++ b/internal/spool/damage_test.go
@@ -287,6 +287,7 @@
 		require.NotErrorIs(t, e, errRecord)
 	}
 	require.Equal(t, len(want), len(got)+len(damage))
+	require.False(t, s.forward(s.numbered(2)), "what is kept for the next start keeps its segment")
 	require.NoError(t, s.Close())
 	require.NoError(t, os.Remove(name))
 	require.NoError(t, os.Rename(aside, name))
