Let one call read on while its list grows, so that calls do not starve

Seen: TestListBeyondOneMiBIsInForce fails on a busy machine by its 20 s limit. Ruled out: that the sender does not start or take clients (it answered each hand-in, BUSY), and a list that is refused (no such line).

Cause, a fault of the sender: where lists are pushed, `race` gives each call 0.6 s (`pushedFirst`) up to 1 MiB, however the list gets on, and begins another each 0.1 to 0.2 s (`call`, `goesOn`, which counts only beyond 1 MiB). Six read the same text beside one another, none comes to its end.

Change: one call of a race whose list is beyond 64 KiB of text has time as long as it grows by two steps of 16 KiB within 0.6 s, and none begins within 0.1 to 0.2 s of a step. So one that hangs is not waited for, and is found out in 0.6 s; time is counted from the step before, so that holds for one that trickles too. Up to 64 KiB, for other calls beside it, and where lists are asked for, everything is as it was. One more call than six may be out. A sender that cannot read 80 KiB in 0.6 s still gets no list.

No test was changed.

--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -22,7 +23,7 @@
 const (
 	silence      = 2500 * time.Millisecond // without an object or a beat, which comes every 2 s, after which a watch is opened anew
 	pushedFirst  = 600 * time.Millisecond  // for the first answer where the agent holds the list; it answers at once
-	pushedNext   = 200 * time.Millisecond  // from a call to the next beside it, by a draw from half to all: six are out at most
+	pushedNext   = 200 * time.Millisecond  // from a call to the next beside it, by a draw from half to all: six are out at most, and one whose list grows
 	askedFirst   = 2200 * time.Millisecond // where a call goes through to discovery, which fails it after 2 s if it is busy
 	askedSoon    = 300 * time.Millisecond  // before a call that nobody asks for, by a draw: the watch fell silent, the call before failed
 	movedSoon    = 800 * time.Millisecond  // likewise when discovery moved: all senders hear of that at once
@@ -178,18 +179,22 @@
 	first   protocol.List
 	close   context.CancelFunc
 	large   bool      // it has the place of the call that reads a large list
+	steady  bool      // it has the place of the call that has time while its list grows
+	grew    time.Time // its list did, by a step; of a race's call alone
 	until   time.Time // for the whole object or beat that is read
 }
 
 // within sets the time limit for what is read next.
-func (w *watch) within(d time.Duration) {
-	w.until = time.Now().Add(d)
-	_ = w.conn.SetDeadline(w.until)
+func (w *watch) within(d time.Duration) { w.limit(time.Now().Add(d)) }
+
+func (w *watch) limit(until time.Time) {
+	w.until = until
+	_ = w.conn.SetDeadline(until)
 }
 
 // goesOn is the one exception to a limit for a whole object: where a large list has grown by another 5,000 members, there are 0.6 s for the
 // next, so one that streams steadily is read to its end, and one that hangs or trickles is found out in that time. Up to 1 MiB of text and
-// 3 MiB of memory nothing of it holds.
+// 3 MiB of memory nothing of it holds, but where lists are pushed for the one call of contest.grown.
 func (w *watch) goesOn() {
 	if time.Until(w.until) < largeOn {
 		w.within(largeOn)
@@ -204,6 +209,7 @@
 	}
 	defer w.close()
 	w.objects.Limit(d.mostList, func() error { w.goesOn(); return nil })
+	w.objects.Grown(func() {})
 	d.unasked = 0
 	d.take(w.first)
 	w.first = protocol.List{} // a large one is not kept as long as the watch
@@ -228,7 +234,7 @@
 		return d.race(ctx, addr)
 	}
 	here, leave := context.WithCancel(ctx)
-	if w, err = d.call(here, addr, d.revision, askedFirst, make(chan struct{}, 1)); err != nil {
+	if w, err = d.call(here, addr, d.revision, askedFirst, &contest{large: make(chan struct{}, 1)}); err != nil {
 		leave()
 		return nil, err
 	}
@@ -240,28 +246,77 @@
 type contest struct {
 	won              chan *watch
 	large            chan struct{} // the place of the call that reads a large list; emptied as that fails
-	warned, tooLarge sync.Once     // in the log
+	steady           chan struct{} // likewise, of the one call that has time while its list grows; nil where lists are asked for
+	began            time.Time
+	grew             atomic.Int64 // when that call's list grew last, in ns since the beginning of the race; 0 while there is none
+	warned, tooLarge sync.Once    // in the log
+}
+
+// grown has the one call whose list is beyond 64 KiB go on as long as it grows by two steps of 16 KiB within 0.6 s. Time is counted from the
+// step before, so a list that begins to trickle just before a step is found out in 0.6 s too. Danger: a sender that has a fiftieth of a core
+// cannot read 1 MiB in 0.6 s, and calls beside one another, each cut off in that time, let none of them come to its end.
+func (among *contest) grown(w *watch) {
+	before := w.grew
+	w.grew = time.Now()
+	if !w.steady {
+		select {
+		case among.steady <- struct{}{}:
+			w.steady = true
+		default:
+			return // another has it, and this one keeps its limit
+		}
+	}
+	among.grew.Store(int64(w.grew.Sub(among.began)))
+	if until := before.Add(largeOn); !before.IsZero() && until.After(w.until) {
+		w.limit(until)
+	}
+}
+
+// leaves gives back the places that a call has.
+func (among *contest) leaves(w *watch) {
+	if w == nil {
+		return
+	}
+	if w.large {
+		<-among.large
+	}
+	if w.steady {
+		among.grew.Store(0)
+		<-among.steady
+	}
+}
+
+// latest is when the newest call began, or the list of the steady one grew since. Danger: a call that hangs must not be waited for, so
+// only growth counts, not that the call is there.
+func (among *contest) latest(began time.Time) time.Time {
+	if grew := among.began.Add(time.Duration(among.grew.Load())); grew.After(began) {
+		return grew
+	}
+	return began
 }
 
 // race makes one call beside the other until one is answered. Danger: the agent is silent while discovery is down, and what it gets at
 // the return counts as told at once, so no moment may be without a call, and a call that it has lost must not be waited for. While one reads
-// a large list, no other begins: six large lists at once are more than there is memory for.
+// a large list, no other begins: six large lists at once are more than there is memory for. None begins either within 0.1 to 0.2 s of the
+// growth of a list beyond 64 KiB, so that calls do not starve the one that gets on.
 func (d *Discovery) race(ctx context.Context, addr string) (*watch, error) {
 	race, over := context.WithCancel(ctx)
 	defer over()
-	among := &contest{won: make(chan *watch), large: make(chan struct{}, 1)}
+	among := &contest{began: time.Now(), won: make(chan *watch), large: make(chan struct{}, 1), steady: make(chan struct{}, 1)}
 	for {
 		if len(among.large) == 0 {
 			from := d.revision
 			d.calls.Go(func() { d.enter(ctx, race, addr, from, among) })
 		}
-		d.next = time.Now().Add(pushedNext/2 + rand.N(pushedNext/2))
-		select {
-		case w := <-among.won:
-			return w, nil
-		case <-ctx.Done():
-			return nil, ctx.Err()
-		case <-time.After(time.Until(d.next)):
+		began, pause := time.Now(), pushedNext/2+rand.N(pushedNext/2)
+		for d.next = began.Add(pause); time.Until(d.next) > 0; d.next = among.latest(began).Add(pause) {
+			select {
+			case w := <-among.won:
+				return w, nil
+			case <-ctx.Done():
+				return nil, ctx.Err()
+			case <-time.After(time.Until(d.next)):
+			}
 		}
 	}
 }
@@ -270,7 +325,7 @@
 func (d *Discovery) enter(ctx, race context.Context, addr string, from int64, among *contest) {
 	here, leave := context.WithCancel(ctx)
 	out := context.AfterFunc(race, leave)
-	w, err := d.call(here, addr, from, pushedFirst, among.large)
+	w, err := d.call(here, addr, from, pushedFirst, among)
 	if in := out(); in && err == nil {
 		w.close = leave
 		select {
@@ -293,14 +348,13 @@
 		case <-race.Done():
 		}
 	}
-	if w != nil && w.large {
-		<-among.large
-	}
+	among.leaves(w)
 }
 
 // call makes one call for the changes after a revision. It is over within a time, connecting and first object included, whatever comes; see
-// goesOn for a large list, which only the call that finds a place in large reads; it keeps that, also as it fails. Its connection closes with ctx.
-func (d *Discovery) call(ctx context.Context, addr string, from int64, within time.Duration, large chan struct{}) (w *watch, err error) {
+// goesOn for a large list, which only the call that finds a place in large reads, and grown for one that gets on; it keeps those places, also as
+// it fails. Its connection closes with ctx.
+func (d *Discovery) call(ctx context.Context, addr string, from int64, within time.Duration, among *contest) (w *watch, err error) {
 	until := time.Now().Add(within)
 	c, err := d.dial(ctx, addr, min(d.within, within))
 	if err != nil {
@@ -317,10 +371,11 @@
 	if w.objects, err = protocol.NewWatch(c.R); err != nil {
 		return nil, err
 	}
+	w.objects.Grown(func() { among.grown(w) })
 	w.objects.Limit(d.mostList, func() error {
 		if !w.large {
 			select {
-			case large <- struct{}{}:
+			case among.large <- struct{}{}:
 				w.large = true
 			default:
 				return errBeside
--- a/internal/platform/large_test.go
+++ b/internal/platform/large_test.go
@@ -192,3 +192,96 @@
 		assert.Contains(t, said, "4194304 bytes")
 	})
 }
+
+// inSteps writes members some 16 KiB at a time, as one gives the word for each.
+func inSteps(c net.Conn, from, to int, turn func()) error {
+	for at := from; at < to; {
+		next := min(at+140, to)
+		turn()
+		if _, err := io.WriteString(c, chunk(listed(at, next))); err != nil {
+			return err
+		}
+		at = next
+	}
+	return nil
+}
+
+// A busy machine gives all calls together 400 KB of lists a second. Side by side, each cut off after 0.6 s, none would ever be whole.
+func TestCallsThatStarveOneAnotherLetOneBeWhole(t *testing.T) {
+	for name, n := range map[string]int{"below 1 MiB": 8000, "beyond 1 MiB": 12_000} {
+		synctest.Test(t, func(t *testing.T) {
+			core := make(chan struct{}, 1)
+			p := begin(t, 1, pushed, func(*play, string) deed {
+				return func(c net.Conn) {
+					says(head + chunk(beginning(8)))(c)
+					err := inSteps(c, 0, n, func() {
+						core <- struct{}{}
+						time.Sleep(40 * time.Millisecond)
+						<-core
+					})
+					if err == nil {
+						says(chunk(listEnd))(c)
+					}
+					for ; err == nil; time.Sleep(2 * time.Second) {
+						_, err = io.WriteString(c, chunk("\n"))
+					}
+				}
+			})
+			began := time.Now()
+			assert.Equal(t, n+1, p.known(n+1), "%s: the list and the one from before the start", name)
+			assert.Less(t, time.Since(began), 10*time.Second, name)
+			made, _ := p.seen()
+			assert.LessOrEqual(t, made, 6, "%s: none begins beside one that gets on", name)
+		})
+	}
+}
+
+// One that got on beyond its first 0.6 s, and then hangs or trickles, is not waited for, and is found out in 0.6 s.
+func TestAListThatGotOnAndHangsIsNotWaitedFor(t *testing.T) {
+	for name, breaks := range map[string]deed{"hung": hangs, "trickles": trickles(chunk(" ")), "beats": trickles(chunk("\n"))} {
+		for _, n := range []int{600, 1500, 4500} { // 69 KB, which gives no more time yet, 0.17 and 0.5 MB
+			var lost time.Duration
+			gotOn := func(p *play) deed {
+				return func(c net.Conn) {
+					says(head + chunk(beginning(8)))(c)
+					if inSteps(c, 0, n, func() { time.Sleep(50 * time.Millisecond) }) != nil {
+						return
+					}
+					p.now()
+					p.serving.Go(func() { breaks(c) })
+					_, _ = c.Read(make([]byte, 1))
+					p.mu.Lock()
+					lost = time.Duration(time.Now().UnixNano() - p.since.Load())
+					p.mu.Unlock()
+				}
+			}
+			synctest.Test(t, func(t *testing.T) {
+				p := begin(t, 1, pushed, func(p *play, _ string) deed {
+					if p.made > 1 && p.since.Load() > 0 {
+						return p.answers
+					} else if p.made > 1 {
+						return hangs
+					}
+					return gotOn(p)
+				})
+				assert.Less(t, p.wait(), pushedNext, "%s, %d members: another begins", name, n)
+				synctest.Wait()
+				assert.Equal(t, 1, p.router.Believes().Known, "the one from before the start")
+			})
+			synctest.Test(t, func(t *testing.T) {
+				p := begin(t, 1, pushed, func(p *play, _ string) deed {
+					if p.made > 1 {
+						return hangs
+					}
+					return gotOn(p)
+				})
+				time.Sleep(10 * time.Second)
+				p.mu.Lock()
+				defer p.mu.Unlock()
+				assert.Positive(t, lost)
+				assert.LessOrEqual(t, lost, largeOn, "%s, %d members: found out", name, n)
+				assert.Greater(t, p.made, 50, "calls go on beside it and after it")
+			})
+		}
+	}
+}
--- a/internal/protocol/discovery.go
+++ b/internal/protocol/discovery.go
@@ -14,13 +14,15 @@
 )
 
 const (
-	modestText = 1 << 20 // bytes of text; a list of more is a large one
-	modestCost = 3 << 20 // bytes of memory, likewise
-	mostGap    = 1 << 20 // bytes of text that bring no member, and so of one member
-	largeStep  = 5000    // members of a large list from one word that it goes on to the next
-	memberCost = 256     // bytes: a Member is 88, stands twice while the list grows, and its strings have their borders
-	watchLine  = 4 << 10 // bytes read at once; a longer line comes in parts
-	mostNames  = 1000    // of zones and kinds that are kept once; further ones are kept with each member
+	modestText = 1 << 20  // bytes of text; a list of more is a large one
+	modestCost = 3 << 20  // bytes of memory, likewise
+	mostGap    = 1 << 20  // bytes of text that bring no member, and so of one member
+	largeStep  = 5000     // members of a large list from one word that it goes on to the next
+	steadyFrom = 64 << 10 // bytes of text of a list from which words on its growth are given
+	steadyStep = 16 << 10 // bytes of text from one such word to the next
+	memberCost = 256      // bytes: a Member is 88, stands twice while the list grows, and its strings have their borders
+	watchLine  = 4 << 10  // bytes read at once; a longer line comes in parts
+	mostNames  = 1000     // of zones and kinds that are kept once; further ones are kept with each member
 )
 
 // Member is one receiver as discovery lists it.
@@ -41,7 +43,7 @@
 // ParseList reads one object of discovery's.
 func ParseList(text []byte) (l List, err error) {
 	in := json.NewDecoder(bytes.NewReader(text))
-	r := listReader{json: in, most: math.MaxInt64, began: func() {}, large: func() error { return nil }}
+	r := listReader{json: in, most: math.MaxInt64, began: func() {}, grown: func() {}, large: func() error { return nil }}
 	l, err = r.read()
 	if err == nil {
 		if _, end := in.Token(); end != io.EOF {
@@ -59,6 +61,7 @@
 	json  *json.Decoder
 	most  int64        // bytes of memory for the members of a large list
 	began func()       // a member is to be read
+	grown func()       // the list has grown by a step
 	large func() error // the list is a large one, and goes on; an error ends the reading
 
 	from    int64             // in the text, where the list begins
@@ -67,6 +70,7 @@
 	names   map[string]string // at most mostNames, gone with the reader
 	beyond  bool              // the list is a large one
 	next    int               // members at which it is said to go on
+	step    int64             // bytes of text at which it is said to have grown
 	members bool              // they have come
 	revised bool
 	whole   bool
@@ -145,6 +149,10 @@
 			return err
 		}
 		l.Members = append(l.Members, m)
+		if text := r.json.InputOffset() - r.from; text >= max(r.step, steadyFrom) {
+			r.step = text - text%steadyStep + steadyStep
+			r.grown()
+		}
 		if err := r.charge(m, len(l.Members)); err != nil {
 			return err
 		}
@@ -227,6 +235,7 @@
 	lines *lines
 	json  *json.Decoder
 	most  int64
+	grown func()
 	large func() error
 }
 
@@ -297,13 +306,16 @@
 		return nil, malformed("a watch answered with status %d", a.Status)
 	}
 	l := &lines{r: bufio.NewReaderSize(&chunks{r: r}, watchLine)}
-	return &Watch{lines: l, json: json.NewDecoder(l), most: math.MaxInt64, large: func() error { return nil }}, nil
+	return &Watch{lines: l, json: json.NewDecoder(l), most: math.MaxInt64, grown: func() {}, large: func() error { return nil }}, nil
 }
 
 // Limit has the members of a list take so many bytes of memory at most, if it is a large one: of more than 1 MiB of text, or 3 MiB of
 // memory. It calls large once that is found, and at each further 5,000 members; an error of large ends the reading.
 func (w *Watch) Limit(most int64, large func() error) { w.most, w.large = most, large }
 
+// Grown has grown called as a list reaches 64 KiB of text, and then at each further 16 KiB.
+func (w *Watch) Grown(grown func()) { w.grown = grown }
+
 // Next waits for the next object. An empty line between objects, which shows that the watch lives, gives an empty one; inside an
 // object it shows nothing: a torn one would else never be found out.
 func (w *Watch) Next() (l List, beat bool, err error) {
@@ -324,7 +336,7 @@
 			return l, beat, err
 		}
 	}
-	r := listReader{json: w.json, most: w.most, began: func() { w.lines.size = 0 }, large: w.large}
+	r := listReader{json: w.json, most: w.most, began: func() { w.lines.size = 0 }, grown: w.grown, large: w.large}
 	if l, err = r.read(); err != nil {
 		return List{}, false, fmt.Errorf("watch: %w", err)
 	}
