Operator's file: the table [backlog], held against the disk and the memory

ravenlink check compares backlog.most_mb with the spool's share of limits.disk_mb, backlog.most_messages with a quarter of the memory limit at 16 bytes each, and now fleet.most_mb with what the spool leaves, where it can read the start file. The spool's share of the disk moves to internal/startup, where check finds it too.

--- a/cmd/ravenlink/main_test.go
+++ b/cmd/ravenlink/main_test.go
@@ -69,6 +69,27 @@
 	}
 }
 
+// What the tables of an operator's file ask for is held against the limits of the start file.
+func TestTablesAreHeldAgainstTheStartFile(t *testing.T) {
+	start := strings.Replace(good, `"memory_mb": 64`, `"memory_mb": 64, "disk_mb": 100`, 1)
+	const fleet = "version = 1\n[fleet]\nname = \"f\"\nself = \"a\"\nlisten = \"127.0.0.1:7\"\n"
+	for _, c := range []struct{ text, says string }{
+		{"version = 1\n[backlog]\n", "no faults"},
+		{"version = 1\n[backlog]\nmost_mb = 90\nmost_messages = 1000000\n", "no faults"},
+		{"version = 1\n[backlog]\nmost_mb = 91\n", "op.toml:3:1: backlog.most_mb: 91 MB do not fit: the spool may take 90.00 MB of limits.disk_mb"},
+		{"version = 1\n[backlog]\nmost_mb = 0.1\n", "op.toml:3:1: backlog.most_mb: that is less than 0.5 MB"},
+		{"version = 1\n[backlog]\nmost_messages = 2000000\n",
+			"op.toml:3:1: backlog.most_messages: 2000000 do not fit: a quarter of limits.memory_mb holds the index of 1048576"},
+		{"version = 1\n[backlog]\nmost_mbs = 9\n", "op.toml:3:1: backlog.most_mbs: no such setting; did you mean most_mb?"},
+		{fleet + "most_mb = 10\n", "no faults"},
+		{fleet + "most_mb = 11\n", "op.toml:6:1: fleet.most_mb: 11 MB do not fit: the spool leaves 10.00 MB of limits.disk_mb"},
+	} {
+		status, out := checked(t, start, c.text)
+		assert.Equal(t, c.says == "no faults", status == exitOK, out)
+		assert.Equal(t, c.says+"\n", out)
+	}
+}
+
 func TestEachFaultOfAnOperatorsFileIsNamedAtItsPlace(t *testing.T) {
 	status, out := checked(t, good, "version = 1\n[log]\nlevel = \"warn\"\nparts = { module = \"debug\" }\n")
 	assert.Equal(t, exitOK, status, out)
--- a/cmd/ravenlink/root.go
+++ b/cmd/ravenlink/root.go
@@ -69,7 +69,7 @@
 func check(out io.Writer, env func(string) string, operatorFile string) error {
 	faults := startup.Check(env)
 	if operatorFile != "" {
-		if _, err := operator.Read(operatorFile); err != nil {
+		if err := operated(env, operatorFile); err != nil {
 			faults = append(faults, err)
 		}
 	}
@@ -83,6 +83,16 @@
 	return errFaults
 }
 
+// operated checks the operator's file, also against the limits of the start file where that can be read.
+func operated(env func(string) string, operatorFile string) error {
+	c, err := startup.Read(env)
+	if err != nil {
+		_, err = operator.Read(operatorFile)
+		return err
+	}
+	return operator.Fit(operatorFile, operator.Limits{Disk: startup.Disk(c), Spool: startup.SpoolRoom(c), Memory: startup.Memory(c)})
+}
+
 func version() string {
 	info, known := debug.ReadBuildInfo()
 	if !known {
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -13,6 +13,7 @@
 	"github.com/pelletier/go-toml/v2"
 	"go.uber.org/zap/zapcore"
 
+	"ravenlink/internal/backlog"
 	"ravenlink/internal/fleet"
 	"ravenlink/internal/keep"
 	"ravenlink/internal/strict"
@@ -23,10 +24,11 @@
 
 // File is the operator's file.
 type File struct {
-	Version int          `toml:"version"`
-	Log     Log          `toml:"log"`
-	Kept    *keep.Table  `toml:"kept"`  // nil: nothing is kept
-	Fleet   *fleet.Table `toml:"fleet"` // nil: this sender decides alone
+	Version int            `toml:"version"`
+	Log     Log            `toml:"log"`
+	Kept    *keep.Table    `toml:"kept"`    // nil: nothing is kept
+	Fleet   *fleet.Table   `toml:"fleet"`   // nil: this sender decides alone
+	Backlog *backlog.Table `toml:"backlog"` // nil: all that is owed is with the decisions
 }
 
 // Log says how much is logged: in all, and by part.
@@ -55,12 +57,8 @@
 	if err := d.Decode(&f); err != nil {
 		return f, strict.Faults(name, reflect.TypeFor[File](), err)
 	}
-	places, _ := strict.Locate(text)
 	var faults []error
-	fault := func(path, what string) {
-		p := places.Near(path)
-		faults = append(faults, strict.Fault{File: name, Line: p.Line, Column: p.Column, Path: path, What: what})
-	}
+	fault := faulter(name, text, &faults)
 	if f.Version != Version {
 		fault("version", fmt.Sprintf("this form is version %d, not %d", Version, f.Version))
 	}
@@ -78,9 +76,42 @@
 		f.Fleet.Fill()
 		f.Fleet.Check(func(setting, what string) { fault("fleet."+setting, what) })
 	}
+	if f.Backlog != nil {
+		f.Backlog.Check(func(setting, what string) { fault("backlog."+setting, what) })
+	}
 	return f, errors.Join(faults...)
 }
 
+// faulter gives each fault its place in a text.
+func faulter(name string, text []byte, faults *[]error) func(path, what string) {
+	places, _ := strict.Locate(text)
+	return func(path, what string) {
+		p := places.Near(path)
+		*faults = append(*faults, strict.Fault{File: name, Line: p.Line, Column: p.Column, Path: path, What: what})
+	}
+}
+
+// Limits of a sender, in bytes.
+type Limits struct{ Disk, Spool, Memory int64 }
+
+// Fit is Read that holds the file against a sender's limits too.
+func Fit(path string, l Limits) error {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return fmt.Errorf("operator's file: %w", err)
+	}
+	f, err := Decode(path, text)
+	var faults []error
+	fault := faulter(path, text, &faults)
+	if room := l.Disk - l.Spool; f.Fleet != nil && f.Fleet.Bytes() > room {
+		fault("fleet.most_mb", fmt.Sprintf("%g MB do not fit: the spool leaves %.2f MB of limits.disk_mb", f.Fleet.MostMB, float64(room)/1e6))
+	}
+	if f.Backlog != nil {
+		f.Backlog.Fit(l.Spool, l.Memory, func(setting, what string) { fault("backlog."+setting, what) })
+	}
+	return errors.Join(append([]error{err}, faults...)...)
+}
+
 func (l Log) check(fault func(setting, what string)) {
 	if l.Level != "" {
 		if _, err := zapcore.ParseLevel(l.Level); err != nil {
--- a/internal/startup/place.go
+++ b/internal/startup/place.go
@@ -126,5 +126,24 @@
 	return fewSockets
 }
 
+// diskShare is what the spool may take of the folder that lasts; the rest is for what else lasts there.
+const diskShare = 0.9
+
+// SpoolRoom is what the spool may take of that folder, in bytes.
+func SpoolRoom(c gjson.Result) int64 { return int64(diskShare * float64(Disk(c))) }
+
+// Targets gives the target times of the traffic classes in µs, none for one that has none.
+func Targets(c gjson.Result) (ts []int64) {
+	for _, l := range lanes(c) {
+		if l.Target > 0 {
+			ts = append(ts, l.Target)
+		}
+	}
+	return ts
+}
+
+// Slots is how many calls may be out at once.
+func Slots(c gjson.Result) int { return limit(c.Get("family_info.max_calls")) }
+
 // Disk is the limit in bytes on the folder that lasts.
 func Disk(c gjson.Result) int64 { return int64(max(1, c.Get("limits.disk_mb").Float()) * 1e6) }
