Relay: what is beyond the working set rests on disk and comes back by a loader

Take asks the queues; what rests is written down and answered. One goroutine reads back what has its turn, what is half a second before its time, what a purge means, and what came before a message of its key at another destination. What comes back goes to the module as owed, many in a turn. Over is silent about a message that is over already where the backlog is on. With the backlog off the cost is a nil check in Take, Carry, Withdraw and at an end.

--- a/internal/relay/courier.go
+++ b/internal/relay/courier.go
@@ -25,12 +25,18 @@
 
 	Tally *Tally
 
+	rest       *rest // nil where the backlog is off
+	Backlogged Backlogged
+
 	turns   Turns // nil where channels are off
 	legMost time.Duration
 
 	// Delivered, where it is set, hears of messages that are over and not undelivered. It must not block for long.
 	Delivered func(id string)
 
+	// Fenced, where it is set before Begin, tells whether a message is older than a purge that reaches it: it ends, wherever it is found.
+	Fenced func(m *spool.Message) bool
+
 	// Watch, where it is set before Begin, hears what becomes of messages and legs. It must not block for long.
 	Watch Watcher
 
@@ -97,21 +103,42 @@
 // Take hands a message to the decisions, which may end it on the spot, and if they hold it, writes it down: from then on its
 // end is owed. Nothing is sent before Carry.
 func (e *Engine) Take(m *spool.Message, lane int) (way routing.Way, advice int64) {
+	if e.rest != nil {
+		return e.rest.take(m, lane)
+	}
+	return e.hold(m, lane)
+}
+
+func (e *Engine) hold(m *spool.Message, lane int) (way routing.Way, advice int64) {
 	way, advice = e.router.Take(message(m, lane))
 	if way != routing.Held {
 		return way, advice
 	}
 	if err := e.spool.Take(m); err != nil {
-		e.log.Warn("not taken on", zap.Error(err))
 		e.router.Forget(m.ID)
-		return routing.NoRoom, e.router.ComeBackIn()
+		return e.refused(err)
 	}
 	e.Tally.Taken.Add(1)
 	return way, 0
 }
 
+// refused is what a hand-in comes to that was not recorded.
+func (e *Engine) refused(err error) (routing.Way, int64) {
+	if errors.Is(err, spool.ErrTwice) { // it rests
+		return routing.Twice, 0
+	}
+	e.log.Warn("not taken on", zap.Error(err))
+	return routing.NoRoom, e.router.ComeBackIn()
+}
+
 // Withdraw takes back a message whose client never heard that it was taken on.
-func (e *Engine) Withdraw(id string) { e.router.Withdraw(id) }
+func (e *Engine) Withdraw(id string) {
+	if e.rest != nil {
+		e.rest.withdraw(id)
+		return
+	}
+	e.router.Withdraw(id)
+}
 
 func message(m *spool.Message, lane int) routing.Message {
 	r := routing.Message{ID: m.ID, Lane: lane, OrderKey: m.OrderKey, Dst: m.Dst, Expires: m.Expires}
@@ -167,6 +194,14 @@
 
 // Carry takes a message to its end.
 func (e *Engine) Carry(m *spool.Message) {
+	if e.rest != nil {
+		e.rest.carry(m)
+		return
+	}
+	e.carry(m)
+}
+
+func (e *Engine) carry(m *spool.Message) {
 	e.mu.Lock()
 	e.held[m.ID] = &carried{msg: m, running: mayHaveRun(m)}
 	e.mu.Unlock()
@@ -226,6 +261,9 @@
 		return
 	}
 	defer e.owed.Add(-1)
+	if e.rest != nil {
+		defer e.rest.ended(c)
+	}
 	switch {
 	case p.Way == routing.Over || given:
 		e.over(c)
@@ -261,7 +299,7 @@
 
 // Over puts on record that nothing is owed for a message any more.
 func (e *Engine) Over(m *spool.Message) {
-	if err := e.spool.Over(m); err != nil {
+	if err := e.spool.Over(m); err != nil && (e.rest == nil || !errors.Is(err, spool.ErrOver)) { // withdrawn on its way back
 		e.log.Error("end not recorded", zap.String("id", m.ID), zap.Error(err))
 	}
 	e.router.EndKnown(m.ID)
