--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -29,6 +29,7 @@
 			log.Error("this sender takes no orders", zap.Error(err))
 		} else {
 			p.eraser = e
+			p.engine.Fenced = e.oldMessage
 			p.front.Orders = &platform.Orders{Dst: *t.Orders, Take: takes(r), Busy: fleet.ErrBusy}
 		}
 	}
@@ -81,12 +82,12 @@
 		owed = others
 		p.goWork(func() { p.ordered.Run(picking) })
 	}
-	p.engine.ResumeAll(owed)
+	p.engine.Recover(owed)
 }
 
 // openFleet counts the fleet's log against the part of the disk that the spool leaves.
 func (p *Program) openFleet(t fleet.Table, log *zap.Logger) (*fleet.Runtime, error) {
-	if room := p.disk - int64(diskShare*float64(p.disk)); t.Bytes() > room {
+	if room := p.disk - p.room; t.Bytes() > room {
 		return nil, fmt.Errorf("fleet.most_mb of %g does not fit: the spool leaves %.2f MB of the folder", t.MostMB, float64(room)/1e6)
 	}
 	return fleet.Open(t, p.state, log, p.router)
--- a/internal/daemon/program.go
+++ b/internal/daemon/program.go
@@ -14,6 +14,7 @@
 	"github.com/tidwall/gjson"
 	"go.uber.org/zap"
 
+	"ravenlink/internal/backlog"
 	"ravenlink/internal/fleet"
 	"ravenlink/internal/keep"
 	"ravenlink/internal/kept"
@@ -44,7 +45,6 @@
 const (
 	memoryShare = 0.7                     // of the limit, for the Go heap; the rest is files, stacks and sockets
 	listPart    = 4                       // of the memory limit, one in so many is for the members of a list while it is read
-	diskShare   = 0.9                     // of the limit, for the spool
 	clientPart  = 2                       // of the descriptors, one in so many is for clients
 	callPart    = 3                       // and one in so many for receivers; the rest is reserve
 	idleShare   = 0.8                     // of the told idle time; older connections are not used
@@ -67,11 +67,13 @@
 	keeper   *keep.Keeper   // nil where nothing is kept
 	fleet    *fleet.Runtime // nil where this sender decides alone
 	eraser   *eraser        // nil where it takes no orders
+	rests    *backlog.Table // nil where the backlog is off; as the file has it
 	ordered  *ordered.Host  // nil where there are no channels
 	phase    phase          // changes in enter only
 	clock    relay.Clock
 	state    string // the folder that lasts
-	disk     int64  // bytes that it may hold
+	disk     int64  // bytes that it may hold,
+	room     int64  // and of them the spool
 	settings gjson.Result
 	spool    *spool.Spool
 	router   *routing.Router
@@ -99,6 +101,11 @@
 
 // New reads the start file and opens all that a sender needs before it serves.
 func New(env func(string) string, log *zap.Logger, reload <-chan os.Signal) (*Program, error) {
+	return newProgram(env, log, reload, nil)
+}
+
+// newProgram is New with a backlog, where there is a table of one.
+func newProgram(env func(string) string, log *zap.Logger, reload <-chan os.Signal, rests *backlog.Table) (*Program, error) {
 	c, err := startup.Read(env)
 	if err != nil {
 		return nil, err
@@ -108,11 +115,12 @@
 	listen, discoveryAt := startup.Addresses(env, c)
 	p := &Program{log: log.With(zap.String("sender", startup.Name(c))), env: env, reload: reload, agent: platform.NewAgent(discoveryAt),
 		clock: relay.NewClock(), listWait: firstList}
-	if err := p.openSpool(startup.StateDir(env), int64(diskShare*float64(startup.Disk(c)))); err != nil {
+	rests = p.fits(rests, startup.SpoolRoom(c), startup.Memory(c))
+	if err := p.openSpool(startup.StateDir(env), startup.SpoolRoom(c), rests); err != nil {
 		return nil, err
 	}
 	settings := startup.Module(c)
-	p.settings, p.state, p.disk = settings, startup.StateDir(env), startup.Disk(c)
+	p.settings, p.state, p.disk, p.room = settings, startup.StateDir(env), startup.Disk(c), startup.SpoolRoom(c)
 	up, idle := startup.Connections(settings)
 	p.pool = transport.NewPool(up, time.Duration(idleShare*float64(idle)), startup.Sockets(c)/callPart)
 	module := part(p.log, "module")
@@ -123,6 +131,9 @@
 	p.engine = relay.New(part(p.log, "messages"), p.clock, p.router, p.spool, p.calls)
 	p.notices = platform.NewNotices(part(p.log, "notices"), p.agent, up, p.told)
 	p.engine.Tell(p.notices)
+	if rests != nil {
+		p.engine.Rest(bounds(settings, rests), startup.KeepsOrder(settings), p.notices.Owed)
+	}
 	p.discovery = platform.NewDiscovery(part(p.log, "discovery"), p.router, p.agent, up, startup.Subscribes(settings),
 		startup.Memory(c)/listPart)
 	if err := p.discovery.Known(startup.Known(c)); err != nil {
@@ -139,8 +150,12 @@
 	return p, err
 }
 
-func (p *Program) openSpool(dir string, room int64) error {
-	s, notes, err := spool.Open(dir, room)
+func (p *Program) openSpool(dir string, room int64, rests *backlog.Table) error {
+	open := spool.Open
+	if rests != nil {
+		open, room = spool.OpenBacklog, rests.Bytes()
+	}
+	s, notes, err := open(dir, room)
 	for _, n := range notes {
 		p.log.Warn("spool", zap.String("note", n))
 	}
@@ -162,6 +177,7 @@
 		p.goWork(func() { p.fleet.Run(picking) }) // it gives back what was lent as soon as no leg may begin
 	}
 	p.start(working)
+	p.engine.Load() // what rests is watched from here on
 	p.discovery.Heard(p.listWait)
 	if p.eraser != nil {
 		p.eraser.await()
@@ -277,7 +293,7 @@
 			l.Known, l.Retriable, l.Keyed, l.Window = startup.Repeats(p.settings, name)
 			return l
 		}
-		p.keeper, err = keep.NewKeeper(log, store, t, p.engine, lanes, p.router.Healthy, p.router.Owed, p.router.Room(), p.spool.Owed())
+		p.keeper, err = keep.NewKeeper(log, store, t, p.engine, lanes, p.router.Healthy, p.router.Owed, p.router.Room(), p.owes())
 	}
 	if err != nil {
 		log.Error("nothing is kept", zap.Error(err))
--- a/internal/daemon/purge.go
+++ b/internal/daemon/purge.go
@@ -63,9 +63,10 @@
 	return func(m *spool.Message) bool { return m.Taken <= cut && t.Owns(m.Dst, m.Lane, m.OrderKey) }
 }
 
-// Recall has messages end that are not under way, and waits a while for those that are.
+// Recall has messages end that are not under way, those that rest on disk first, and waits a while for those that are.
 func (e *eraser) Recall(t fleet.Tenant, cut int64) (ended, open int64) {
 	match := owned(t, cut)
+	rested := e.p.engine.EndMatching(match, recallFor)
 	first, _ := e.p.spool.Owing(match)
 	for _, id := range first {
 		e.p.router.Recall(id)
@@ -76,7 +77,7 @@
 	for until := time.Now().Add(recallFor); len(left) > 0 && time.Now().Before(until); left, _ = e.p.spool.Owing(match) {
 		<-look.C
 	}
-	return int64(len(first) - len(left)), int64(len(left))
+	return int64(rested + len(first) - len(left)), int64(len(left))
 }
 
 // spent is what a purge of some kinds finds in the spool: with messages that stay under way left alone, where those are not meant.
--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -65,5 +65,8 @@
 	} else if (p.keeper != nil) != (f.Kept != nil) {
 		p.log.Warn("keeping is begun and ended at a start only")
 	}
+	if (p.rests != nil) != (f.Backlog != nil) || p.rests != nil && *p.rests != *f.Backlog {
+		p.log.Warn("the backlog is begun, changed and ended at a start only")
+	}
 	p.log.Info("operator's file read again", zap.String("file", p.opFile))
 }
--- a/internal/daemon/tally.go
+++ b/internal/daemon/tally.go
@@ -19,7 +19,7 @@
 	}
 	b, crowd := p.router.Believes(), p.server.Crowd()
 	leg := func(r routing.Result) int64 { return t.Legs[r].Load() }
-	p.log.Info("counts", zap.Int64("taken", t.Taken.Load()), zap.Int64("busy", p.front.Busy.Load()),
+	fields := append(p.restLine(), zap.Int64("taken", t.Taken.Load()), zap.Int64("busy", p.front.Busy.Load()),
 		zap.Int64("refused", p.front.Refused.Load()), zap.Int64("delivered", t.Delivered.Load()),
 		zap.Int64("pushed_back", t.PushedBack.Load()), zap.Int64("failed", t.Failed.Load()),
 		zap.Int64("legs_turned_away", leg(routing.TurnedAway)), zap.Int64("legs_not_connected", leg(routing.NotConnected)),
@@ -35,4 +35,15 @@
 		zap.Int("owed", p.router.Owed()), zap.Int("notices_owed", p.notices.Owed()),
 		zap.Int("connections", p.pool.Open()), zap.Int("goroutines", runtime.NumGoroutine()),
 		zap.Uint64("heap_bytes", mem.HeapInuse))
+	p.log.Info("counts", fields...)
+}
+
+// restLine tells of the backlog, where it is on.
+func (p *Program) restLine() []zap.Field {
+	if p.rests == nil {
+		return nil
+	}
+	t := &p.engine.Backlogged
+	return []zap.Field{zap.Int64("spilled", t.Spilled.Load()), zap.Int64("loaded", t.Loaded.Load()), zap.Int64("resting", p.engine.Resting()),
+		zap.Int64("resting_due", t.Due.Load()), zap.Int64("resting_rejected", t.Rejected.Load())}
 }
--- a/internal/keep/keeper.go
+++ b/internal/keep/keeper.go
@@ -85,10 +85,10 @@
 	dst int64
 }
 
-// NewKeeper takes up a store. owedNow are the ids that the sender owes from before its start: an intention whose message is
-// among them goes on; any other counts as sent, for nobody can tell.
+// NewKeeper takes up a store. owes tells whether the sender owes an id from before its start: an intention whose message is
+// owed goes on; any other counts as sent, for nobody can tell.
 func NewKeeper(log *zap.Logger, s *Store, t Table, engine Engine, lanes func(string) kept.Lane, healthy func(int64) bool,
-	owed func() int, room int, owedNow []*spool.Message) (*Keeper, error) {
+	owed func() int, room int, owes func(id string) bool) (*Keeper, error) {
 	k := &Keeper{log: log, store: s, engine: engine, lanes: lanes, healthy: healthy, owed: owed, room: room, rules: t.Rules,
 		sentAs: map[string]string{}, due: map[string]wait{}}
 	var unsure []*kept.Record
@@ -99,7 +99,7 @@
 		if r.State == kept.Intended {
 			unsure = append(unsure, r)
 		}
-		if r.State == kept.Sent && slices.ContainsFunc(owedNow, func(m *spool.Message) bool { return m.ID == r.SentAs }) {
+		if r.State == kept.Sent && owes(r.SentAs) {
 			k.sentAs[r.SentAs] = r.ID
 		}
 	})
@@ -108,7 +108,7 @@
 	}
 	for _, r := range unsure {
 		why := "intended before a restart: it may have been sent"
-		if slices.ContainsFunc(owedNow, func(m *spool.Message) bool { return m.ID == r.SentAs }) {
+		if owes(r.SentAs) {
 			why = "intended before a restart, and on record as taken on"
 			k.sentAs[r.SentAs] = r.ID
 		}
--- a/internal/keep/keeper_test.go
+++ b/internal/keep/keeper_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -40,7 +41,10 @@
 	t.Helper()
 	rule.Fill()
 	k, err := NewKeeper(zap.NewNop(), s, Table{Rules: []kept.Rule{rule}}, f, func(string) kept.Lane { return kept.Lane{Known: true, Retriable: true} },
-		func(dst int64) bool { return !ill[dst] }, func() int { return 0 }, 10, owed)
+		func(dst int64) bool { return !ill[dst] }, func() int { return 0 }, 10,
+		func(id string) bool {
+			return slices.ContainsFunc(owed, func(m *spool.Message) bool { return m.ID == id })
+		})
 	require.NoError(t, err)
 	return k
 }
