Whether a destination is listed is asked of the module, not by a walk over all receivers

Cause, read in the review of the backlog: a hand-in for a destination of which nothing is worked on or rests, with the room full, asked Router.Lists, which walked over all receivers under the router's lock: 99,000 of them for each such hand-in, while a backlog grows. Change: the module's table of destinations says it. Its test asks listed, unlisted, forgotten and never heard of; not timed.

--- a/choice/state.go
+++ b/choice/state.go
@@ -657,6 +657,12 @@
 	return m != nil && !m.over() && s.now <= m.lastChance() && s.Reachable(receiver)
 }
 
+// Lists tells whether a receiver of a destination is known, listed or not.
+func (s *Sender) Lists(id int64) bool {
+	d := s.dsts[id]
+	return d != nil && d.known > 0
+}
+
 // Reachable tells whether a receiver is listed and no wait has been told there that still runs.
 func (s *Sender) Reachable(receiver uint32) bool {
 	r := s.recvs[receiver]
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -226,6 +226,25 @@
 	assert.Equal(t, c.sender.Believes().Known, len(c.receivers))
 }
 
+// Asked for each hand-in that is to rest, so it must know what the list knows without a walk: listed, unlisted for a moment, forgotten, never heard of.
+func TestWhetherADestinationIsListed(t *testing.T) {
+	c := begin(t)
+	l := Listing{ID: "s-2", Addr: "h:2", Dst: 8, Listed: true}
+	assert.False(t, c.Lists(8), "never heard of")
+	c.List([]Listing{l}, false, false)
+	assert.True(t, c.Lists(8))
+	l.Listed = false
+	c.List([]Listing{l}, false, false)
+	assert.True(t, c.Lists(8), "its receiver may come back")
+	c.now += 100e6
+	c.List(nil, false, false)
+	assert.False(t, c.Lists(8), "forgotten")
+	assert.True(t, c.Lists(7))
+	for n, p := range c.receivers { // the walk as the measure
+		assert.True(t, c.Lists(p.dst), n)
+	}
+}
+
 func TestNothingComesOutOfPickBeforeAMessageIsCarried(t *testing.T) {
 	c := begin(t)
 	c.take("a")
