--- a/internal/fleettest/scale_beside_test.go
+++ b/internal/fleettest/scale_beside_test.go
@@ -97,16 +97,19 @@
 	return 0
 }
 
-// weigh sets what the processes cost at rest beside what the hollow ones do.
+// weigh sets what the processes cost at rest beside what the hollow ones do, and what processes without a fleet do.
 func (m *mixed) weigh() {
-	was, from := map[string]time.Duration{}, time.Now()
-	for _, s := range m.senders {
-		was[s.Name] = s.core()
+	plain := New(m.Rig.t, Setup{Senders: 3})
+	plain.Start()
+	was, from := map[*Sender]time.Duration{}, time.Now()
+	for _, s := range append(plain.Senders(), m.senders...) {
+		was[s] = s.core()
 	}
 	r := m.window(Load{}, 1)
-	for _, s := range m.senders {
-		m.Rig.t.Logf("process %s at rest: %.2f%% of a core; a hollow sender, with the rig's own: %.2f%%", s.Name,
-			100*(s.core()-was[s.Name]).Seconds()/time.Since(from).Seconds(), r["core"])
+	took := time.Since(from).Seconds()
+	for s, before := range was {
+		m.Rig.t.Logf("process %s at rest, in the fleet %v: %.2f%% of a core; a hollow sender, with the rig's own: %.2f%%", s.Name, s.r == m.Rig,
+			100*(s.core()-before).Seconds()/took, r["core"])
 	}
 }
 
--- a/internal/fleettest/scale_hollow_test.go
+++ b/internal/fleettest/scale_hollow_test.go
@@ -27,7 +27,7 @@
 	limitPerSec = 2      // calls a second of each of those
 	downOf      = 1000   // of so many destinations
 	downParts   = 15     // so many are down
-	countLines  = 64     // lines of counts that are kept
+	countLines  = 64     // lines of counts that are kept, and texts of warnings
 	ordersDst   = 1_000_000
 )
 
@@ -170,7 +170,7 @@
 	mu      sync.Mutex
 	members map[string]string // by name; as many as are listed
 	counts  []countLine
-	bad     map[string]int // by text, of warnings and errors: there are few texts
+	bad     map[string]int // by text, of warnings and errors: so many texts at most
 }
 
 type countLine struct {
@@ -208,7 +208,7 @@
 		}
 	case e.Message == "member":
 		l.members[fmt.Sprint(text.Fields["name"])] = fmt.Sprintf("%v %v", text.Fields["state"], text.Fields["incarnation"])
-	case e.Level >= zap.WarnLevel:
+	case e.Level >= zap.WarnLevel && len(l.bad) < countLines:
 		l.bad[e.Message+fmt.Sprint(" ", text.Fields["cause"], text.Fields["error"])]++
 	}
 	return nil
