Daemon's tests remove the program that they build

Cause: the built program of the backlog's tests was left in the folder for temporary files, 20 MB a run. TestMain removes it once all tests are over, as that of internal/fleettest does; goleak looks at the same as before.

--- a/internal/daemon/backlog_test.go
+++ b/internal/daemon/backlog_test.go
@@ -66,6 +66,7 @@
 
 var builtProgram struct {
 	once sync.Once
+	dir  string // removed once all tests are over
 	path string
 	err  error
 }
@@ -76,7 +77,7 @@
 	builtProgram.once.Do(func() {
 		dir, err := os.MkdirTemp("", "ravenlink")
 		if err == nil {
-			builtProgram.path = filepath.Join(dir, "ravenlink")
+			builtProgram.dir, builtProgram.path = dir, filepath.Join(dir, "ravenlink")
 			var out []byte
 			if out, err = exec.Command("go", "build", "-o", builtProgram.path, "ravenlink/cmd/ravenlink").CombinedOutput(); err != nil {
 				err = fmt.Errorf("%w: %s", err, out)
--- a/internal/daemon/program_test.go
+++ b/internal/daemon/program_test.go
@@ -50,7 +50,10 @@
 	if err := flag.Set("test.parallel", "32"); err != nil { // worlds share nothing and mostly wait, whatever the cores
 		panic(err)
 	}
-	goleak.VerifyTestMain(m)
+	goleak.VerifyTestMain(m, goleak.Cleanup(func(code int) {
+		_ = os.RemoveAll(builtProgram.dir)
+		os.Exit(code)
+	}))
 }
 
 const keyed, once = "c=notice,d=8000,k=5c0f,dest=7", "c=once,d=8000,dest=7"
