Have the messages of the keys' test outlive any stall

Seen: TestKeysKeepTheirOrderUntilThePlatformKnowsOfEachEnd once failed 1 of 3 copies of the package on two cores by its limit, after its restart. In fifteen further copies run so (some with a second mend under way) it did not fail, but took 3.8 to 6.95 s there, against 0.7 s alone.

Cause: the lifetime, not a lost event. The messages live 8, 8 and 7 s from their hand-in, and the two that wait must last through a restart and eighteen others. Forced in a scratch copy by a stall before the platform hears again: 6.5 s, the second came and the third not, notices "first:failed third:returned"; 8 s, neither, "first:failed second:returned third:returned" (2 of 2). Each message ended by the book and told its end, so no event was lost there; the test waits for calls that are over.

Now they live 600, 600 and 500 s, and the others, which come between, 600; the third still ends first, and all that is looked at is as it was. It is as strict: with keys that do not wait for the platform (choice, forget) it fails as before, and so it does with ended messages that do not stand in their line after a restart (Unheard).

Runs: after, a stall of 9 s passes; -race, 5 of 5.

--- a/internal/daemon/program_test.go
+++ b/internal/daemon/program_test.go
@@ -524,14 +524,14 @@
 	w.mute = true
 	cmd := spawn(w)
 	c := w.dial()
-	for _, hand := range []string{inTurn("first", "8000"), inTurn("second", "8000"), inTurn("third", "7000")} {
+	for _, hand := range []string{inTurn("first", "600000"), inTurn("second", "600000"), inTurn("third", "500000")} { // none is over before the test is
 		require.Equal(t, "+OK", c.say(hand))
 	}
 	w.soon(func() bool { return w.calls["first"] == 1 })
 	others := func(life string) {
 		for i := range 9 { // each decided on after the turn that would let the next of the key go
 			id := fmt.Sprint(life, i)
-			require.Equal(t, "+OK", w.dial().say(handIn(id, keyed, "")))
+			require.Equal(t, "+OK", w.dial().say(handIn(id, "c=notice,d=600000,k=5c0f,dest=7", "")))
 			w.soon(func() bool { return w.calls[id] == 1 })
 		}
 		w.mu.Lock()
