Deadlines of what rests are judged in virtual time, not by the machine's pace

Seen: TestEndsOfWhatRestsAreToldInTime (internal/daemon) failed in a whole run on a busy machine: its start took 4.47 s of the 4 s that it had (backlog_test.go:227). Its verdict hung on the machine. Change: that no end is late is held in internal/relay on the real store and engine in virtual time, to the microsecond, with three thousand ends in two seconds and with a few while the start takes up; the test of the built program keeps that all are told and none early; lateness in real time stays in the long form.

--- a/internal/daemon/backlog_test.go
+++ b/internal/daemon/backlog_test.go
@@ -212,31 +212,41 @@
 	return owing{ready, anon, all}
 }
 
-func TestEndsOfWhatRestsAreToldInTime(t *testing.T) {
+// The built program tells each end, and none before it is read for it. That none is late is held in virtual time, by internal/relay's test of
+// this name, where no other work of the machine counts; and by the long form here.
+func TestEndsOfWhatRestsAreTold(t *testing.T) {
 	t.Parallel()
-	endsInTime(t, 3000, 4*time.Second, 2*time.Second)
+	endsOfWhatRests(t, 3000, 4*time.Second, 2*time.Second)
 }
 
-// endsInTime has messages that rest run out of time, evenly over a span that begins some time after the start.
+// endsInTime is endsOfWhatRests on a machine that has nothing else to do: none may be late.
 func endsInTime(t *testing.T, n int, after, span time.Duration) {
+	late, started := endsOfWhatRests(t, n, after, span)
+	require.Less(t, started, after, "the machine was too slow to look at this")
+	require.Less(t, late, time.Second)
+}
+
+// endsOfWhatRests has messages that rest run out of time, evenly over a span that begins some time after the start. It gives how long the latest
+// was told after its time, and how long the start took.
+func endsOfWhatRests(t *testing.T, n int, after, span time.Duration) (late, started time.Duration) {
 	w := restingWorld(t, 100, ok)
 	told := w.notedNotices()
 	begun := time.Now()
 	expires := func(i int) time.Time { return begun.Add(after + span*time.Duration(i)/time.Duration(n)) }
 	w.prefill(n, nowhereDst, expires)
 	cmd, _ := w.program()
-	require.Less(t, time.Since(begun), after, "the machine was too slow to look at this")
+	started = time.Since(begun)
 	require.Eventually(t, func() bool { return told.count() == n }, after+span+long, 10*glimpse)
 	require.NoError(t, cmd.Process.Signal(syscall.SIGTERM))
 	require.NoError(t, cmd.Wait())
-	late, early := time.Duration(0), time.Duration(0)
+	early := time.Duration(0)
 	for i := range n {
 		d := told.at[fmt.Sprintf("r%07d", i)].Sub(expires(i))
 		late, early = max(late, d), max(early, -d)
 	}
 	t.Logf("%d ends within %v: all told, %d again as their post hung, the latest %v after its time, the earliest %v before", n, span, told.twice, late, early)
-	require.Less(t, late, time.Second)
 	require.Less(t, early, time.Duration(backlog.Lead)*time.Microsecond+time.Second)
+	return late, started
 }
 
 func TestKilledAtAnyMomentOfABacklogNothingIsLostOrDoubled(t *testing.T) {
--- a/internal/relay/backlog_test.go
+++ b/internal/relay/backlog_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -632,6 +633,51 @@
 	require.Equal(t, "k-1 k-2 k-3", strings.Join(only(s.road.ids(), "k-"), " "))
 }
 
+// Messages that rest run out of time, in virtual time: each is told once, none earlier than it is read, none late. Three thousand within two
+// seconds; and a few far apart while the start still takes up, when nothing but the loader's own timer wakes it.
+func TestEndsOfWhatRestsAreToldInTime(t *testing.T) {
+	for name, c := range map[string]struct {
+		n    int
+		over int64 // µs
+		open bool  // what was owed is taken up
+	}{"many": {3000, 2_000_000, true}, "few, while it starts": {5, 50_000_000, false}} {
+		t.Run(name, func(t *testing.T) { synctest.Test(t, func(t *testing.T) { endsInTime(t, c.n, c.over, c.open) }) })
+	}
+}
+
+func endsInTime(t *testing.T, n int, over int64, open bool) {
+	const after = 4_000_000 // µs
+	s := sit(t, t.TempDir(), 1<<22)
+	begun := s.Now()
+	expires := func(i int) int64 { return begun + after + over*int64(i)/int64(n) }
+	for i := range n {
+		m := s.message(fmt.Sprint(i), 7, "n", "")
+		m.Expires = expires(i)
+		require.NoError(t, s.spool.Spill(m))
+	}
+	s.Engine.rest.change(func(q *backlog.Queues, now int64) { q.Found(now, 7, n) })
+	s.Load()
+	if open {
+		s.Recover(s.spool.Owed())
+	}
+	s.Run()
+	ends := map[string]int64{}
+	for len(ends) < n {
+		u := <-s.told
+		require.True(t, u.PushedBack || len(u.Legs) > 0, "it never ran")
+		require.NotContains(t, ends, u.Msg.ID, "told once")
+		ends[u.Msg.ID] = s.Now()
+		s.Over(u.Msg)
+	}
+	for i := range n {
+		at := ends[fmt.Sprint(i)]
+		require.LessOrEqual(t, at, expires(i), "late, by µs")
+		require.GreaterOrEqual(t, at, expires(i)-backlog.Lead, "early, by µs")
+	}
+	require.Zero(t, s.Resting())
+	s.halt()
+}
+
 // The loader sleeps until the next message is due, and is woken by one that is due sooner.
 func TestAMessageDueSoonerWakesTheLoader(t *testing.T) {
 	s := sit(t, t.TempDir(), 1<<20)
