A tick of shares looks only at places that are due, not at all of them

Cause: each 20 ms Tick walked a place for every destination touched in the last minute, limit or none.

Change: a place that only an event or a known time can change rests. It leaves the tick's list and stands in a heap by when its stage changes with time (electors missed) or it may be forgotten; needs, limits, calls, letters and a view that changes who leads it wake it. Order of letters is by name, as before. move's choice of a stage is now a function of its own, stageOf, so that a tick can tell whether it would change anything.

Changed test: the exploration's copy of a table copies the list and the heap too.

--- a/internal/shares/explore_test.go
+++ b/internal/shares/explore_test.go
@@ -40,6 +40,15 @@
 		}
 		c.places[k] = &q
 	}
+	c.awake, c.resting = nil, nil
+	for _, p := range t.awake {
+		if !p.forgotten {
+			c.awake = append(c.awake, c.places[p.dst])
+		}
+	}
+	for _, p := range t.resting {
+		c.resting = append(c.resting, c.places[p.dst])
+	}
 	return &c
 }
 
--- a/internal/shares/hold.go
+++ b/internal/shares/hold.go
@@ -51,25 +51,31 @@
 	h.levelAt, h.phaseAt = now, float64(draw>>11)/(1<<53)
 }
 
-// move changes the stage of a holder; nothing else does.
-func (t *Table) move(now int64, p *place) {
+// stageOf gives the stage in which a holder has to be.
+func (t *Table) stageOf(now int64, p *place) stage {
 	h := &p.hold
 	needs := p.waiting > 0 || p.need >= quantum
-	answered := h.until > now
-	next := h.phase
 	switch {
-	case answered:
-		next = leased
+	case h.until > now:
+		return leased
 	case t.cutOff(now, p):
-		next = doubting
+		return doubting
 	case !needs:
-		next = resting
+		return resting
 	case h.phase == doubting && h.unanswered > 0:
+		return doubting
 	case h.unanswered > 0 && now-h.unanswered >= t.t.doubtAfter() && h.asks >= 3:
-		next = doubting
+		return doubting
 	default:
-		next = asking
+		return asking
 	}
+}
+
+// move changes the stage of a holder; nothing else does.
+func (t *Table) move(now int64, p *place) {
+	h := &p.hold
+	needs := p.waiting > 0 || p.need >= quantum
+	next := t.stageOf(now, p)
 	if next == h.phase {
 		return
 	}
--- a/internal/shares/table.go
+++ b/internal/shares/table.go
@@ -33,6 +33,9 @@
 	missing float64 // share of the listed fleet that may be cut off: reserved by owners
 	places  map[string]*place
 	order   []string // names of places, sorted: map order never decides
+	awake   []*place // those that the next tick looks at; emptied as they rest or are forgotten
+	resting dueHeap  // all others, by when one has to look at them again
+	looks   uint64   // places that ticks looked at
 	out     []post.Letter[Msg]
 	counts  Counts
 }
@@ -57,6 +60,10 @@
 	hold     holding
 	vote     promise
 	seat     owning
+
+	due       int64 // while it rests: when a tick has to look at it, µs
+	slot      int   // in the heap of those that rest; awake while it does not
+	forgotten bool  // it is no longer in the table
 }
 
 // known is a limit with how and when it was learned.
@@ -96,7 +103,11 @@
 	}
 	t.missing = min(t.missing, 1)
 	for _, dst := range t.order {
-		t.see(now, t.places[dst])
+		p := t.places[dst]
+		was := p.unled
+		if t.see(now, p); p.unled != was {
+			t.wake(p)
+		}
 	}
 }
 
@@ -132,7 +143,9 @@
 		return
 	}
 	if p := t.place(now, dst); p != nil {
-		p.learn(known{perSec, how, now})
+		if p.learn(known{perSec, how, now}) {
+			t.wake(p)
+		}
 	}
 }
 
@@ -151,6 +164,14 @@
 	}
 	p.hold.earn(now, t.rate(now, p))
 	p.need, p.waiting = math.Min(math.Max(perSec, 0), limitMost), max(waiting, 0)
+	t.wake(p)
+}
+
+// Unlimited tells that a destination is in the table without a limit, and that this sender needs little there: until a limit is learned or
+// an event comes, neither its share nor a small change of its need makes any difference.
+func (t *Table) Unlimited(dst string) bool {
+	p := t.places[dst]
+	return p != nil && p.limit.perSec == 0 && p.need < quantum
 }
 
 // Share tells what this sender may call at a destination, in calls a second, and until when without hearing more. Where no limit is known
@@ -162,6 +183,7 @@
 		return math.Inf(1), math.MaxInt64
 	}
 	t.move(now, p)
+	t.wake(p)
 	h := &p.hold
 	perSec = t.rate(now, p)
 	if h.phase != leased {
@@ -181,6 +203,7 @@
 		return true
 	}
 	t.move(now, p)
+	t.wake(p)
 	p.used = now
 	h := &p.hold
 	h.earn(now, t.rate(now, p))
@@ -216,20 +239,26 @@
 	return max(floorLeast, floorDesign/float64(max(n, 1)))
 }
 
-// Tick does what is due; it is called ten times a second or more often.
+// Tick does what is due; it is called ten times a second or more often. It looks only at places that an event or time may have changed.
 func (t *Table) Tick(now int64) []post.Letter[Msg] {
 	t.begin(now)
-	for _, dst := range slices.Clone(t.order) {
-		p := t.places[dst]
-		t.move(now, p)
-		t.reign(now, p)
-		t.ask(now, p)
-		t.serve(now, p, "")
-		t.forget(now, p)
+	for _, p := range t.takeDue(now) {
+		t.look(now, p)
 	}
+	t.rest(now)
 	return t.letters()
 }
 
+// look does what is due at one place.
+func (t *Table) look(now int64, p *place) {
+	t.looks++
+	t.move(now, p)
+	t.reign(now, p)
+	t.ask(now, p)
+	t.serve(now, p, "")
+	t.forget(now, p)
+}
+
 // Heard takes in what another sender told. A message that makes no sense changes nothing and is counted.
 func (t *Table) Heard(now int64, from string, m Msg) []post.Letter[Msg] {
 	t.begin(now)
@@ -255,6 +284,7 @@
 }
 
 func (t *Table) hear(now int64, p *place, from string, m Msg) {
+	t.wake(p)
 	t.move(now, p)
 	t.reign(now, p)
 	if m.Limit > 0 && m.How > 0 {
@@ -302,32 +332,37 @@
 		t.counts.Full++
 		return nil
 	}
-	p := &place{dst: dst, electors: Electors(t.listed, dst), used: now}
+	p := &place{dst: dst, electors: Electors(t.listed, dst), used: now, slot: awake}
 	p.rank = slices.Index(p.electors, t.self)
 	p.hold.start(now, xxhash.Sum64String(t.self+"\n"+dst))
 	t.see(now, p)
 	t.places[dst] = p
+	t.awake = append(t.awake, p)
 	i, _ := slices.BinarySearch(t.order, dst)
 	t.order = slices.Insert(t.order, i, dst)
 	return p
 }
 
-// forget drops a destination that nobody has asked for.
+// forget drops a destination that nobody has asked for. It is awake, and leaves that list as the tick ends.
 func (t *Table) forget(now int64, p *place) {
 	if now-p.used < forgetAfter || p.waiting > 0 || p.vote.until > now || p.seat.phase != idle || p.hold.phase == leased {
 		return
 	}
+	p.forgotten = true
 	delete(t.places, p.dst)
 	i, _ := slices.BinarySearch(t.order, p.dst)
 	t.order = slices.Delete(t.order, i, i+1)
 }
 
-// learn takes in a limit: a better source counts for more, else the later one. The same value again does not make a fact younger.
-func (p *place) learn(k known) {
+// learn takes in a limit: a better source counts for more, else the later one. The same value again does not make a fact younger. It tells
+// whether the limit or its source is new.
+func (p *place) learn(k known) bool {
 	o := p.limit
 	if o.perSec == 0 || k.how > o.how || k.how == o.how && k.perSec != o.perSec && k.at > o.at {
 		p.limit = k
+		return true
 	}
+	return false
 }
 
 // Electors of a destination: the first few of the listed fleet by rendezvous hashing, an odd number, so that any two parts of a fleet
