The fleet's tick leaves destinations without a limit alone until something happens

Cause: each tick the runtime told the table the need of every destination that had a message in the last seconds, asked its share and compared it with what the module was told; without a limit the share is infinite each time. Left so, shares' own rest would also be ended at every tick, for each need told wakes its place.

Change: a destination without a limit, below a standing rate, whose share was never told and whose messages the table knows, rests: a heap has those that fade, by when they are forgotten. A message, a limit (told, or in a letter) or a shut gate wakes it. Its need fades by formula meanwhile, which differs from the steps in the last digits alone. Walks no longer go by map order. Mended beside it: a destination that was forgotten was taken back from the module with the shard's lock held, which watched tests forbid ("telling the module while lock shares is held"); no test came there. It is done after the turn now.

Measure: TestDemandsAreForgottenAndKnownAsByAWalkOverAll has the same messages counted by a walk over all of them; demands, waiting messages and the tick of forgetting are equal, rates to 1e-9. TestDemandsThatRestAreLookedAtByNoTick counts: one looked at (the one with a limit) beside 500 and beside 4,000.

--- a/internal/fleet/limits.go
+++ b/internal/fleet/limits.go
@@ -1,7 +1,9 @@
 package fleet
 
 import (
+	"container/heap"
 	"math"
+	"slices"
 	"strconv"
 	"sync"
 
@@ -41,13 +43,84 @@
 	table *shares.Table
 	at    int64             // of the latest tick
 	needs map[int64]*demand // emptied as messages end and rates fade
+	awake []*demand         // those of needs that the next tick looks at; emptied as they rest or are forgotten
+	fades fadeHeap          // those that rest and that nothing waits for, by when they are forgotten; one that is woken leaves it
 }
 
 // demand is what this sender wants of a destination.
 type demand struct {
+	dst     int64
+	name    string  // of the destination, as the table has it
 	waiting int     // messages held that are not under way
+	told    int     // those that the table was told of last
 	came    int     // since the latest tick
-	perSec  float64 // smoothed
+	perSec  float64 // smoothed, as of at
+	at      int64   // µs
+	fade    int64   // when a resting one is less than needLeast, µs
+	slot    int     // in the heap of those that fade, or awake or still
+}
+
+// The slots of a demand that is not in the heap: the next tick looks at it, or it rests and only an event changes it.
+const (
+	awake = -1
+	still = -2
+)
+
+// fadeHeap has the demands that rest and for which nothing waits, the first to be forgotten first. It is bounded by mostDemand.
+type fadeHeap []*demand
+
+func (h fadeHeap) Len() int           { return len(h) }
+func (h fadeHeap) Less(i, j int) bool { return h[i].fade < h[j].fade }
+func (h fadeHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].slot, h[j].slot = i, j
+}
+
+// Push puts a demand at the end, for container/heap.
+func (h *fadeHeap) Push(x any) {
+	d := x.(*demand)
+	d.slot = len(*h)
+	*h = append(*h, d)
+}
+
+// Pop takes the last demand away, for container/heap.
+func (h *fadeHeap) Pop() any {
+	i := len(*h) - 1
+	d := (*h)[i]
+	(*h)[i] = nil
+	*h = (*h)[:i]
+	return d
+}
+
+// wake has the next tick look at a destination, if anything is wanted there. Whatever may change its share or its need has to wake it: one
+// that rests on is told no share.
+func (s *shard) wake(dst int64) {
+	if d := s.needs[dst]; d != nil && d.slot != awake {
+		if d.slot >= 0 {
+			heap.Remove(&s.fades, d.slot)
+		}
+		d.slot = awake
+		s.awake = append(s.awake, d)
+	}
+}
+
+// rest lets those rest that the tick has just looked at and for which no limit is known: their share is infinite, and was told. While one
+// rests its need fades by itself; the table keeps the one told last, which may be greater but is as much below a standing rate.
+func (s *shard) rest(now int64, settled func(dst int64) bool) {
+	s.awake = slices.DeleteFunc(s.awake, func(d *demand) bool {
+		switch {
+		case s.needs[d.dst] != d:
+			return true // forgotten
+		case d.came > 0 || d.waiting != d.told || !s.table.Unlimited(d.name) || !settled(d.dst):
+			return false
+		case d.waiting > 0:
+			d.slot = still
+			return true
+		}
+		d.fade = now + max(1, int64(needSpan*math.Log(d.perSec/needLeast)))
+		heap.Push(&s.fades, d)
+		return true
+	})
 }
 
 func newLimits(r *Runtime) *limits {
@@ -85,7 +158,12 @@
 	}
 	s := l.shard(m.Dst)
 	l.r.pool.Do(s.key, func() {
-		s.turn(func(now int64) []post.Letter[shares.Msg] { return s.table.Heard(now, from, m) })
+		s.turn(func(now int64) []post.Letter[shares.Msg] {
+			if dst, err := strconv.ParseInt(m.Dst, 10, 64); err == nil && m.Limit > 0 {
+				s.wake(dst)
+			}
+			return s.table.Heard(now, from, m)
+		})
 	})
 	return nil
 }
@@ -103,40 +181,64 @@
 	send(s.l.r, links.Shares, letters)
 }
 
-// tick lets time pass and tells the module what its shares are now.
+// tick lets time pass and tells the module what its shares are now. It looks only at destinations that an event or time may have changed.
 func (s *shard) tick() {
-	tell := map[int64]float64{}
+	type share struct {
+		dst    int64
+		perSec float64
+	}
+	var tell []share
+	var gone []int64
 	s.turn(func(now int64) []post.Letter[shares.Msg] {
-		s.need(now)
+		gone = s.need(now)
 		letters := s.table.Tick(now)
-		for dst := range s.needs {
-			tell[dst], _ = s.table.Share(now, name(dst))
+		for _, d := range s.awake {
+			if s.needs[d.dst] == d {
+				perSec, _ := s.table.Share(now, d.name)
+				tell = append(tell, share{d.dst, perSec})
+			}
 		}
 		return letters
 	})
-	for dst, perSec := range tell {
-		s.l.r.share(dst, perSec)
+	for _, dst := range gone {
+		s.l.r.unshare(dst)
 	}
+	for _, x := range tell {
+		s.l.r.share(x.dst, x.perSec)
+	}
+	s.mu.Lock()
+	s.rest(s.at, s.l.r.settled)
+	s.mu.Unlock()
 }
 
 // need tells the table what is wanted, and forgets what is no more.
-func (s *shard) need(now int64) {
-	span := now - s.at
+func (s *shard) need(now int64) (gone []int64) {
+	was := s.at
+	span := now - was
 	s.at = now
-	for dst, d := range s.needs {
+	for len(s.fades) > 0 && s.fades[0].fade <= now {
+		s.wake(s.fades[0].dst)
+	}
+	for _, d := range s.awake {
+		if d.at < was { // it rested
+			d.perSec *= math.Exp(-float64(was-d.at) / needSpan)
+		}
 		if span > 0 {
 			part := 1 - math.Exp(-float64(span)/needSpan)
 			d.perSec += (float64(d.came)*1e6/float64(span) - d.perSec) * part
 			d.came = 0
 		}
-		s.declare(now, dst)
-		s.table.Need(now, name(dst), d.perSec, d.waiting)
+		d.at = now
+		s.declare(now, d.dst)
+		s.table.Need(now, d.name, d.perSec, d.waiting)
+		d.told = d.waiting
 		if d.waiting == 0 && d.perSec < needLeast {
-			s.table.Need(now, name(dst), 0, 0)
-			delete(s.needs, dst)
-			s.l.r.unshare(dst)
+			s.table.Need(now, d.name, 0, 0)
+			delete(s.needs, d.dst)
+			gone = append(gone, d.dst)
 		}
 	}
+	return gone
 }
 
 // declare says what the operator knows, which the table forgets when nobody calls for long.
@@ -170,9 +272,11 @@
 		if by < 0 || len(s.needs) >= mostDemand {
 			return
 		}
-		d = &demand{}
+		d = &demand{dst: dst, name: name(dst), at: s.at, slot: awake}
 		s.needs[dst] = d
+		s.awake = append(s.awake, d)
 	}
+	s.wake(dst)
 	if d.waiting = max(0, d.waiting+by); new {
 		d.came++
 	}
@@ -186,6 +290,14 @@
 	s.table.Refused(l.r.now(), name(dst))
 }
 
+// wake has the next tick look at a destination; no lock may be held.
+func (l *limits) wake(dst int64) {
+	s := l.shard(name(dst))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.wake(dst)
+}
+
 // saw takes in a limit that a destination told.
 func (l *limits) saw(v routing.Sight) {
 	if v.Kind != routing.SeenLimit {
@@ -195,6 +307,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.table.Limit(l.r.now(), name(v.Dst), v.PerSec, shares.Told)
+	s.wake(v.Dst)
 }
 
 func (l *limits) Seen(now int64, v members.View) {
@@ -239,6 +352,15 @@
 	at     int64
 }
 
+// settled tells that the module was never told a share of this destination, or was told that it has none: it is not to be told again.
+func (r *Runtime) settled(dst int64) bool {
+	r.told.mu.Lock()
+	defer r.told.mu.Unlock()
+	_, held := r.told.held[dst]
+	_, known := r.told.of[dst]
+	return !held && !known
+}
+
 // share tells the module a share if it is news; an infinite one is none.
 func (r *Runtime) share(dst int64, perSec float64) {
 	if math.IsInf(perSec, 1) {
@@ -285,6 +407,9 @@
 		r.told.of[dst] = said{0, now}
 	}
 	r.told.mu.Unlock()
+	if r.limits != nil {
+		r.limits.wake(dst) // after it is held: else its tick might let it rest in between, and it would be held back for good
+	}
 	if first && room {
 		r.module.Shared(dst, 0)
 	}
