One constructor of the program, with or without a backlog

Read again: the program started by newProgram alone, and New stood beside it for tests, a dead copy with one argument less.

--- a/internal/daemon/backlog_test.go
+++ b/internal/daemon/backlog_test.go
@@ -445,7 +445,7 @@
 func (w *world) run(prepare func(*Program)) (stop func()) {
 	w.t.Helper()
 	w.writeConfig()
-	p, err := newProgram(w.env, zap.NewNop(), nil, &backlog.Table{})
+	p, err := New(w.env, zap.NewNop(), nil, &backlog.Table{})
 	require.NoError(w.t, err)
 	prepare(p)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -464,7 +464,7 @@
 	t.Parallel()
 	w := newWorld(t, ok)
 	w.writeConfig()
-	p, err := New(w.env, zap.NewNop(), nil)
+	p, err := New(w.env, zap.NewNop(), nil, nil)
 	require.NoError(t, err)
 	defer func() { p.server.Close(); _ = p.spool.Close() }()
 	got := p.fits(&backlog.Table{MostMB: 900, MostMessages: 99_000_000}, tenMB, 64<<20)
--- a/internal/daemon/channels_test.go
+++ b/internal/daemon/channels_test.go
@@ -59,7 +59,7 @@
 func (s *stream) start(i int) (stop func()) {
 	w := s.all[i]
 	w.writeConfig()
-	p, err := New(w.env, zap.NewNop(), nil)
+	p, err := New(w.env, zap.NewNop(), nil, nil)
 	require.NoError(s.t, err)
 	w.sender, p.listWait = p, long
 	span := func(d time.Duration) strict.Span { return strict.Span(d.Microseconds()) }
--- a/internal/daemon/program.go
+++ b/internal/daemon/program.go
@@ -99,13 +99,8 @@
 	p.phase = next
 }
 
-// New reads the start file and opens all that a sender needs before it serves.
-func New(env func(string) string, log *zap.Logger, reload <-chan os.Signal) (*Program, error) {
-	return newProgram(env, log, reload, nil)
-}
-
-// newProgram is New with a backlog, where there is a table of one.
-func newProgram(env func(string) string, log *zap.Logger, reload <-chan os.Signal, rests *backlog.Table) (*Program, error) {
+// New reads the start file and opens all that a sender needs before it serves, with a backlog where there is a table of one.
+func New(env func(string) string, log *zap.Logger, reload <-chan os.Signal, rests *backlog.Table) (*Program, error) {
 	c, err := startup.Read(env)
 	if err != nil {
 		return nil, err
--- a/internal/daemon/program_test.go
+++ b/internal/daemon/program_test.go
@@ -682,7 +682,7 @@
 	w.hold(func() string { <-heard; return w.member("SERVING") })
 	w.writeConfig()
 	log := &lines{}
-	p, err := New(w.env, zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), zapcore.AddSync(log), zap.InfoLevel)), nil)
+	p, err := New(w.env, zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), zapcore.AddSync(log), zap.InfoLevel)), nil, nil)
 	require.NoError(t, err)
 	p.listWait = long
 	require.NoError(t, p.spool.Take(&spool.Message{ID: "held", Lane: "notice", Dst: 9, Expires: p.clock.Now() + 60e6}))
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -25,7 +25,7 @@
 	if err != nil {
 		return err
 	}
-	p, err := newProgram(env, log, reload, f.Backlog)
+	p, err := New(env, log, reload, f.Backlog)
 	if err != nil {
 		return err
 	}
--- a/internal/daemon/standin_test.go
+++ b/internal/daemon/standin_test.go
@@ -260,7 +260,7 @@
 func (w *world) start() (stop func()) {
 	w.t.Helper()
 	w.writeConfig()
-	p, err := New(w.env, zap.NewNop(), nil)
+	p, err := New(w.env, zap.NewNop(), nil, nil)
 	require.NoError(w.t, err)
 	w.sender, p.listWait = p, long
 	if w.before != nil {
