--- a/choice/events.go
+++ b/choice/events.go
@@ -24,13 +24,10 @@
 }
 
 func (c ColdCall) String() string {
-	what, success := "call of "+c.Message, "no success yet"
+	what, success := "call of "+c.Message, lastSuccess(c.Now, c.SuccessAt)
 	if c.Message == "" {
 		what = "probe"
 	}
-	if c.SuccessAt > 0 {
-		success = fmt.Sprintf("last success %d ms ago", (c.Now-c.SuccessAt)/1000)
-	}
 	return fmt.Sprintf("%d ms: %s to receiver %d of destination %d that may be cold: %s, %d of %d ill, %.1f strikes, %d failures in a row, %s, "+
 		"%.2f tokens at %.3f a second of capacity %.2f, %d held, up for %d ms", c.Now/1000, what, c.Receiver, c.Dst, c.Health, c.Ill, c.Listed, c.Strikes,
 		c.Failures, success, c.Tokens, c.PerSecond, c.Capacity, c.Held, c.UpFor/1000)
@@ -51,6 +48,28 @@
 		r.Failures, r.For/1000, r.Held)
 }
 
+// PhaseChange is a route's step between warm, suspect and recovering. Times are µs.
+type PhaseChange struct {
+	Now       int64
+	Dst       int64
+	Receiver  uint32 // whose outcome brought it
+	From, To  string
+	Failures  int // in a row
+	SuccessAt int64
+}
+
+func (c PhaseChange) String() string {
+	return fmt.Sprintf("%d ms: destination %d goes from %s to %s by receiver %d (%d failures in a row, %s)", c.Now/1000, c.Dst, c.From, c.To, c.Receiver,
+		c.Failures, lastSuccess(c.Now, c.SuccessAt))
+}
+
+func lastSuccess(now, at int64) string {
+	if at == 0 {
+		return "no success yet"
+	}
+	return fmt.Sprintf("last success %d ms ago", (now-at)/1000)
+}
+
 // EndReason is why a message ended undelivered.
 type EndReason uint8
 
--- a/internal/capacity/process_rig_test.go
+++ b/internal/capacity/process_rig_test.go
@@ -20,6 +20,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"ravenlink/internal/loopback"
 )
 
 const long = 60 * time.Second // beyond which a step counts as not reached
@@ -68,7 +70,7 @@
 		s.calls.Add(1)
 	}))
 	s.platform = httptest.NewServer(http.HandlerFunc(s.serve))
-	s.listen, s.dead = freeAddr(t), freeAddr(t)
+	s.listen, s.dead = reserved(t), reserved(t)
 	t.Cleanup(func() {
 		s.platform.CloseClientConnections()
 		s.platform.Close()
@@ -78,11 +80,12 @@
 	return s
 }
 
-func freeAddr(t testing.TB) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// reserved is an address that nobody else is given until the test ends.
+func reserved(t testing.TB) string {
+	r, err := loopback.Reserve("127.0.0.1")
 	require.NoError(t, err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	t.Cleanup(r.Release)
+	return r.Addr.String()
 }
 
 func (s *surroundings) serve(out http.ResponseWriter, in *http.Request) {
--- a/internal/daemon/channels_test.go
+++ b/internal/daemon/channels_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -43,10 +42,7 @@
 		s.ran = append(s.ran, id)
 	}
 	for range 3 {
-		l, err := net.Listen("tcp", ownHost())
-		require.NoError(t, err)
-		s.at = append(s.at, l.Addr().String())
-		require.NoError(t, l.Close())
+		s.at = append(s.at, reserved(t))
 		s.all = append(s.all, newWorld(t, answer))
 	}
 	for i := range s.all {
--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -22,10 +22,7 @@
 func free(t *testing.T, n int) (at []string) {
 	t.Helper()
 	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		require.NoError(t, err)
-		at = append(at, l.Addr().String())
-		defer l.Close()
+		at = append(at, reserved(t))
 	}
 	return at
 }
--- a/internal/daemon/life_test.go
+++ b/internal/daemon/life_test.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"ravenlink/internal/loopback"
 	"ravenlink/internal/platform"
 	"ravenlink/internal/relay"
 	"ravenlink/internal/routing"
@@ -191,7 +192,7 @@
 	clear(w.calls)
 	w.posted = nil
 	w.mu.Unlock()
-	w.dir, w.listen = d.next, freeAddr(w.t)
+	w.dir, w.listen = d.next, reserved(w.t)
 	return w.start()
 }
 
@@ -389,10 +390,11 @@
 	}
 }
 
-func freeAddr(t *testing.T) string {
+// reserved is an address that nobody else is given until the test ends; what is started there may end and start again.
+func reserved(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", ownHost())
+	r, err := loopback.Reserve(ownHost())
 	require.NoError(t, err)
-	require.NoError(t, l.Close())
-	return l.Addr().String()
+	t.Cleanup(r.Release)
+	return r.Addr.String()
 }
--- a/internal/daemon/standin_test.go
+++ b/internal/daemon/standin_test.go
@@ -73,7 +73,7 @@
 	w.receiver = httptest.NewServer(http.HandlerFunc(w.receive))
 	w.move()
 	w.told = w.platform.Listener.Addr().String()
-	w.listen = freeAddr(t)
+	w.listen = reserved(t)
 	t.Cleanup(func() {
 		w.receiver.CloseClientConnections()
 		w.receiver.Close()
@@ -87,7 +87,7 @@
 // else would be given it.
 func ownHost() string {
 	p, n := os.Getpid(), worlds.Add(1)
-	return fmt.Sprintf("127.%d.%d.%d:0", 1+p%250, 1+p/250%250, 1+n%250)
+	return fmt.Sprintf("127.%d.%d.%d", 1+p%250, 1+p/250%250, 1+n%250)
 }
 
 // feed is what one discovery tells all its watches after their first object. A call for the list that the sender has given up may be open
--- a/internal/fleettest/process_rig_test.go
+++ b/internal/fleettest/process_rig_test.go
@@ -41,13 +41,15 @@
 	return l.text.Write(p)
 }
 
-// Log is what it has written to standard error so far, over all its processes.
-func (s *Sender) Log() string {
-	s.log.mu.Lock()
-	defer s.log.mu.Unlock()
-	return s.log.text.String()
+func (l *logText) read() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
 }
 
+// Log is what it has written to standard error so far, over all its processes.
+func (s *Sender) Log() string { return s.log.read() }
+
 // Folder is the state folder.
 func (s *Sender) Folder() string { return filepath.Join(s.dir, "state") }
 
--- /dev/null
+++ b/internal/fleettest/return_test.go
@@ -0,0 +1,62 @@
+package fleettest
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// thinFleet is the fleet of report a2440e: a sender meets each destination that fails a few times in the outage at most.
+func thinFleet(seed uint64) ReturnPlay {
+	return ReturnPlay{Seed: seed, Senders: 34, Out: 8, Endpoints: 2, How: Refuses, From: 2 * time.Second, Until: 10 * time.Second, Load: 1, Killed: 0.3,
+		Capacities: []float64{6.2, 4.7, 8, 10.8, 5.4, 7, 12, 16, 50, 18, 16, 12, 12, 11, 8}, Weights: "off"}
+}
+
+var (
+	returnSeedsVar  = "RETURN_SEEDS" // by hand: all plays of so many seeds, in place of a few of the first
+	playsAtOnce     = make(chan struct{}, 2)
+	returnPlaysOfCI = []string{"hangs", "refuses, weights told, notes", "back with its senders"}
+	returnPlays     = map[string]func(*ReturnPlay){
+		"refuses, weights untold":                  func(*ReturnPlay) {},
+		"refuses, weights told, notes":             func(p *ReturnPlay) { p.Weights, p.Notes = "nominal", true },
+		"one endpoint, weights told, notes, joins": func(p *ReturnPlay) { p.Endpoints, p.Joins, p.Weights, p.Notes = 1, true, "nominal", true },
+		"hangs":                 func(p *ReturnPlay) { p.How, p.Endpoints = Hangs, 1 },
+		"errors":                func(p *ReturnPlay) { p.How = Errors },
+		"back with its senders": func(p *ReturnPlay) { p.Killed, p.LateKills = 0.1, 0.5 },
+	}
+)
+
+// A destination that comes back from an outage bears a budget of calls by the sum of all senders, whatever each of them saw of the outage.
+func TestReturningDestinationsBearTheSumOfAllSenders(t *testing.T) {
+	t.Parallel()
+	names, seeds := returnPlaysOfCI, 1
+	if n, err := strconv.Atoi(os.Getenv(returnSeedsVar)); err == nil {
+		names, seeds = nil, n
+		for name := range returnPlays {
+			names = append(names, name)
+		}
+		slices.Sort(names)
+	}
+	for seed := 1; seed <= seeds; seed++ {
+		for _, name := range names {
+			t.Run(fmt.Sprint(name, " ", seed), func(t *testing.T) {
+				t.Parallel()
+				playsAtOnce <- struct{}{}
+				defer func() { <-playsAtOnce }()
+				play := thinFleet(uint64(seed))
+				returnPlays[name](&play)
+				ws := play.Play(t)
+				for _, w := range ws {
+					t.Log(w)
+				}
+				over := slices.DeleteFunc(ws, func(f fallen) bool { return f.ratio() <= 1 })
+				require.Empty(t, over, "destinations pushed over")
+			})
+		}
+	}
+}
--- a/internal/fleettest/rig_test.go
+++ b/internal/fleettest/rig_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -14,13 +13,13 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"ravenlink/internal/loopback"
 )
 
 const (
 	long  = 30 * time.Second      // a limit that no good run reaches
 	looks = 10 * time.Millisecond // between looks at what tells no news of itself
-
-	lowPort, highPort = 10_000, 30_000
 )
 
 // Setup says what is set up.
@@ -75,7 +74,7 @@
 	}
 	root, err := os.MkdirTemp("", "fleet")
 	require.NoError(t, err)
-	ports := freePorts(t, 2*s.Senders)
+	ports := reserved(t, 2*s.Senders)
 	for i := range s.Senders {
 		one := &Sender{Name: string(rune('a' + i)), Listen: ports[2*i], Links: ports[2*i+1], r: r, reach: map[int64]*httptest.Server{}}
 		one.dir = filepath.Join(root, one.Name)
@@ -97,11 +96,6 @@
 	return r
 }
 
-var given struct {
-	sync.Mutex
-	ports map[int]bool // by this test program: never twice, since a sender may be down for a while
-}
-
 // ownHost is a loopback address of this test program's own, so that no other one takes a port while a sender is down.
 func ownHost() string {
 	pid := os.Getpid()
@@ -119,25 +113,13 @@
 	return s
 }
 
-// freePorts finds addresses on which nobody listens, below those that the kernel gives to connections.
-func freePorts(t testing.TB, n int) (addrs []string) {
-	given.Lock()
-	defer given.Unlock()
-	if given.ports == nil {
-		given.ports = map[int]bool{}
-	}
-	for tries := 0; len(addrs) < n; tries++ {
-		require.Less(t, tries, 1000, "no free ports")
-		port := lowPort + rand.IntN(highPort-lowPort)
-		l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ownHost(), port))
-		if err != nil {
-			continue
-		}
-		_ = l.Close()
-		if !given.ports[port] {
-			given.ports[port] = true
-			addrs = append(addrs, l.Addr().String())
-		}
+// reserved are addresses that nobody else is given until the test ends; what listens there may end and start again.
+func reserved(t testing.TB, n int) (addrs []string) {
+	for range n {
+		r, err := loopback.Reserve(ownHost())
+		require.NoError(t, err)
+		t.Cleanup(r.Release)
+		addrs = append(addrs, r.Addr.String())
 	}
 	return addrs
 }
--- a/internal/fleettest/scale_fleet_test.go
+++ b/internal/fleettest/scale_fleet_test.go
@@ -42,7 +42,7 @@
 	dir, err := os.MkdirTemp("", "hollow")
 	require.NoError(t, err)
 	f := &HollowFleet{t: t, first: fleets.Add(1) == 1}
-	for i, addr := range freePorts(t, n) {
+	for i, addr := range reserved(t, n) {
 		f.Listed = append(f.Listed, Place{fmt.Sprintf("h%03d", i), addr})
 	}
 	own, limits := n-inZone, w.declared()
--- a/internal/fleettest/transcript_process_test.go
+++ b/internal/fleettest/transcript_process_test.go
@@ -28,7 +28,7 @@
 		for _, f := range fields {
 			text += fmt.Sprintf(", %s %v", f, l[f])
 		}
-		text = loopback.ReplaceAllString(text, "an address here")
+		text = loopbackHost.ReplaceAllString(text, "an address here")
 		if !seen[text] {
 			seen[text] = true
 			t.line("%s", text)
@@ -201,7 +201,7 @@
 	s.Compare("fleet-posts-refused")
 }
 
-var loopback = regexp.MustCompile(`127\.\d+\.\d+\.\d+`)
+var loopbackHost = regexp.MustCompile(`127\.\d+\.\d+\.\d+`)
 
 // varies is what differs between two runs in what a customer reads.
 var varies = regexp.MustCompile(`"(folder|sha256|by)": "[^"]*"|"(fence|messages_ended|kept_erased|learned_erased|segments_rewritten|bytes_rewritten)": \d+`)
