Keep slow start at the route, from the first signs of an outage and over restarts

The budget of a returning destination is the fleet's, but each sender kept it only at a receiver that it had itself closed by three strikes; every other state counted as warm, with nothing to bound what waited. At fault, in choice.go as it stood: struck (a closed receiver leaves its untried fellow open), failed (a pause of 0.3 of an interval, then everything at the first success), observe and succeeded (a row that closed nothing ends in full speed), readyAt (become(r, open): what each held back goes at the end of slow start; one bucket an endpoint beside the probes' own pace), New (a process forgets what the one before knew).

Seen in the logs of the reproduction: senders in the worst windows had no closing of the destination, or one endpoint of two closed, or were younger than the outage; in virtual traces most calls of a fall came 5 ms after a sender's slow start had ended, several at once. Ruled out: strikes lowered by measured loss (3.0 at each closing), arrivals of what was written before (none in the first 100 ms), one note that opens all (calls after it are spread).

Change: recovery.go. A route is suspect from a closing, two failures, a silent call with no success for a second, or when most calls fail; it recovers at one rate over all its endpoints, probes included; the share grows on after slow start instead of ending; cold.json carries it over a restart. One class of bug: a limit over the sum of many kept only by those who have proved the trouble themselves.

Tests changed: TestARowOfFailuresSpacesCallsUpToAColdShare asked for the pauses that are gone; its successor asks for a whole interval drawn evenly, from the second failure on.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -48,6 +48,7 @@
 	longWait        = 5 * second / 2  // µs; no limiter tells waits this long, a shut destination does
 	trialGap        = 7 * second / 10 // µs between trials at a closed route, at least
 	fleetGap        = second / 2      // µs between all senders' trials where they may pile up
+	fleetLeast      = 0.5             // calls a second of all senders that any return bears: the rule lets three a window on top of its share
 	leastTrials     = 0.001           // a second; a trial in a quarter of an hour stands for none
 	pilingRest      = 8               // times the usual gap, at most, for that: large destinations bear more
 	slowStartMargin = 0.8             // share of the allowed load on a cold receiver; rest is for chance
@@ -244,22 +245,21 @@
 	p.pause = now + int64((0.5+chance)*float64(min(max(pauseMost, int64(turn)), first<<min(p.row-1, 10))))
 }
 
-// failed spaces the calls of a sender that sees only failures at a route. Danger: closing takes strikes at
-// each receiver; in a large fleet the messages' own repeats, harmless alone, push a return over.
-func (s *Sender) failed(r *receiver) {
+// failed counts a row of calls gone wrong at a route.
+func (s *Sender) failed(r *receiver, sentAt int64, o Outcome) {
 	if r.used().route.bad == 0 {
 		r.route.badFrom = s.now
 	}
-	if r.route.bad++; r.route.bad >= badRow && s.weightOfSilence() >= 1 {
-		part := min(1, pauseTurn*float64(int(1)<<min(r.route.bad-badRow, 10)))
-		r.route.pause = max(r.route.pause, s.now+int64((0.5+s.chance())*part*s.trialTurn(r)))
-	}
+	r.route.bad++
+	r.route.failing += (1 - r.route.failing) * failStep
+	s.recoveryFailed(r, sentAt, o)
 }
 
 // succeeded ends such rows, and keeps the best rate over a span, less the noise of which sender got a call:
 // the best of many thin spans lies far above the mean. A sender alone gets all, so none is noise.
 func (p *route) succeeded(now int64, open bool, senders int) {
 	p.use()
+	p.failing -= p.failing * failStep
 	p.row, p.bad, p.oks, p.okAt = 0, 0, p.oks+1, now
 	if !open || p.okFrom == 0 { // a slow start's own restraint is no measure
 		p.okFrom, p.okNow = now, 0
@@ -309,6 +309,7 @@
 	r.zone, r.weight, r.listedAt = e.Zone, e.Weight, s.now
 	s.wake(d)
 	s.list(d, r, e.Listed)
+	s.recallCold(r)
 	if s.trust != NoWeight && r.weight > 0 && r.route.told == 0 {
 		r.route.know(r.weight / float64(s.team.Senders))
 	}
@@ -326,7 +327,7 @@
 
 // troubled sees the first signs of an outage, before any receiver need be closed.
 func (s *Sender) troubled(d *dst) bool {
-	return len(d.calls) > 0 && d.calls[0].overdue(s.now) || s.unwell(d) > 0
+	return len(d.calls) > 0 && d.calls[0].overdue(s.now) || s.unwell(d) > 0 || d.route.mayBeCold()
 }
 
 func (r *receiver) unwell() bool { return r.sick() || r.strikes > 0 }
@@ -548,7 +549,7 @@
 	r, d := c.r.used(), c.r.dst
 	r.route.piling = o == TimedOut || o == Full
 	if o == TimedOut || o == ConnectFailed || o == Errored || o == Reset {
-		s.failed(r)
+		s.failed(r, c.sentAt, o)
 	}
 	r.route.ill = o != Delivered && (r.route.ill || o != Full && o != Skipped && o != Cancelled)
 	if r.route.ill && r.route.pressedAt > 0 { // nor may what was earned at a larger share go there at once
@@ -581,6 +582,7 @@
 		s.struck(r, c.sentAt, 1)
 	case Skipped: // it never went, so it used up nothing
 		r.route.tokens, r.tokens = r.route.tokens+1, r.tokens+1
+		r.route.spendRecovery(-1)
 	}
 }
 
@@ -606,6 +608,9 @@
 	if r.health == closed {
 		s.become(r, warming)
 	}
+	if sentAt >= r.route.recovery.since {
+		s.recoveryAnswered(r, true)
+	}
 	if r.health == warming && !r.proved {
 		s.saw(r, Sight{Kind: SeenBack, Warm: min(1, float64(s.now-r.since)/float64(max(1, s.guards.WarmWithin)))})
 		s.tell(r, backMark, &r.toldBack, backEvery)
@@ -633,12 +638,15 @@
 	}
 	p := r.used().route
 	points *= s.weightOfSilence()
+	if r.strikes == 0 {
+		r.struckFrom = s.now
+	}
 	r.strikes, p.strikes, r.struckAt = r.strikes+points, p.strikes+points, s.now
 	switch {
 	case p.strikes >= strikesToClose && p.bad > badRow && p.strikes > r.strikes: // not at one receiver alone
-		s.closeRoute(r)
+		s.closeRoute(r, p.badFrom)
 	case r.strikes >= strikesToClose || r.health == warming && !r.proved:
-		s.close(r)
+		s.close(r, r.struckFrom)
 	case r.health == warming && r.strikes > 1:
 		r.since = s.now
 	}
@@ -684,23 +692,23 @@
 // refuses for longer than limiters do.
 func (s *Sender) turnedAway(r *receiver, wait int64) {
 	if wait >= longWait || r.route.row >= refusedRow && s.now-r.route.rowFrom >= refusedSilence {
-		s.closeRoute(r)
+		s.closeRoute(r, r.route.rowFrom)
 	}
 }
 
-// closeRoute closes all receivers of a route.
-func (s *Sender) closeRoute(r *receiver) {
+// closeRoute closes all receivers of a route, for what was seen from a time on.
+func (s *Sender) closeRoute(r *receiver, from int64) {
 	for _, o := range r.dst.recvs {
 		if o.route == r.route && o.health != closed {
-			s.close(o)
+			s.close(o, from)
 		} else if o.route == r.route {
 			s.spaceTrials(o, true)
 		}
 	}
 }
 
-func (s *Sender) close(r *receiver) {
-	s.shut(r)
+func (s *Sender) close(r *receiver, from int64) {
+	s.shut(r, from)
 	s.saw(r, Sight{Kind: SeenDown})
 }
 
@@ -717,7 +725,7 @@
 		r.route.waitUntil = max(r.route.waitUntil, s.now+min(v.Wait, hearsayMost))
 	case SeenDown:
 		if r.health != closed && r.okAt < seenAt && r.since < seenAt {
-			s.shut(r)
+			s.shut(r, seenAt)
 		}
 	case SeenBack:
 		if r.since > seenAt {
@@ -727,6 +735,10 @@
 		if r.health == closed {
 			s.become(r, warming)
 		}
+		if r.route.recovery.phase == suspect { // danger: all that hear it have waited long enough to call at once
+			s.recoveryAnswered(r, false)
+			s.drawRecovery(r.route)
+		}
 	case SeenLimit:
 		if r.route.share == 0 && v.PerSec > 0 {
 			r.route.told = v.PerSec
@@ -737,8 +749,9 @@
 	}
 }
 
-func (s *Sender) shut(r *receiver) {
+func (s *Sender) shut(r *receiver, from int64) {
 	s.become(r, closed)
+	s.recoveryClosed(r, from)
 	s.spaceTrials(r, true)
 	r.dst.isDown(s.now, !slices.ContainsFunc(r.dst.recvs, func(o *receiver) bool { return o.health == open }))
 }
@@ -753,6 +766,9 @@
 // little each sender tries: there all senders share one spacing.
 func (s *Sender) spaceTrials(r *receiver, first bool) {
 	gap := max(trialGap, int64(s.trialTurn(r)))
+	if r.route.recovery.phase == recovering {
+		gap *= siblingTrials
+	}
 	if r.route.piling {
 		gap = max(gap, min(int64(s.team.Senders)*fleetGap, pilingRest*gap))
 	}
@@ -774,6 +790,7 @@
 	s.reported(r, rep)
 	if r.health == closed && o == Delivered {
 		s.become(r, warming)
+		s.recoveryAnswered(r, false)
 	}
 }
 
@@ -806,17 +823,22 @@
 	return rate
 }
 
-// coldShare is this sender's part of what a destination (or route) may be sent at a share of its capacity.
+// coldShare is this sender's part of what a destination (or route) may be sent at a share of its capacity. Danger: a sender that has hardly
+// delivered there takes it for tiny where no limit is told, and would find its return after minutes.
 func (s *Sender) coldShare(r *receiver, share float64) float64 {
-	return s.capacity(r) * share * s.guards.Overload * slowStartMargin / float64(s.team.Senders)
+	return max(s.capacity(r)*share*s.guards.Overload*slowStartMargin, fleetLeast) / float64(s.team.Senders)
 }
 
 // boundOf is the rate in calls a second at which this sender may call a receiver, 0 where nothing bounds it.
 func (s *Sender) boundOf(r *receiver) float64 {
-	if r.health == warming {
+	switch {
+	case r.route.mayBeCold():
+		return s.recoveryRate(r, s.now)
+	case r.health == warming:
 		return s.slowStart(r)
+	default:
+		return r.route.rate(s.now)
 	}
-	return r.route.rate(s.now)
 }
 
 // readyAt is when a receiver may get its next call; never for one that waits for an event.
@@ -839,7 +861,10 @@
 		}
 		if s.now-r.since > s.guards.WarmWithin {
 			s.become(r, open)
-			return at
+			break
+		}
+		if r.route.mayBeCold() { // its bucket holds for all its receivers
+			break
 		}
 		rate := s.slowStart(r)
 		r.tokens = min(1, r.tokens+rate*float64(s.now-r.filledAt)/float64(second))
@@ -848,7 +873,7 @@
 			at = max(at, s.now+int64((1-r.tokens)/rate*float64(second))+1)
 		}
 	}
-	return at
+	return max(at, s.recoveryReadyAt(r))
 }
 
 // silent guards against a hanging receiver soaking up first sends, which no budget checks: with several
@@ -918,7 +943,8 @@
 
 // slotCap is how many slots a destination may hold.
 func (s *Sender) slotCap(d *dst) int {
-	if len(d.calls) > 0 && d.calls[0].overdue(s.now) || slices.ContainsFunc(d.recvs, (*receiver).sick) {
+	ill := func(r *receiver) bool { return r.sick() || r.route.mayBeCold() }
+	if len(d.calls) > 0 && d.calls[0].overdue(s.now) || slices.ContainsFunc(d.recvs, ill) {
 		return max(1, int(sickShare*float64(s.room.Slots)))
 	}
 	return max(1, int(math.Ceil(dstShare*float64(s.room.Slots)))-1)
@@ -962,6 +988,8 @@
 		hope := max(r.route.waitUntil, r.route.pause)
 		if r.health == closed {
 			hope = max(hope, r.route.trialAt)
+		} else if ready := s.recoveryReadyAt(r); ready < never {
+			hope = max(hope, ready)
 		}
 		at, told = min(at, hope), min(told, r.route.waitUntil)
 	}
@@ -980,11 +1008,12 @@
 		if r.health != closed || !s.allowed.Probes || r.probing || d.lease.none() {
 			continue
 		}
-		if at := max(r.route.trialAt, r.route.waitUntil); at > s.now {
+		if at := s.probeAt(r); at > s.now {
 			s.wakeBy(d, at)
 			continue
 		}
 		r.probing = true
+		r.route.spendProbe()
 		s.spaceTrials(r, false)
 		s.host.CloseIdle(r.id)
 		s.noteColdCall("", r, float64(second)/s.trialTurn(r))
@@ -1106,6 +1135,7 @@
 	s.keepBusy(d)
 	r.route.tokens--
 	r.tokens--
+	r.route.spendRecovery(1)
 	if r.health == closed {
 		s.spaceTrials(r, false)
 	}
@@ -1117,6 +1147,7 @@
 			return
 		}
 		r.tokens -= slowStartExtra
+		r.route.spendRecovery(slowStartExtra)
 		s.send(next.m, c)
 	}
 }
--- a/choice/events.go
+++ b/choice/events.go
@@ -11,6 +11,7 @@
 	Receiver  uint32
 	Dst       int64
 	Health    string  // of the receiver at this sender
+	Phase     string  // of its route
 	Listed    int     // receivers of the destination
 	Ill       int     // of those, not open at this sender
 	Strikes   float64 // of the receiver
@@ -28,8 +29,8 @@
 	if c.Message == "" {
 		what = "probe"
 	}
-	return fmt.Sprintf("%d ms: %s to receiver %d of destination %d that may be cold: %s, %d of %d ill, %.1f strikes, %d failures in a row, %s, "+
-		"%.2f tokens at %.3f a second of capacity %.2f, %d held, up for %d ms", c.Now/1000, what, c.Receiver, c.Dst, c.Health, c.Ill, c.Listed, c.Strikes,
+	return fmt.Sprintf("%d ms: %s to receiver %d of destination %d that may be cold: %s, %s, %d of %d ill, %.1f strikes, %d failures in a row, %s, "+
+		"%.2f tokens at %.3f a second of capacity %.2f, %d held, up for %d ms", c.Now/1000, what, c.Receiver, c.Dst, c.Phase, c.Health, c.Ill, c.Listed, c.Strikes,
 		c.Failures, success, c.Tokens, c.PerSecond, c.Capacity, c.Held, c.UpFor/1000)
 }
 
--- a/choice/list.go
+++ b/choice/list.go
@@ -196,6 +196,9 @@
 
 func (s *Sender) forgetReceiver(r *receiver) {
 	delete(s.recvs, r.id)
+	if r.route != &r.dst.route {
+		s.forgetCold(r.route)
+	}
 	s.forgot = append(s.forgot, r.id)
 	if r.dst.known--; r.dst.known == 0 {
 		s.mayBeBare(r.dst)
@@ -214,6 +217,7 @@
 			left = append(left, d)
 		default:
 			delete(s.dsts, d.id)
+			s.forgetCold(&d.route)
 			s.wakes.drop(d)
 			i, _ := slices.BinarySearchFunc(s.order, d, func(a, b *dst) int { return int(a.number - b.number) })
 			places = append(places, i)
--- /dev/null
+++ b/choice/recovery.go
@@ -0,0 +1,265 @@
+package choice
+
+import (
+	"cmp"
+	"math"
+	"slices"
+)
+
+// What a route may be sent from the first sign of an outage until it is warm again. A returning destination bears a budget of calls by the
+// sum of all senders, over all its receivers, and falls when it gets more. So the state stands at the route, not at a receiver; it begins
+// with what a thin sender sees of an outage, not with what closes a receiver; and calls, probes and trials spend from one bucket, which
+// fills at this sender's even part of what the route bears. The buckets of all senders begin at draws, so their sum is even from the start.
+
+const (
+	outageQuiet   = second     // µs without a success after which failures mean an outage: a busy sender's chance errors lie between answers
+	failStep      = 1.0 / 4    // weight of the newest call in the share that fails: three in a row are most
+	mostFail      = 0.5        // of the recent calls, beyond which the few that succeed are no sign of health
+	releaseDouble = second     // µs in which the share doubles after slow start
+	releaseFor    = 4 * second // µs until it no longer binds: sixteen times what the route bears
+	siblingTrials = 2          // times the usual gap between trials at closed receivers while their route is called already
+)
+
+type recoveryPhase uint8
+
+const (
+	established recoveryPhase = iota // warm, as far as this sender can tell
+	suspect                          // calls failed and none has succeeded since
+	recovering                       // it answers again: slow start
+)
+
+func (p recoveryPhase) String() string { return [...]string{"established", "suspect", "recovering"}[p] }
+
+// recovery is a route's way back from an outage.
+type recovery struct {
+	phase    recoveryPhase
+	since    int64 // when the phase began; of recovering, when its ramp began
+	tokens   float64
+	filledAt int64
+	proved   bool // a call was delivered since it is recovering
+}
+
+// enterRecovery is the one place where a route's phase changes.
+func (s *Sender) enterRecovery(r *receiver, phase recoveryPhase) {
+	p := r.used().route
+	if p.recovery.phase == phase || s.guards.Overload <= 0 { // untold: no rule binds
+		return
+	}
+	s.host.Log(PhaseChange{s.now, r.dst.id, r.id, p.recovery.phase.String(), phase.String(), p.bad, p.okAt}.String())
+	first := p.recovery.phase == established
+	if s.cold[p] = r.dst; phase == established {
+		delete(s.cold, p)
+	}
+	s.coldChanges++
+	p.recovery.phase, p.recovery.since, p.recovery.proved = phase, s.now, false
+	if first {
+		s.drawRecovery(p)
+	}
+	s.wake(r.dst)
+}
+
+// drawRecovery sets the bucket to a draw. Danger: what begins at one moment at many senders has them call at one moment later.
+func (s *Sender) drawRecovery(p *route) { p.recovery.tokens, p.recovery.filledAt = s.chance(), s.now }
+
+// recoveryFailed takes in a call that went wrong. Where calls get lost now and then, failures are chance.
+func (s *Sender) recoveryFailed(r *receiver, sentAt int64, o Outcome) {
+	p := r.used().route
+	if s.weightOfSilence() < 1 || sentAt < p.recovery.since {
+		return
+	}
+	quiet, most := s.now-p.okAt >= outageQuiet, p.failing > mostFail
+	switch p.recovery.phase {
+	case established:
+		silent := o != ConnectFailed && s.wasSlow(r.dst, s.now-sentAt) // some connections come up late, whatever the receiver does
+		if most || quiet && (p.bad >= badRow || silent) {
+			s.enterRecovery(r, suspect)
+		}
+	case recovering:
+		if !p.recovery.proved {
+			s.enterRecovery(r, suspect)
+		} else if most || quiet {
+			p.recovery.since = s.now // the ramp begins anew
+		}
+	}
+}
+
+// ColdDst is a destination that may be cold.
+type ColdDst struct {
+	Dst  int64
+	Warm float64 // how far it has come in its slow start, from 0 to 1; 0 where it has not answered yet
+}
+
+// Cold lists the destinations that may be cold, in their order, each with the least of its routes.
+func (s *Sender) Cold() (cold []ColdDst) {
+	least := map[int64]float64{}
+	for dst, warm := range s.coldBefore {
+		if !s.Lists(dst) && s.now-s.startAt <= s.guards.WarmWithin { // its list is late
+			least[dst] = warm
+		}
+	}
+	for p, d := range s.cold {
+		warm := 0.
+		if p.recovery.phase == recovering && p.recovery.proved {
+			warm = s.warm(p, s.now)
+		}
+		if old, known := least[d.id]; !known || warm < old {
+			least[d.id] = warm
+		}
+	}
+	for dst, warm := range least {
+		cold = append(cold, ColdDst{dst, warm})
+	}
+	slices.SortFunc(cold, func(a, b ColdDst) int { return cmp.Compare(a.Dst, b.Dst) })
+	return cold
+}
+
+// ColdChanges tells how often the destinations that may be cold have changed so far.
+func (s *Sender) ColdChanges() int { return s.coldChanges }
+
+// ColdBefore takes what an earlier process of this sender left as Cold, before any list. Danger: senders that are restarted during an outage
+// would meet the return with all that they owe, as if they had never seen it. How long the sender was down is not asked, as no clock that
+// outlasts a process is sure: slow start goes on where it was.
+func (s *Sender) ColdBefore(cold []ColdDst) {
+	s.coldBefore = make(map[int64]float64, len(cold))
+	for _, c := range cold {
+		s.coldBefore[c.Dst] = c.Warm
+	}
+}
+
+// recallCold has a receiver of a destination that an earlier process left cold begin so.
+func (s *Sender) recallCold(r *receiver) {
+	warm, cold := s.coldBefore[r.dst.id]
+	if !cold || r.route.mayBeCold() || r.route.isUsed() && r.route.okAt > 0 || s.now-s.startAt > s.guards.WarmWithin {
+		return
+	}
+	s.enterRecovery(r, suspect)
+	if warm > 0 && r.route.mayBeCold() {
+		s.enterRecovery(r, recovering)
+		r.route.recovery.since = s.now - int64(min(1, warm)*float64(s.guards.WarmWithin))
+	}
+}
+
+func (s *Sender) forgetCold(p *route) {
+	if s.cold[p] != nil {
+		delete(s.cold, p)
+		s.coldChanges++
+	}
+}
+
+// wasSlow tells whether a call that failed after a time had been silent rather than refused.
+func (s *Sender) wasSlow(d *dst, took int64) bool {
+	mean, dev := s.answerTime(d)
+	return float64(took) > mean+slowVar*dev
+}
+
+// recoveryClosed takes in that a receiver was closed for what was seen from a time on. Where another one of its route has answered since,
+// the trouble is the receiver's own.
+func (s *Sender) recoveryClosed(r *receiver, from int64) {
+	if p := r.used().route; p.okAt < from || p.okAt == 0 || p.failing > mostFail {
+		s.enterRecovery(r, suspect)
+	}
+}
+
+// recoveryAnswered takes in that a call or probe was answered, or that a fellow says so.
+func (s *Sender) recoveryAnswered(r *receiver, delivered bool) {
+	p := r.used().route
+	if p.recovery.phase == suspect {
+		s.enterRecovery(r, recovering)
+	}
+	p.recovery.proved = p.recovery.proved || delivered
+}
+
+// recoveryShare is the share of its capacity up to which a route is called so long after its ramp began. Danger: senders that find a return
+// at one time end their slow starts at one time, and what each has held back would go at once. So the share goes on to grow beyond the
+// whole, until it binds nobody.
+func (s *Sender) recoveryShare(p *route, at int64) float64 {
+	if p.recovery.phase != recovering {
+		return s.guards.StartShare
+	}
+	release := 0.
+	if p.recovery.proved {
+		release = min(float64(releaseFor), max(0, float64(at-p.recovery.since-s.guards.WarmWithin)))
+	}
+	return (s.guards.StartShare + (1-s.guards.StartShare)*s.warm(p, at)) * math.Exp2(release/float64(releaseDouble))
+}
+
+// warm is how far a route has come in its slow start, from 0 to 1.
+func (s *Sender) warm(p *route, at int64) float64 {
+	return min(1, float64(at-p.recovery.since)/float64(max(1, s.guards.WarmWithin)))
+}
+
+// recoveryRate is this sender's part of what a route may be sent at a time, in calls a second.
+func (s *Sender) recoveryRate(r *receiver, at int64) float64 {
+	return max(s.coldShare(r, s.recoveryShare(r.route, at)), leastTrials)
+}
+
+func (s *Sender) fillRecovery(r *receiver) {
+	b := &r.route.recovery
+	mean := (s.recoveryRate(r, b.filledAt) + s.recoveryRate(r, s.now)) / 2 // exact, as it grows evenly
+	b.tokens = min(1, b.tokens+mean*float64(s.now-b.filledAt)/float64(second))
+	b.filledAt = s.now
+}
+
+// recoveryReadyAt is when a route may get its next call; never for one that waits for an outcome.
+func (s *Sender) recoveryReadyAt(r *receiver) int64 {
+	b := &r.route.recovery
+	if b.phase == recovering && b.proved {
+		if end := b.since + s.guards.WarmWithin + releaseFor + 1; end <= s.now {
+			s.enterRecovery(r, established)
+		} else {
+			s.wakeBy(r.dst, end)
+		}
+	}
+	if b.phase == established {
+		return s.now
+	}
+	if (b.phase == suspect || !b.proved) && s.outAt(r) > 0 {
+		return never
+	}
+	s.fillRecovery(r)
+	if b.tokens >= 1 {
+		return s.now
+	}
+	return s.now + s.recoveryWait(r, 1-b.tokens)
+}
+
+// recoveryWait is how many µs pass until the bucket has so much more, at a rate that grows evenly.
+func (s *Sender) recoveryWait(r *receiver, more float64) int64 {
+	now := s.recoveryRate(r, s.now)
+	slope := s.recoveryRate(r, s.now+second) - now // a second
+	if slope <= 0 {
+		return int64(more/now*float64(second)) + 1
+	}
+	return int64((math.Sqrt(now*now+2*slope*more)-now)/slope*float64(second)) + 1
+}
+
+// probeAt is when a closed receiver may be probed. While another one of its route may be called, both spend from one bucket.
+func (s *Sender) probeAt(r *receiver) int64 {
+	at := max(r.route.trialAt, r.route.waitUntil)
+	if !r.route.mayBeCold() || s.allClosed(r) {
+		return at
+	}
+	return max(at, s.recoveryReadyAt(r))
+}
+
+// allClosed tells whether every receiver of a route is closed.
+func (s *Sender) allClosed(r *receiver) bool {
+	return !slices.ContainsFunc(r.dst.recvs, func(o *receiver) bool { return o.route == r.route && o.health != closed })
+}
+
+// mayBeCold tells whether a route is on its way back from an outage, or in one.
+func (p *route) mayBeCold() bool { return p.pace != nil && p.recovery.phase != established }
+
+// spendProbe is spendRecovery for a probe. Trials at a route that is closed altogether keep to their own spacing, and leave no debt.
+func (p *route) spendProbe() { p.recovery.tokens = max(0, p.recovery.tokens-1) }
+
+// spendRecovery takes a call's part, or a message's of a call that takes several, from the bucket.
+func (p *route) spendRecovery(part float64) { p.recovery.tokens -= part }
+
+// outAt counts the calls out at a receiver's route.
+func (s *Sender) outAt(r *receiver) int {
+	if r.dst.kind.Apart {
+		return r.calls
+	}
+	return len(r.dst.calls)
+}
--- /dev/null
+++ b/choice/recovery_test.go
@@ -0,0 +1,162 @@
+package choice
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// Two failures in a row with no success for a while are an outage even where they close nothing: the next call waits a draw over the whole
+// interval of this sender's cold share, so that the sum over all senders is even, and further ones an interval each.
+func TestARowOfFailuresSpacesCallsByAColdShare(t *testing.T) {
+	const draws = 2000
+	turn, sum := 30*float64(second)/(8*.2*2*slowStartMargin), 0.
+	f := fleet(t, 30, 8)[0]
+	r := f.recvs[1]
+	for range draws {
+		r.used().route.recovery, r.route.bad, r.route.failing = recovery{}, 0, 0
+		f.failed(r, f.now, Errored)
+		assert.Equal(t, f.now, f.recoveryReadyAt(r), "one failure")
+		f.failed(r, f.now, Errored)
+		wait := float64(f.recoveryReadyAt(r) - f.now)
+		assert.LessOrEqual(t, wait, turn+1)
+		sum += wait
+		r.route.recovery.tokens = 1
+		r.route.spendRecovery(1)
+		assert.InDelta(t, turn, f.recoveryReadyAt(r)-f.now, 2)
+		f.failed(r, f.now, Errored)
+		assert.InDelta(t, turn, f.recoveryReadyAt(r)-f.now, 2, "a further failure draws no new wait")
+	}
+	assert.InEpsilon(t, turn/2, sum/draws, 0.05)
+}
+
+// settle ends each call as it goes, all alike, for a while.
+func (f *fake) settle(o Outcome, d int64) (calls int) {
+	for end := f.now + d; f.now < end; {
+		for _, did := range f.after(10 * ms) {
+			if id, sent := strings.CutPrefix(did, "send "); sent {
+				calls++
+				f.ends(id, o, 0)
+			}
+		}
+	}
+	return calls
+}
+
+func phaseOf(f *fake) recoveryPhase { return f.recvs[1].route.recovery.phase }
+
+// Of two endpoints a thin sender closes one, and has not tried the other since: it is no proof of health.
+func TestAClosedReceiversUntriedFellowIsNotOpen(t *testing.T) {
+	f := begin(t, keyed, 40, 2, 2, Kind{Batch: 1})
+	f.after(2 * second)
+	f.close(f.recvs[1], f.now)
+	assert.Equal(t, suspect, phaseOf(f))
+	for i := range 12 {
+		f.take(fmt.Sprint(i))
+	}
+	turn := float64(second) / f.coldShare(f.recvs[2], .2)
+	assert.LessOrEqual(t, f.settle(Delivered, int64(turn)), 2, "one, and what the ramp lets go")
+	assert.Equal(t, recovering, phaseOf(f))
+}
+
+// One that fails beside a fellow that answers is ill alone.
+func TestAReceiverThatFailsBesideAHealthyFellowIsIllAlone(t *testing.T) {
+	f := begin(t, keyed, 40, 2, aLot, Kind{Batch: 1})
+	f.after(2 * second)
+	for range 2 {
+		f.observe(&call{r: f.recvs[2], sentAt: f.now, msgs: []*msg{{lane: &f.lanes[0]}}}, Delivered, 0)
+		f.after(100 * ms)
+		f.observe(&call{r: f.recvs[1], sentAt: f.now, msgs: []*msg{{lane: &f.lanes[0]}}}, ConnectFailed, 0)
+	}
+	f.observe(&call{r: f.recvs[2], sentAt: f.now, msgs: []*msg{{lane: &f.lanes[0]}}}, Delivered, 0)
+	assert.Equal(t, closed, f.recvs[1].health)
+	assert.Equal(t, established, phaseOf(f))
+}
+
+// What makes a destination suspect at a sender that sees little of it, and what does not.
+func TestSignsOfAnOutage(t *testing.T) {
+	for name, c := range map[string]struct {
+		outcomes []Outcome
+		took     int64
+		apart    int64 // between outcomes
+		want     recoveryPhase
+	}{
+		"one refused connect":        {[]Outcome{Delivered, ConnectFailed}, 0, 5 * second, established},
+		"one late connect":           {[]Outcome{Delivered, ConnectFailed}, second, 5 * second, established},
+		"two refused connects":       {[]Outcome{Delivered, ConnectFailed, ConnectFailed}, 0, 5 * second, suspect},
+		"one silent call":            {[]Outcome{Delivered, TimedOut}, 4 * second, 5 * second, suspect},
+		"one error":                  {[]Outcome{Delivered, Errored}, 0, 5 * second, established},
+		"errors between answers":     {[]Outcome{Delivered, Errored, Delivered, Errored, Delivered, Errored}, 0, 100 * ms, established},
+		"few answers between errors": {[]Outcome{Delivered, Errored, Errored, Delivered, Errored, Errored}, 0, 100 * ms, suspect},
+		"refusals":                   {[]Outcome{Delivered, Full, Full}, 0, 100 * ms, established},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := begin(t, keyed, 40, 1, aLot, Kind{Batch: 1})
+			quick(f, 3)
+			for i, o := range c.outcomes {
+				f.after(c.apart)
+				took := 100 * ms
+				if i == len(c.outcomes)-1 {
+					took = c.took
+				}
+				f.observe(&call{r: f.recvs[1], sentAt: f.now - took, msgs: []*msg{{lane: &f.lanes[0]}}}, o, 0)
+			}
+			assert.Equal(t, c.want, phaseOf(f))
+		})
+	}
+}
+
+// What waited through slow start does not go at once as it ends: senders that found a return together would push it over then.
+func TestTheEndOfSlowStartReleasesByAndBy(t *testing.T) {
+	f := fleet(t, 30, 8)[0]
+	r := f.recvs[1]
+	f.enterRecovery(r, suspect)
+	f.recoveryAnswered(r, true)
+	f.room.Held, f.room.Slots = 200, 100
+	f.after(10 * second)
+	for i := range 100 {
+		f.take(fmt.Sprint(i))
+	}
+	share := f.coldShare(r, 1)
+	for s, most := range []float64{2, 4, 8, 16} {
+		assert.LessOrEqual(t, float64(f.settle(Delivered, second)), 1+most*share, "second %d", s+1)
+	}
+	f.after(second)
+	assert.Equal(t, established, phaseOf(f))
+}
+
+// Slow start goes on where the process before left it, also where the list comes late; long after the start it is forgotten.
+func TestSlowStartOutlivesTheProcess(t *testing.T) {
+	f := begin(t, keyed, 40, 2, 2, Kind{Batch: 1})
+	assert.Empty(t, f.Cold())
+	f.enterRecovery(f.recvs[1], suspect)
+	assert.Equal(t, []ColdDst{{7, 0}}, f.Cold())
+	f.recoveryAnswered(f.recvs[1], true)
+	f.after(4 * second)
+	left := f.Cold()
+	assert.InDelta(t, .4, left[0].Warm, .01)
+	for late, want := range map[int64]recoveryPhase{0: recovering, 9 * second: recovering, 11 * second: established} {
+		next := begin(t, keyed, 40, 0, 2, Kind{Batch: 1})
+		next.ColdBefore(left)
+		next.after(late)
+		if want != established {
+			assert.Equal(t, left, next.Cold(), "kept for one more process")
+		}
+		next.Listed(Changes, []Entry{{Receiver: 1, Dst: 7, Weight: 2, Listed: true}, {Receiver: 2, Dst: 7, Weight: 2, Listed: true}})
+		assert.Equal(t, want, phaseOf(next))
+		if want != established {
+			assert.InDelta(t, f.recoveryRate(f.recvs[1], f.now), next.recoveryRate(next.recvs[1], next.now), .01)
+		}
+	}
+}
+
+// Where the settings give no figure for returning destinations, nothing holds a sender back.
+func TestNoFigureForReturnsNoSlowStart(t *testing.T) {
+	f := begin(t, keyed, 40, 1, aLot, Kind{Batch: 1})
+	f.guards.Overload = 0
+	f.enterRecovery(f.recvs[1], suspect)
+	assert.Equal(t, established, phaseOf(f))
+	assert.Empty(t, f.Cold())
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -192,6 +192,7 @@
 	row       int     // refusals since the last success
 	bad       int     // calls gone wrong since the last success
 	badFrom   int64   // when the first of those went wrong
+	failing   float64 // recent share of calls gone wrong
 	okAt      int64   // of the latest success, 0 for none
 	strikes   float64 // points of those
 	trialAt   int64   // no probe of a closed receiver before
@@ -202,6 +203,7 @@
 	okPeak    float64 // most successes a second over a span, less their noise
 	ill       bool    // a call failed there since the last success
 	piling    bool    // the latest call or probe hung or was refused, so trials may pile up there
+	recovery  recovery
 }
 
 // Most destinations known never get a message. What they would need for one is made at first use; until then these stand in, which nobody
@@ -270,6 +272,7 @@
 	peak       int   // most calls out when one came back delivered
 	since      int64 // of the last change of health, or of the last setback while warming
 	strikes    float64
+	struckFrom int64 // when the row of those strikes began
 	struckAt   int64
 	fails      map[*Lane]bool // the latest leg of that lane went wrong there; nil until one did
 	usedAt     int64          // of the latest outcome
@@ -419,6 +422,10 @@
 	coldCalls int     // calls and probes to destinations that may be cold
 	ended     EndCounts
 
+	cold        map[*route]*dst   // that may be cold; emptied as they are established or forgotten
+	coldChanges int               // of that table so far
+	coldBefore  map[int64]float64 // destinations that an earlier process left so, and how warm; it counts for a while after the start
+
 	tellsLater bool
 	restTill   int64 // until when keys new to this process rest
 }
@@ -435,12 +442,12 @@
 
 // noteColdCall counts and logs a call or probe to a destination that may be cold: some receiver is not open, or the latest call went wrong.
 func (s *Sender) noteColdCall(message string, r *receiver, perSec float64) {
-	if r.route.bad == 0 && r.dst.ill() == 0 {
+	if r.route.bad == 0 && r.dst.ill() == 0 && !r.route.mayBeCold() {
 		return
 	}
 	s.coldCalls++
-	s.host.Log(ColdCall{Now: s.now, Message: message, Receiver: r.id, Dst: r.dst.id, Health: r.health.String(), Listed: len(r.dst.recvs),
-		Ill: r.dst.ill(), Strikes: r.strikes, Failures: r.route.bad, SuccessAt: r.route.okAt, Tokens: r.tokens, PerSecond: perSec,
+	s.host.Log(ColdCall{Now: s.now, Message: message, Receiver: r.id, Dst: r.dst.id, Health: r.health.String(), Phase: r.route.recovery.phase.String(), Listed: len(r.dst.recvs),
+		Ill: r.dst.ill(), Strikes: r.strikes, Failures: r.route.bad, SuccessAt: r.route.okAt, Tokens: r.route.recovery.tokens, PerSecond: perSec,
 		Capacity: s.capacity(r), Held: len(r.dst.held), UpFor: s.now - s.startAt}.String())
 }
 
@@ -705,7 +712,7 @@
 // Healthy tells whether a destination is listed and none of its receivers is thought ill.
 func (s *Sender) Healthy(id int64) bool {
 	d := s.dsts[id]
-	return d != nil && len(d.recvs) > 0 && !slices.ContainsFunc(d.recvs, (*receiver).sick)
+	return d != nil && len(d.recvs) > 0 && !slices.ContainsFunc(d.recvs, func(r *receiver) bool { return r.sick() || r.route.mayBeCold() })
 }
 
 // budget is the design's retry bucket. Only spans with live credits are kept, most destinations see few messages.
@@ -767,7 +774,7 @@
 	guards Guards, trust WeightTrust) *Sender {
 	return &Sender{host: h, seed: seed, team: team, lanes: lanes, kinds: kinds, room: room, allowed: allowed,
 		guards: guards, trust: trust, timerAt: never, floor: minRetriesPerSec, msgs: map[string]*msg{}, dsts: map[int64]*dst{},
-		recvs: map[uint32]*receiver{}, lines: map[string]*keyLine{}}
+		recvs: map[uint32]*receiver{}, lines: map[string]*keyLine{}, cold: map[*route]*dst{}}
 }
 
 // At sets the clock for the events that follow.
--- a/internal/daemon/program.go
+++ b/internal/daemon/program.go
@@ -131,6 +131,7 @@
 	}
 	p.discovery = platform.NewDiscovery(part(p.log, "discovery"), p.router, p.agent, up, startup.Subscribes(settings),
 		startup.Memory(c)/listPart)
+	p.coldBefore()
 	if err := p.discovery.Known(startup.Known(c)); err != nil {
 		return nil, err
 	}
@@ -217,6 +218,7 @@
 	p.goWork(func() { p.chores(working) })
 	p.goWork(func() { p.reloads(working) })
 	p.goWork(func() { p.count(working) })
+	p.goWork(func() { p.keepCold(working) })
 	if p.notes != nil {
 		p.goWork(func() { p.notes.Receive(p.router.Noted) })
 	}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -125,6 +125,8 @@
 	numbers   map[string]uint32  // those whose number is not the sum of their id
 	chores    chan Chore
 	watch     chan struct{} // the watch is asked for
+	cold      chan struct{} // the destinations that may be cold have changed since Cold
+	coldSeen  int           // changes of them so far
 	timer     *time.Timer
 
 	// Gate, where set before the first message, is asked last before a leg's first byte: may a call go to this destination now?
@@ -148,7 +150,7 @@
 		lanes: startup.LaneNames(settings), kinds: startup.KindNames(settings), zones: startup.ZoneNames(settings),
 		room: startup.MostHeld(settings), tickets: map[string]*ticket{}, numbers: map[string]uint32{},
 		receivers: map[uint32]*place{}, picked: make(chan struct{}, 1), chores: make(chan Chore, mostChores),
-		watch: make(chan struct{}, 1), timer: time.NewTimer(0)}
+		watch: make(chan struct{}, 1), cold: make(chan struct{}, 1), timer: time.NewTimer(0)}
 	r.inCalls, r.inProbes = startup.Reports(settings)
 	r.sender = startup.Sender(host{r}, seed, settings, 1)
 	r.sender.TellsLater()
@@ -181,6 +183,7 @@
 		e()
 	}
 	r.sender.Decide()
+	r.coldChanged()
 }
 
 // Take hands a message to the module and tells whether it is held, or ended on the spot. Nothing of a held one
