--- a/choice/list.go
+++ b/choice/list.go
@@ -7,6 +7,10 @@
 
 // What the module keeps of lists, without any decision. A change costs by what changes; only a whole list costs by all that is known.
 
+const (
+	keepGone = 60 * second // µs unlisted until a receiver is forgotten: it may come back as ill as it was
+)
+
 const fewReceivers = 16 // of a destination: so many are walked rather than counted apart
 
 func (s *Sender) newReceiver(id uint32, d *dst) *receiver {
--- a/choice/recovery.go
+++ b/choice/recovery.go
@@ -12,12 +12,15 @@
 // fills at this sender's even part of what the route bears. The buckets of all senders begin at draws, so their sum is even from the start.
 
 const (
-	outageQuiet   = second     // µs without a success after which failures mean an outage: a busy sender's chance errors lie between answers
-	failStep      = 1.0 / 4    // weight of the newest call in the share that fails: three in a row are most
-	mostFail      = 0.5        // of the recent calls, beyond which the few that succeed are no sign of health
-	releaseDouble = second     // µs in which the share doubles after slow start
-	releaseFor    = 4 * second // µs until it no longer binds: sixteen times what the route bears
-	siblingTrials = 2          // times the usual gap between trials at closed receivers while their route is called already
+	fleetLeast      = 0.5        // calls a second of all senders that any return bears: the rule lets three a window on top of its share
+	slowStartMargin = 0.8        // share of the allowed load on a cold receiver; rest is for chance
+	roughLow        = 0.67       // a rough weight may be half too high
+	outageQuiet     = second     // µs without a success after which failures mean an outage: a busy sender's chance errors lie between answers
+	failStep        = 1.0 / 4    // weight of the newest call in the share that fails: three in a row are most
+	mostFail        = 0.5        // of the recent calls, beyond which the few that succeed are no sign of health
+	releaseDouble   = second     // µs in which the share doubles after slow start
+	releaseFor      = 4 * second // µs until it no longer binds: sixteen times what the route bears
+	siblingTrials   = 2          // times the usual gap between trials at closed receivers while their route is called already
 )
 
 type recoveryPhase uint8
@@ -263,3 +266,58 @@
 	}
 	return len(r.dst.calls)
 }
+
+// capacity is what a receiver's destination (or route) surely takes when warm, in calls a second from all.
+func (s *Sender) capacity(r *receiver) float64 {
+	switch {
+	case r.route.told > 0:
+		return r.route.told
+	case s.trust == NominalWeight && r.weight > 0:
+		return r.weight
+	case s.trust == RoughWeight && r.weight > 0:
+		return r.weight * roughLow
+	}
+	// What it delivered while it stood: in sum right. Danger: what arrives counts each time clients come again.
+	stood := max(s.now-s.startAt-r.dst.downFor(s.now), rateSpan)
+	return float64(s.team.Senders) * max(r.route.okPeak, max(1, r.route.oks)*float64(second)/float64(stood))
+}
+
+// slowStart is this sender's share of what a receiver back from an outage may be sent, in calls a second.
+// Danger: a cold destination sent a multiple of what it can do falls over for good.
+func (s *Sender) slowStart(r *receiver) float64 {
+	start, warm := s.guards.StartShare, min(1, float64(s.now-r.since)/float64(max(1, s.guards.WarmWithin)))
+	rate := s.coldShare(r, start+(1-start)*warm)
+	if !r.dst.kind.Apart {
+		rate /= float64(max(1, len(r.dst.recvs)))
+	}
+	return rate
+}
+
+// coldShare is this sender's part of what a destination (or route) may be sent at a share of its capacity. Danger: a sender that has hardly
+// delivered there takes it for tiny where no limit is told, and would find its return after minutes.
+func (s *Sender) coldShare(r *receiver, share float64) float64 {
+	return max(s.capacity(r)*share*s.guards.Overload*slowStartMargin, fleetLeast) / float64(s.team.Senders)
+}
+
+// boundOf is the rate in calls a second at which this sender may call a receiver, 0 where nothing bounds it.
+func (s *Sender) boundOf(r *receiver) float64 {
+	switch {
+	case r.route.mayBeCold():
+		return s.recoveryRate(r, s.now)
+	case r.health == warming:
+		return s.slowStart(r)
+	default:
+		return r.route.rate(s.now)
+	}
+}
+
+// noteColdCall counts and logs a call or probe to a destination that may be cold: some receiver is not open, or the latest call went wrong.
+func (s *Sender) noteColdCall(message string, r *receiver, perSec float64) {
+	if r.route.bad == 0 && r.dst.ill() == 0 && !r.route.mayBeCold() {
+		return
+	}
+	s.coldCalls++
+	s.host.Log(ColdCall{Now: s.now, Message: message, Receiver: r.id, Dst: r.dst.id, Health: r.health.String(), Phase: r.route.recovery.phase.String(), Listed: len(r.dst.recvs),
+		Ill: r.dst.ill(), Strikes: r.strikes, Failures: r.route.bad, SuccessAt: r.route.okAt, Tokens: r.route.recovery.tokens, PerSecond: perSec,
+		Capacity: s.capacity(r), Held: len(r.dst.held), UpFor: s.now - s.startAt}.String())
+}
