Probe a suspect destination for which no message waits

Cause: a process that took a destination over as suspect had no message for it, so nothing was tried and it stayed unhealthy; the keeper sends only to healthy ones, and lives of 300 ms ended before. At fault: tryClosed, which probed closed receivers alone. Ruled out: the keeper's claims.

Change: a suspect route with no message is probed at the pace of its bucket; a slow start that a probe began ends by time where nobody waits. Two tests of choice that list every action turn probes off, as their destinations are suspect now.

--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -33,6 +33,7 @@
 
 func TestLegWhoseConnectionComesUpAfterTheWindowDoesNotBegin(t *testing.T) {
 	f := begin(t, keyed, 20, 1, aLot, Kind{Batch: 1})
+	f.allowed.Probes = false // the destination is suspect then: its probes are another test's
 	f.take("a")
 	f.after(0)
 	f.At(f.now + window - second)
--- a/choice/health.go
+++ b/choice/health.go
@@ -150,23 +150,25 @@
 	r.route.piling = o == TimedOut || o == Full
 	s.wake(r.dst)
 	s.reported(r, rep)
-	if r.health == closed && o == Delivered {
-		s.become(r, warming)
+	if o == Delivered {
+		if r.health == closed {
+			s.become(r, warming)
+		}
 		s.recoveryAnswered(r, false)
 	}
 }
 
-// tryClosed probes closed receivers, rarely.
+// tryClosed probes receivers that are closed, or suspect with no message to try, rarely.
 func (s *Sender) tryClosed(d *dst) {
 	for _, r := range d.recvs {
-		if r.health != closed || !s.allowed.Probes || r.probing || d.lease.none() {
+		if !s.allowed.Probes || !s.wantsProbe(r) || r.probing || d.lease.none() {
 			continue
 		}
 		if at := s.probeAt(r); at > s.now {
 			s.wakeBy(d, at)
 			continue
 		}
-		r.probing = true
+		r.used().probing = true
 		r.route.spendProbe()
 		s.spaceTrials(r, false)
 		s.host.CloseIdle(r.id)
--- a/choice/hearsay_test.go
+++ b/choice/hearsay_test.go
@@ -76,6 +76,7 @@
 
 func TestRecalledMessageEndsAtOnceOrWithItsLeg(t *testing.T) {
 	f := begin(t, keyed, 40, 1, aLot, Kind{Batch: 1})
+	f.allowed.Probes = false // the destination is suspect then: its probes are another test's
 	f.take("out", "kept")
 	f.after(0)
 	f.ends("kept", Errored, 0)
--- a/choice/recovery.go
+++ b/choice/recovery.go
@@ -206,7 +206,7 @@
 // recoveryReadyAt is when a route may get its next call; never for one that waits for an outcome.
 func (s *Sender) recoveryReadyAt(r *receiver) int64 {
 	b := &r.route.recovery
-	if b.phase == recovering && b.proved {
+	if b.phase == recovering && (b.proved || len(r.dst.held) == 0 && len(r.dst.calls) == 0) { // a probe's word is enough where nobody waits
 		if end := b.since + s.guards.WarmWithin + releaseFor + 1; end <= s.now {
 			s.enterRecovery(r, established)
 		} else {
@@ -245,6 +245,11 @@
 	return max(at, s.recoveryReadyAt(r))
 }
 
+// wantsProbe tells whether only a probe finds out that a receiver is well: it is closed, or its route is suspect and no message waits for it.
+func (s *Sender) wantsProbe(r *receiver) bool {
+	return r.health == closed || r.route.recovery.phase == suspect && len(r.dst.held) == 0 && len(r.dst.calls) == 0
+}
+
 // allClosed tells whether every receiver of a route is closed.
 func (s *Sender) allClosed(r *receiver) bool {
 	return !slices.ContainsFunc(r.dst.recvs, func(o *receiver) bool { return o.route == r.route && o.health != closed })
--- a/choice/recovery_test.go
+++ b/choice/recovery_test.go
@@ -160,3 +160,28 @@
 	assert.Equal(t, established, phaseOf(f))
 	assert.Empty(t, f.Cold())
 }
+
+// A suspect destination for which no message waits is probed, so that it does not stay so for want of traffic; where probes are not allowed, the
+// next message tries.
+func TestASuspectDestinationIsProbedWhereNobodyWaits(t *testing.T) {
+	for _, probes := range []bool{true, false} {
+		f := begin(t, keyed, 40, 2, 2, Kind{Batch: 1})
+		f.allowed.Probes = probes
+		f.enterRecovery(f.recvs[1], suspect)
+		tried := f.after(30 * second)
+		if !probes {
+			assert.Empty(t, tried)
+			f.take("a")
+			assert.Equal(t, 1, count(f.after(0), "send"))
+			continue
+		}
+		assert.Positive(t, count(tried, "probe"))
+		assert.LessOrEqual(t, float64(count(tried, "probe")), 1+30*f.coldShare(f.recvs[1], .2), "probes spend like calls")
+		for _, r := range f.recvs {
+			f.Probed(r.id, Delivered, Report{})
+		}
+		assert.Equal(t, recovering, phaseOf(f))
+		f.after(15 * second)
+		assert.Equal(t, established, phaseOf(f))
+	}
+}
