Soak on processes: signals in series, kills at the earliest, crowds, returns judged

Judged: the budget of each return by the sum of all senders, that each message taken on ends, that none which must not run twice may have, and that no request is read and closed without an answer.

--- a/internal/fleettest/return_rig_test.go
+++ b/internal/fleettest/return_rig_test.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
+	"hash/crc32"
 	"io"
 	"math"
 	"math/rand/v2"
@@ -21,6 +23,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"ravenlink/internal/loopback"
@@ -51,6 +54,10 @@
 	Weights     string        // weight_source of the settings
 	Notes       bool          // senders hear each other's datagrams
 	Joins       bool          // each destination that is out gets one more endpoint during the outage
+	Signals     float64       // share of the senders that get signals in series, and are killed in the end
+	Crowd       int           // idle clients at the first sender
+	Within      time.Duration // the time of a message; returnWithin if 0
+	Settle      time.Duration // after the last hand-in, in which every message has to end; not judged if 0
 }
 
 const (
@@ -158,6 +165,7 @@
 	d.came = append(d.came, arrival{d.p.now(), id, d.p.handedTo(id)})
 	hangs, fails, changed := d.hangs, d.errs && d.draw.Float64() < 0.8, d.changed
 	d.mu.Unlock()
+	d.p.ran(id)
 	if hangs {
 		select {
 		case <-changed:
@@ -171,6 +179,7 @@
 	}
 	if id != "" {
 		time.Sleep(returnTook) // the call's work; decides nothing
+		d.p.over(id)
 	}
 	out.WriteHeader(http.StatusOK)
 }
@@ -223,10 +232,12 @@
 	part   float64 // of the traffic
 	log    logText
 
-	mu    sync.Mutex
-	cmd   *exec.Cmd
-	ended chan struct{}
-	idle  []net.Conn // of clients
+	mu     sync.Mutex
+	cmd    *exec.Cmd
+	ended  chan struct{}
+	idle   []*soakConn // of clients
+	leaves time.Time   // when it was asked to end, zero if it was not
+	killed time.Time
 }
 
 // returnRig plays it.
@@ -242,16 +253,16 @@
 	work    sync.WaitGroup
 	done    chan struct{}
 
-	mu        sync.Mutex
-	draw      *rand.Rand
-	handIns   map[string]int // hand-ins of a message so far, by its name without its number
-	holder    map[string]int // the sender that has a message
-	lines     []string       // of the list
-	more      chan struct{}
-	handed    int
-	ended     int
-	notesPort int
-	relays    []*net.UDPConn // of notes: what sender i writes to all comes to relays[i], which its peers know it by
+	mu         sync.Mutex
+	draw       *rand.Rand
+	handIns    map[string]int // hand-ins of a message so far, by its name without its number
+	holder     map[string]int // the sender that has a message
+	lines      []string       // of the list
+	more       chan struct{}
+	messages   map[string]*handed // by id
+	unanswered []string           // requests that were read and not answered
+	notesPort  int
+	relays     []*net.UDPConn // of notes: what sender i writes to all comes to relays[i], which its peers know it by
 }
 
 func (p *returnRig) now() time.Duration { return time.Since(p.start) }
@@ -271,7 +282,7 @@
 	dir, err := os.MkdirTemp("", "return")
 	require.NoError(t, err)
 	p := &returnRig{ReturnPlay: r, t: t, dir: dir, done: make(chan struct{}), more: make(chan struct{}),
-		draw: rand.New(rand.NewPCG(r.Seed, 44)), handIns: map[string]int{}, holder: map[string]int{}}
+		draw: rand.New(rand.NewPCG(r.Seed, 44)), handIns: map[string]int{}, holder: map[string]int{}, messages: map[string]*handed{}}
 	defer p.close()
 	p.setUp()
 	for _, s := range p.senders {
@@ -283,7 +294,14 @@
 	p.start = time.Now()
 	p.schedule()
 	p.sleepUntil(p.Until + returnWatch)
-	return p.judge()
+	ws := p.judge()
+	if p.Settle > 0 {
+		p.sleepUntil(p.Until + returnWatch + p.Settle)
+		faults := p.broken()
+		assert.Empty(t, faults)
+		p.tellOf(faults)
+	}
+	return ws
 }
 
 func (p *returnRig) setUp() {
@@ -368,10 +386,11 @@
 
 func (p *returnRig) settings() string {
 	return fmt.Sprintf(`{"balancers":%d,"discovery":"automatic","weight_source":"%s","machine_types":["m"],"zones":["z"],
-"classes":[{"name":"notice","aim":%d,"deadline":%d,"group":"all","importance":1,"late_worth":0.5,"repeat":"by_key","window":15000}],
+"classes":[{"name":"notice","aim":%[3]d,"deadline":%[4]d,"group":"all","importance":1,"late_worth":0.5,"repeat":"by_key","window":15000},
+{"name":"once","aim":%[3]d,"deadline":%[4]d,"group":"all","importance":1,"late_worth":0.5,"repeat":"once"}],
 "family_info":{"max_calls":12,"own_limits":[false],"batch_by_kind":[1],"late":"halves"},
-"limits":{"most_held":60,"send_cap":6,"probes":true,"cancel":true,"retry_after":true,"peers":%t,"max_retry_after":2000,"connect_timeout":1000,"conn_idle":5000},
-"rules":{"start_capacity":%g,"warm_within":%d,"overload_factor":%d}}`, p.Senders, p.Weights, returnTarget.Milliseconds(), returnWithin.Milliseconds(),
+"limits":{"most_held":60,"send_cap":6,"probes":true,"cancel":true,"retry_after":true,"peers":%[5]t,"max_retry_after":2000,"connect_timeout":1000,"conn_idle":5000},
+"rules":{"start_capacity":%[6]g,"warm_within":%[7]d,"overload_factor":%[8]d}}`, p.Senders, p.Weights, returnTarget.Milliseconds(), p.within().Milliseconds(),
 		p.Notes, returnShare, returnWarm.Milliseconds(), returnFactor)
 }
 
@@ -392,14 +411,14 @@
 	}()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.cmd, s.ended = cmd, ended
+	s.cmd, s.ended, s.leaves = cmd, ended, time.Time{}
 }
 
 // kill ends a sender's process by SIGKILL, with its clients' connections.
 func (s *returnSender) kill() {
 	s.mu.Lock()
 	cmd, ended, idle := s.cmd, s.ended, s.idle
-	s.cmd, s.idle = nil, nil
+	s.cmd, s.idle, s.killed = nil, nil, time.Now()
 	s.mu.Unlock()
 	if cmd == nil {
 		return
@@ -431,7 +450,11 @@
 			ID, State string
 			After     int `json:"after_ms"`
 		}
-		if json.Unmarshal(lines.Bytes(), &n) == nil && n.State == "returned" {
+		if json.Unmarshal(lines.Bytes(), &n) != nil {
+			continue
+		}
+		p.over(n.ID)
+		if n.State == "returned" {
 			p.comeAgain(n.ID, n.After)
 		}
 	}
@@ -515,6 +538,8 @@
 		p.at(kill, s.kill)
 		p.at(kill+returnDown, func() { p.spawn(s) })
 	}
+	p.signals()
+	p.crowd()
 	total := 0.0
 	for _, c := range p.Capacities {
 		total += c
@@ -546,57 +571,72 @@
 	return len(p.Capacities)
 }
 
-// handIn hands a message in at a sender, or at the next one that runs; a front would.
+// handIn hands a message in at a sender, or where that answers nothing at the next one; a front would. Each try has an id of its own.
 func (p *returnRig) handIn(name string, dst, to int) {
 	p.mu.Lock()
 	n := p.handIns[name]
 	p.handIns[name]++
-	id := fmt.Sprintf("%s%04x%04x", name, dst, n)
-	p.holder[id] = to
 	p.mu.Unlock()
-	if n >= mostHandIns {
+	if n >= mostHandIns || p.now() > p.Until+returnWatch {
 		return
 	}
-	text := command("ENQUEUE", "0000", id, fmt.Sprintf("c=notice,d=%d,k=%s,dest=%d", returnWithin.Milliseconds(), name, dst), "x")
-	for range p.senders {
-		answer := p.senders[to].say(text)
-		if after := 0; answer != "" {
+	lane, key := p.laneOf(name)
+	for try := range 2 * len(p.senders) {
+		id := fmt.Sprintf("%s%04x%02x%02x", name, dst, n, try)
+		p.noteHandIn(id, lane, to)
+		answer, lost := p.senders[to].say(command("ENQUEUE", "0000", id, fmt.Sprintf("c=%s,d=%d%s,dest=%d", lane, p.within().Milliseconds(), key, dst), "x"))
+		p.noteAnswer(id, answer, lost)
+		if after := 0; answer != "" || lost {
 			if _, err := fmt.Sscanf(answer, "-BUSY %d", &after); err == nil {
 				p.comeAgain(id, after)
 			}
 			return
 		}
-		p.mu.Lock()
 		to = (to + 1) % len(p.senders)
-		p.holder[id] = to
-		p.mu.Unlock()
 	}
 }
 
-// say asks a sender on a connection that rests, or a new one; empty where it is down.
-func (s *returnSender) say(text string) string {
-	s.mu.Lock()
-	var c net.Conn
-	if n := len(s.idle); n > 0 {
-		c, s.idle = s.idle[n-1], s.idle[:n-1]
+func (p *returnRig) noteHandIn(id, lane string, to int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.holder[id], p.messages[id] = to, &handed{lane: lane}
+}
+
+func (p *returnRig) noteAnswer(id, answer string, lost bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.messages[id].taken = strings.HasPrefix(answer, "+")
+	if lost {
+		p.unanswered = append(p.unanswered, fmt.Sprintf("%s was read by n%d, which closed without an answer", id, p.holder[id]))
 	}
-	up := s.cmd != nil
-	s.mu.Unlock()
-	if c == nil {
-		var err error
-		if c, err = net.DialTimeout("tcp", s.listen.Addr.String(), clientPatience); err != nil || !up {
-			return ""
-		}
+}
+
+func (p *returnRig) within() time.Duration { return cmp.Or(p.Within, returnWithin) }
+
+// laneOf is a message's lane, and its key as a field; a plain play has none that must not run twice.
+func (p *returnRig) laneOf(name string) (lane, key string) {
+	if n := crc32.ChecksumIEEE([]byte(name)); p.Settle > 0 && float64(n%100) < 100*soakOnce {
+		return "once", ""
 	}
-	answer := (&Client{conn: c, answer: bufio.NewReader(c)}).say(text)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if answer == "" || s.cmd == nil {
-		_ = c.Close()
-	} else {
-		s.idle = append(s.idle, c)
+	return "notice", ",k=" + name
+}
+
+// ran counts a call that may have run.
+func (p *returnRig) ran(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if m := p.messages[id]; m != nil {
+		m.ran++
+	}
+}
+
+// over takes in that a message was delivered, or told in a notice.
+func (p *returnRig) over(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if m := p.messages[id]; m != nil {
+		m.ended = true
 	}
-	return answer
 }
 
 // comeAgain has a client hand a message in once more after a pushback, at any sender.
@@ -648,6 +688,20 @@
 	}
 }
 
+// tellOf shows what the senders logged of messages at fault.
+func (p *returnRig) tellOf(faults []string) {
+	for _, f := range faults {
+		id, _, _ := strings.Cut(f, " ")
+		by := p.handedTo(id)
+		p.t.Logf("%s, handed to n%d", f, by)
+		for line := range strings.Lines(p.senders[max(by, 0)].log.read()) {
+			if strings.Contains(line, id) || strings.Contains(line, `"phase"`) {
+				p.t.Log(strings.TrimSpace(line))
+			}
+		}
+	}
+}
+
 func (p *returnRig) close() {
 	close(p.done)
 	for _, s := range p.senders {
--- a/internal/fleettest/return_test.go
+++ b/internal/fleettest/return_test.go
@@ -19,7 +19,8 @@
 
 var (
 	returnSeedsVar  = "RETURN_SEEDS" // by hand: all plays of so many seeds, in place of a few of the first
-	playsAtOnce     = make(chan struct{}, 2)
+	soakSeedsVar    = "SOAK_SEEDS"   // by hand: so many soaks
+	playsAtOnce     = make(chan struct{}, atOnce())
 	returnPlaysOfCI = []string{"hangs", "refuses, weights told, notes", "back with its senders"}
 	returnPlays     = map[string]func(*ReturnPlay){
 		"refuses, weights untold":                  func(*ReturnPlay) {},
@@ -31,6 +32,14 @@
 	}
 )
 
+// atOnce is how many plays run side by side: two beside the other tests, four by hand.
+func atOnce() int {
+	if os.Getenv(returnSeedsVar)+os.Getenv(soakSeedsVar) != "" {
+		return 4
+	}
+	return 2
+}
+
 // A destination that comes back from an outage bears a budget of calls by the sum of all senders, whatever each of them saw of the outage.
 func TestReturningDestinationsBearTheSumOfAllSenders(t *testing.T) {
 	t.Parallel()
@@ -60,3 +69,30 @@
 		}
 	}
 }
+
+// Processes that get signals in series, are killed and start again while destinations fail and return: the budgets of the returns hold, each
+// message taken on ends, none that must not run twice does, and no request is read and left without an answer.
+func TestSoak(t *testing.T) {
+	t.Parallel()
+	seeds := []uint64{1, 2}
+	if n, err := strconv.Atoi(os.Getenv(soakSeedsVar)); err == nil { // so many, by hand
+		seeds = nil
+		for i := range n {
+			seeds = append(seeds, uint64(100+i))
+		}
+	}
+	if one, err := strconv.ParseUint(os.Getenv("SOAK_SEED"), 10, 64); err == nil { // play this one again
+		seeds = []uint64{one}
+	}
+	for _, seed := range seeds {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			t.Parallel()
+			playsAtOnce <- struct{}{}
+			defer func() { <-playsAtOnce }()
+			play := DrawSoak(seed)
+			t.Logf("%+v", play)
+			over := slices.DeleteFunc(play.Play(t), func(f fallen) bool { return f.ratio() <= 1 })
+			require.Empty(t, over, "destinations pushed over")
+		})
+	}
+}
