--- a/choice/health.go
+++ b/choice/health.go
@@ -43,10 +43,11 @@
 	if r.health == closed {
 		s.become(r, warming)
 	}
+	isNews := r.health == warming && !r.proved
 	if sentAt >= r.route.recovery.since {
-		s.recoveryAnswered(r, true)
+		isNews = s.recoveryAnswered(r, true) || isNews
 	}
-	if r.health == warming && !r.proved {
+	if isNews {
 		s.saw(r, Sight{Kind: SeenBack, Warm: min(1, float64(s.now-r.since)/float64(max(1, s.guards.WarmWithin)))})
 		s.tell(r, backMark, &r.toldBack, backEvery)
 	}
--- a/choice/recovery.go
+++ b/choice/recovery.go
@@ -163,13 +163,15 @@
 	}
 }
 
-// recoveryAnswered takes in that a call or probe was answered, or that a fellow says so.
-func (s *Sender) recoveryAnswered(r *receiver, delivered bool) {
+// recoveryAnswered takes in that a call or probe was answered, or that a fellow says so. It tells whether that proved a return.
+func (s *Sender) recoveryAnswered(r *receiver, delivered bool) (proved bool) {
 	p := r.used().route
 	if p.recovery.phase == suspect {
 		s.enterRecovery(r, recovering)
 	}
+	proved = delivered && p.mayBeCold() && !p.recovery.proved
 	p.recovery.proved = p.recovery.proved || delivered
+	return proved
 }
 
 // recoveryShare is the share of its capacity up to which a route is called so long after its ramp began. Danger: senders that find a return
--- a/choice/recovery_test.go
+++ b/choice/recovery_test.go
@@ -185,3 +185,26 @@
 		assert.Equal(t, established, phaseOf(f))
 	}
 }
+
+// A return is told to the fellows also by one that had closed nothing; who hears of it begins slow start at a draw.
+func TestAReturnIsToldByOneThatHadClosedNothing(t *testing.T) {
+	fs := fleet(t, 30, 8)
+	for _, f := range fs {
+		f.enterRecovery(f.recvs[1], suspect)
+	}
+	finder := fs[0]
+	finder.recvs[1].route.recovery.tokens = 1
+	finder.take("a")
+	finder.after(0)
+	finder.ends("a", Delivered, 0)
+	assert.Contains(t, finder.did, "note")
+	first := 0
+	for _, f := range fs[1:] {
+		f.recvs[1].route.recovery.tokens = 1 // it has waited long
+		f.take("b")
+		f.Noted("+1")
+		assert.Equal(t, recovering, phaseOf(f))
+		first += count(f.after(100*ms), "send")
+	}
+	assert.LessOrEqual(t, first, 2, "not all at once")
+}
