Destinations that return together are not taken for loss on the way

Cause: eight destinations returned together. Each receiver that had lost a leg and answered again counted as loss on the way (countLost); after two of them weightOfSilence was below 1, and recoveryFailed passed over the failures of all others, so what waited there went at once.

Change: a row of failures does not count as loss, as its comment always said of an outage; while loss is common two failures in a row still make a destination suspect, until a fifth of the calls get lost, and a single silent call does not.

TestReturnsOfSeveralDestinationsAreNoLoss fails with either line taken out.

--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -318,16 +318,16 @@
 	f := begin(t, keyed, 40, 6, aLot, Kind{Batch: 1})
 	r := f.dsts[7].recvs[0]
 	for range 20 { // lost and answered in turns
-		f.countLost(r, TimedOut)
-		f.countLost(r, Delivered)
+		f.countLost(r, TimedOut, 1)
+		f.countLost(r, Delivered, 1)
 	}
 	for range 3 {
 		f.struck(r, f.now, silentStrike)
 	}
 	assert.Equal(t, open, r.health)
 	for range 200 { // an outage elsewhere: no answer after the lost ones
-		f.countLost(f.dsts[7].recvs[1], TimedOut)
-		f.countLost(r, Delivered)
+		f.countLost(f.dsts[7].recvs[1], TimedOut, 1)
+		f.countLost(r, Delivered, 1)
 	}
 	f.struck(r, f.now, 2*silentStrike)
 	assert.Equal(t, closed, r.health)
--- a/choice/loss.go
+++ b/choice/loss.go
@@ -17,12 +17,13 @@
 	lateShare      = 0.66        // of the destinations with calls out, likewise
 )
 
-// countLost keeps the share of legs lost at receivers that answered again: an outage does not count in it,
-// loss on the way does. The connection that lost one is not used again.
-func (s *Sender) countLost(r *receiver, o Outcome) {
+// countLost keeps the share of legs lost at receivers that answered again: an outage, which shows as a row, does not count in it,
+// loss on the way does. Danger: destinations that return together would pass for loss, and those still down for well. The connection that
+// lost one is not used again.
+func (s *Sender) countLost(r *receiver, o Outcome, row int) {
 	switch o {
 	case Delivered:
-		if r.used().missed {
+		if r.used().missed && row < badRow {
 			s.loss += (1 - s.loss) * lossStep
 		}
 		r.missed = false
--- a/choice/message.go
+++ b/choice/message.go
@@ -192,6 +192,7 @@
 	c.open--
 	c.r.usedAt = s.now
 	s.countStale(c, o)
+	row := c.r.route.bad
 	if s.now < c.r.scarceTill {
 		s.spare = append(s.spare, c.r)
 	}
@@ -203,7 +204,7 @@
 	}
 	s.reported(c.r, rep)
 	s.wake(c.r.dst)
-	s.countLost(c.r, o)
+	s.countLost(c.r, o, row)
 	if o == Delivered || o == Errored || o == TimedOut || o == Reset {
 		c.r.went(m.lane, o == Delivered)
 	}
--- a/choice/recovery.go
+++ b/choice/recovery.go
@@ -17,6 +17,7 @@
 	roughLow        = 0.67       // a rough weight may be half too high
 	outageQuiet     = second     // µs without a success after which failures mean an outage: a busy sender's chance errors lie between answers
 	failStep        = 1.0 / 4    // weight of the newest call in the share that fails: three in a row are most
+	rowsAreChance   = 0.5        // weight of silence below which two failures in a row are likely by chance: a fifth of the calls get lost
 	mostFail        = 0.5        // of the recent calls, beyond which the few that succeed are no sign of health
 	releaseDouble   = second     // µs in which the share doubles after slow start
 	releaseFor      = 4 * second // µs until it no longer binds: sixteen times what the route bears
@@ -64,16 +65,17 @@
 // drawRecovery sets the bucket to a draw. Danger: what begins at one moment at many senders has them call at one moment later.
 func (s *Sender) drawRecovery(p *route) { p.recovery.tokens, p.recovery.filledAt = s.chance(), s.now }
 
-// recoveryFailed takes in a call that went wrong. Where calls get lost now and then, failures are chance.
+// recoveryFailed takes in a call that went wrong. Where calls get lost now and then a single one is chance, and where many do rows are too.
 func (s *Sender) recoveryFailed(r *receiver, sentAt int64, o Outcome) {
 	p := r.used().route
-	if s.weightOfSilence() < 1 || sentAt < p.recovery.since {
+	weight := s.weightOfSilence()
+	if weight < rowsAreChance || sentAt < p.recovery.since {
 		return
 	}
 	quiet, most := s.now-p.okAt >= outageQuiet, p.failing > mostFail
 	switch p.recovery.phase {
 	case established:
-		silent := o != ConnectFailed && s.wasSlow(r.dst, s.now-sentAt) // some connections come up late, whatever the receiver does
+		silent := weight >= 1 && o != ConnectFailed && s.wasSlow(r.dst, s.now-sentAt) // some connections come up late, whatever the receiver does
 		if most || quiet && (p.bad >= badRow || silent) {
 			s.enterRecovery(r, suspect)
 		}
--- a/choice/recovery_test.go
+++ b/choice/recovery_test.go
@@ -208,3 +208,31 @@
 	}
 	assert.LessOrEqual(t, first, 2, "not all at once")
 }
+
+// Destinations that hung and return together are no loss on the way: those whose calls fail last are suspect like the first.
+func TestReturnsOfSeveralDestinationsAreNoLoss(t *testing.T) {
+	const dsts = 8
+	f := begin(t, keyed, 100, 0, aLot, Kind{Batch: 1})
+	var es []Entry
+	for i := range dsts {
+		es = append(es, Entry{Receiver: uint32(i + 1), Dst: int64(i + 1), Weight: aLot, Listed: true})
+	}
+	f.Listed(Remembered, es)
+	for i := range dsts {
+		for k := range 2 {
+			f.Take(fmt.Sprint(i, "-", k), 0, "", int64(i+1), f.now+28*second)
+		}
+	}
+	f.after(4 * second)
+	for i := range dsts { // each resets two hung calls, and answers the next before another one resets its own
+		f.ends(fmt.Sprint(i, "-0"), Reset, 0)
+		f.ends(fmt.Sprint(i, "-1"), Reset, 0)
+		r := f.recvs[uint32(i+1)]
+		assert.Equal(t, suspect, r.route.recovery.phase, "destination %d", i+1)
+		c := &call{r: r, sentAt: f.now, msgs: []*msg{{lane: &f.lanes[0]}}}
+		row := r.route.bad
+		f.observe(c, Delivered, 0)
+		f.countLost(r, Delivered, row)
+	}
+	assert.Zero(t, f.loss)
+}
