--- a/internal/fleettest/soak_rig_test.go
+++ b/internal/fleettest/soak_rig_test.go
@@ -99,11 +99,10 @@
 	}
 }
 
-// client is one connection of a client, and whether it has been used before.
+// soakConn is one connection of a client.
 type soakConn struct {
 	net.Conn
-	r    *bufio.Reader
-	used bool
+	r *bufio.Reader
 }
 
 // connection gives one that rests, or a new one while the sender's doors are open; nil where there is none.
