What waited for a slot does not go to a destination whose own call is silent

Ruled out: late arrivals of the rig (the legs began within 1 ms of each other, patience counted from there). At fault: recoveryReadyAt, which bound nothing while a single call was silent (the guard against hanging receivers asks for two).

Change: while some destination of a sender may be cold, a route whose oldest call is out for longer than a slow answer and a quarter of the target time, with nothing delivered since it went, waits for that call's end. One slow call alone, or beside others that are answered, holds nothing up.

The judge of plays shows what the senders logged of the destination.

--- a/choice/recovery.go
+++ b/choice/recovery.go
@@ -75,7 +75,7 @@
 	quiet, most := s.now-p.okAt >= outageQuiet, p.failing > mostFail
 	switch p.recovery.phase {
 	case established:
-		silent := weight >= 1 && o != ConnectFailed && s.wasSlow(r.dst, s.now-sentAt) // some connections come up late, whatever the receiver does
+		silent := weight >= 1 && o != ConnectFailed && float64(s.now-sentAt) > s.silentAfter(r.dst) // some connections come up late, whatever the receiver does
 		if most || quiet && (p.bad >= badRow || silent) {
 			s.enterRecovery(r, suspect)
 		}
@@ -151,10 +151,23 @@
 	}
 }
 
-// wasSlow tells whether a call that failed after a time had been silent rather than refused.
-func (s *Sender) wasSlow(d *dst, took int64) bool {
+// silentAfter is how many µs a call may be out until it counts as silent: a slow answer's time.
+func (s *Sender) silentAfter(d *dst) float64 {
 	mean, dev := s.answerTime(d)
-	return float64(took) > mean+slowVar*dev
+	return mean + slowVar*dev
+}
+
+// awaitsSilent tells whether a call at a route is out and silent, and nothing has been delivered there since it went, while other destinations
+// may be cold: one slow call alone is none. Danger: hung calls hold the slots, and as those of one destination end, what waited for a slot goes to
+// the others, whose own calls have not ended yet.
+func (s *Sender) awaitsSilent(r *receiver) bool {
+	i := slices.IndexFunc(r.dst.calls, func(c *call) bool { return c.r.route == r.route })
+	if i < 0 || len(s.cold) == 0 || s.weightOfSilence() < 1 {
+		return false
+	}
+	oldest := r.dst.calls[i]
+	after := max(s.silentAfter(r.dst), overtakenLeast*float64(s.target())) // a young sender knows little of answer times
+	return r.route.okAt <= oldest.sentAt && float64(s.now-oldest.sentAt) > after
 }
 
 // recoveryClosed takes in that a receiver was closed for what was seen from a time on. Where another one of its route has answered since,
@@ -218,6 +231,9 @@
 		}
 	}
 	if b.phase == established {
+		if s.awaitsSilent(r) {
+			return never // until that call ends
+		}
 		return s.now
 	}
 	if (b.phase == suspect || !b.proved) && s.outAt(r) > 0 {
--- a/choice/recovery_test.go
+++ b/choice/recovery_test.go
@@ -236,3 +236,31 @@
 	}
 	assert.Zero(t, f.loss)
 }
+
+// Eight destinations hang, and their calls hold all slots. As the calls of one end, what waited for a slot does not go to another whose own call is
+// silent still.
+func TestSlotsFreedByOneReturnLetNothingGoToASilentDestination(t *testing.T) {
+	f := begin(t, keyed, 2, 0, aLot, Kind{Batch: 1})
+	f.Listed(Remembered, []Entry{{Receiver: 1, Dst: 1, Weight: aLot, Listed: true}, {Receiver: 2, Dst: 2, Weight: aLot, Listed: true}})
+	f.Take("one", 0, "", 1, f.now+28*second)
+	f.Take("two", 0, "", 2, f.now+28*second)
+	assert.Equal(t, 2, count(f.after(0), "send"))
+	for i := range 4 {
+		f.Take(fmt.Sprint("waits", i), 0, "", 2, f.now+28*second)
+	}
+	assert.Zero(t, count(f.after(2*second), "send"))
+	f.ends("one", Reset, 0)
+	assert.Zero(t, count(f.after(0), "send"), "a slot is free, but the call there is silent")
+	f.ends("two", Reset, 0)
+	assert.LessOrEqual(t, count(f.after(ms), "send"), 1, "it is suspect now")
+	f = begin(t, keyed, 9, 1, aLot, Kind{Batch: 1})
+	quick(f, 3)
+	f.take("slow")
+	f.after(100 * ms)
+	f.take("quick")
+	assert.Equal(t, 1, count(f.after(0), "send"))
+	f.ends("quick", Delivered, 0)
+	f.after(2 * second)
+	f.take("next")
+	assert.Equal(t, 1, count(f.after(0), "send"), "one that is slow beside others that are answered holds nothing up")
+}
--- a/internal/fleettest/return_judge_rig_test.go
+++ b/internal/fleettest/return_judge_rig_test.go
@@ -75,21 +75,26 @@
 	return ws
 }
 
-// tell shows what the senders logged of the calls of a window.
+// tell shows the calls of a window, and what each sender that took part logged of the destination.
 func (p *returnRig) tell(d *returning, w fallen, came []arrival) {
+	took := map[int]bool{}
 	for _, a := range came {
 		if a.At > w.At || a.At <= w.At-returnWindow || a.At < p.Until {
 			continue
 		}
-		text := "nothing"
-		if a.By >= 0 && a.Message != "" {
-			for line := range strings.Lines(p.senders[a.By].log.read()) {
-				if strings.Contains(line, "call of "+a.Message) {
-					text = strings.TrimSpace(line)
-				}
+		p.t.Logf("%v %q at n%d", a.At.Round(time.Millisecond), a.Message, a.By)
+		took[a.By] = a.By >= 0
+	}
+	for i, s := range p.senders {
+		if !took[i] {
+			continue
+		}
+		p.t.Logf("n%d, second 0 is %s:", i, p.start.Format(time.RFC3339Nano))
+		for line := range strings.Lines(s.log.read()) {
+			if strings.Contains(line, fmt.Sprintf("destination %d ", d.number)) || strings.Contains(line, `"phase"`) {
+				p.t.Log(strings.TrimSpace(line))
 			}
 		}
-		p.t.Logf("%v %q at n%d, which logged %s", a.At.Round(time.Millisecond), a.Message, a.By, text)
 	}
 }
 
