A pause behind a told wait begins at the wait's end and is drawn by full jitter

Cause: refused in choice/pace.go had the pause begin at the refusal. Where the wait told was as long, the pause was over with it, and all that waited went within 100 ms; and the draw from half to one and a half packed the same calls into half of the time.

Why it works: the mean is as before, the calls lie over twice the time, and none of it is eaten by the wait.

--- a/choice/pace.go
+++ b/choice/pace.go
@@ -10,9 +10,9 @@
 
 const (
 	badRow         = 2          // calls wrong or refused in a row, anywhere at a route: an outage?
-	pauseFirst     = second / 4 // µs; pause of a route after a refusal, doubled by each further one
-	pauseTurn      = 0.3        // of the interval of a cold share; the first pause at least
-	pauseMost      = 2 * second // µs; longest such pause
+	pauseFirst     = second / 4 // µs; mean pause of a route after a refusal, doubled by each further one
+	pauseTurn      = 0.3        // of the interval of a cold share; mean of the first pause, pauseFirst at least
+	pauseMost      = 2 * second // µs; longest such mean, unless the interval of a cold share is longer
 	rateSpan       = 5 * second // µs before what was counted makes a rate
 	paceShares     = 1.3        // even shares of a known limit: others may leave some of theirs
 	paceLeast      = 3.0        // calls that may go at once at least, however small the even share
@@ -123,7 +123,9 @@
 }
 
 // refused guards against calling on at a limit: refused calls may use it up too, so callers can hold a
-// destination shut for everyone. A row of refusals makes the pauses longer; a success ends it.
+// destination shut for everyone. A row of refusals makes the pauses longer; a success ends it. A pause is drawn by full
+// jitter, from the end of the wait told. Danger: one that runs beside the wait is over with it, and what each sender held
+// behind one wait goes at one moment.
 func (p *route) refused(now, sentAt int64, chance, turn float64) {
 	if p.row == 0 {
 		p.rowFrom = now
@@ -140,7 +142,8 @@
 		turn /= 2
 	}
 	first := max(pauseFirst, int64(pauseTurn*turn))
-	p.pause = now + int64((0.5+chance)*float64(min(max(pauseMost, int64(turn)), first<<min(p.row-1, 10))))
+	mean := min(max(pauseMost, int64(turn)), first<<min(p.row-1, 10))
+	p.pause = max(now, p.waitUntil) + int64(2*chance*float64(mean))
 }
 
 // succeeded ends such rows, and keeps the best rate over a span, less the noise of which sender got a call:
