A release goes up to twice the whole until the warm time is over

Why it works: for the warm time, in which the destination may be cold, a release goes no further than twice the whole; then it doubles as before, and binds nobody in the end. Twice, as deliveries at half of the full load measure half of the capacity.

--- a/choice/refusing_test.go
+++ b/choice/refusing_test.go
@@ -44,7 +44,7 @@
 
 // Guards against a backlog that each sender held back behind refusals with a wait, and lets go at its first success after the return.
 func TestReturnBehindRefusalsThatTellAWaitBearsTheSumOfAllSenders(t *testing.T) {
-	_, fell, _ := playDrawn(t, "TOLD_RETURNS", 160, toldDay, 709, 1635)
+	_, fell, _ := playDrawn(t, "TOLD_RETURNS", 160, toldDay, 469, 709, 767, 1635)
 	assert.Zero(t, fell)
 }
 
@@ -58,7 +58,7 @@
 
 // Guards against a release that a restart recalls and that runs on through a second outage without any answer.
 func TestSecondReturnBehindToldRefusalsBearsTheSumOfAllSenders(t *testing.T) {
-	_, fell, _ := playDrawn(t, "TOLD_AGAIN_RETURNS", 160, toldAgainDay, 167, 1345, 1651)
+	_, fell, _ := playDrawn(t, "TOLD_AGAIN_RETURNS", 160, toldAgainDay, 167, 1345, 1651, 2337)
 	assert.Zero(t, fell)
 }
 
@@ -179,6 +179,20 @@
 	assert.Greater(t, f.recvs[1].route.recovery.since, began)
 }
 
+// Guards against a release that lets most of what it holds go within a second while its destination may be cold.
+func TestAReleaseGoesNoFurtherThanTwiceTheWholeUntilItIsWarm(t *testing.T) {
+	f := behindAWait(t)
+	f.settle(Delivered, 5*second+20*ms)
+	route := f.recvs[1].route
+	for at := route.recovery.since; at < route.recovery.since+f.guards.WarmWithin; at += second / 2 {
+		route.okAt = at
+		assert.LessOrEqual(t, f.recoveryShare(route, at), 2., "%d ms after it began", (at-route.recovery.since)/ms)
+	}
+	route.okAt = route.recovery.since + f.guards.WarmWithin + 3*second
+	assert.Greater(t, f.recoveryShare(route, route.okAt), 2., "it binds nobody in the end")
+	assert.Equal(t, releasing, phaseOf(f))
+}
+
 // Guards against a restart that lets go at once what the earlier process was releasing by and by.
 func TestAReleaseOutlivesTheProcess(t *testing.T) {
 	f := behindAWait(t)
--- a/choice/slow_start.go
+++ b/choice/slow_start.go
@@ -11,6 +11,7 @@
 	roughLow        = 0.67           // a rough weight may be half too high
 	releaseDouble   = second         // µs in which the share doubles after slow start
 	releaseFor      = 4 * second     // µs until it no longer binds: sixteen times what the route bears
+	releaseWhole    = 2.0            // of the capacity; deliveries at half of the full load measure half of it
 	releaseMost     = 4 * releaseFor // µs until it binds nobody, however little was known of the capacity
 )
 
@@ -25,7 +26,7 @@
 	case releasing:
 		byClock := s.guards.StartShare * releaseShare(at-p.recovery.since)
 		bySuccesses := s.guards.StartShare * releaseShare(at-p.releaseStood(at)-p.recovery.since)
-		return max(min(1, byClock), bySuccesses)
+		return min(s.releaseBound(p, at), max(min(1, byClock), bySuccesses))
 	case recovering:
 		share := s.guards.StartShare + (1-s.guards.StartShare)*s.warm(p, at)
 		if p.recovery.proved {
@@ -45,6 +46,13 @@
 // in time, so it stands for releaseFor at most, and goes on by the clock then.
 func (p *route) releaseStood(at int64) int64 { return min(releaseFor, max(0, at-p.releaseStands())) }
 
+// releaseBound is the share beyond which a release does not go while the destination may be cold. Danger: senders that were refused once each begin
+// their releases within a second or two, and at all of them most of what they hold goes in the same last second.
+func (s *Sender) releaseBound(p *route, at int64) float64 {
+	warmFor := at - p.releaseStood(at) - p.recovery.since - s.guards.WarmWithin
+	return releaseWhole * releaseShare(warmFor)
+}
+
 // releaseGoesOn takes in a success of a release, before that is counted: for as long as it stood it came no further.
 func (p *route) releaseGoesOn(now int64) {
 	if p.recovery.phase == releasing {
