--- a/choice/refusing_test.go
+++ b/choice/refusing_test.go
@@ -16,7 +16,7 @@
 func refusingDay(seed uint64) coldDay {
 	r := rand.New(rand.NewPCG(seed, 49))
 	one := func(of ...float64) float64 { return of[r.IntN(len(of))] }
-	d := coldDay{byPage: true, senders: 34 + r.IntN(3), endpoints: 1 + r.IntN(2), capacity: one(8, 12, 16, 18, 24), how: "shut", trust: NoWeight, load: 1, spread: .3,
+	d := coldDay{threeRoots: true, senders: 34 + r.IntN(3), endpoints: 1 + r.IntN(2), capacity: one(8, 12, 16, 18, 24), how: "shut", trust: NoWeight, load: 1, spread: .3,
 		deaf: true, from: 3 * second}
 	d.backAt = (d.from + 3*second + r.Int64N(8*second)) / (5 * ms) * (5 * ms)
 	if r.IntN(2) == 0 {
--- a/choice/cold_test.go
+++ b/choice/return_world_test.go
@@ -5,13 +5,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
-	"os"
 	"slices"
-	"strconv"
-	"sync"
-	"testing"
-
-	"github.com/stretchr/testify/assert"
 )
 
 // coldDay is an outage and the return of one destination, met by a fleet of which each sender has its thin part of the
@@ -21,7 +15,7 @@
 	capacity           float64 // calls a second when warm
 	load               float64 // hand-ins in parts of that; three quarters if 0
 	from               int64   // when the outage begins; coldFrom if 0
-	byPage             bool    // under 30 calls it bears 3 roots and 3, as the operators have it
+	threeRoots         bool    // it bears 3 roots and 3 instead where it may have under 30 calls
 	spread             float64 // share of the senders that start anew at draws over the outage
 	spreadFor          int64   // µs after its begin in which they do; until the return if 0
 	how                string
@@ -62,11 +56,19 @@
 	id, note   string // no id: a probe
 	receiver   uint32
 	patience   int64
-	over, fell bool
+	over       bool
+	toldOutage bool // it went wrong while the destination was out
 	out        Outcome
 	wait       int64
 }
 
+// weighedCall is a call or probe that counts against the budget of a return.
+type weighedCall struct {
+	at     int64
+	byTold bool // by a sender that had been told of the outage
+}
+
+// coldWorld plays a coldDay.
 type coldWorld struct {
 	coldDay
 	r        *rand.Rand
@@ -76,8 +78,8 @@
 	expires  map[string]int64
 	tries    map[string]int
 	freeAt   []int64
-	weighed  []coldEvent // what came while it was cold
-	restarts []int64     // of the last senders
+	weighed  []weighedCall // what came while it was cold
+	restarts []int64       // of the last senders
 	fell     bool
 	broken   bool // two thirds of what pushed it over came from senders that had been told
 }
@@ -152,7 +154,7 @@
 // arrives is where a call or probe meets the destination; the outcome goes back.
 func (w *coldWorld) arrives(e *coldEvent) {
 	back := func(o Outcome, wait, in int64) {
-		e.over, e.out, e.wait, e.fell = true, o, wait, w.now >= w.from && w.now < w.backAt && o != Delivered
+		e.over, e.out, e.wait, e.toldOutage = true, o, wait, w.now >= w.from && w.now < w.backAt && o != Delivered
 		w.plan(in, e)
 	}
 	share := coldLow + (1-coldLow)*float64(w.now-w.backAt)/float64(coldWarm)
@@ -198,19 +200,20 @@
 	}
 }
 
+// weigh counts a call or probe, and has the destination fall if the window that ends with it has more than it bears.
 func (w *coldWorld) weigh(e *coldEvent, bears float64) {
-	w.weighed = append(w.weighed, coldEvent{at: w.now, fell: e.by.told})
+	w.weighed = append(w.weighed, weighedCall{w.now, e.by.told})
 	all, told := 0., 0.
 	for _, x := range w.weighed {
 		if w.now-x.at < coldFall {
 			all++
-			if x.fell {
+			if x.byTold {
 				told++
 			}
 		}
 	}
 	roots := 2.
-	if w.byPage && bears < 30 {
+	if w.threeRoots && bears < 30 {
 		roots = 3
 	}
 	if all > bears+roots*math.Sqrt(bears)+roots {
@@ -218,6 +221,7 @@
 	}
 }
 
+// meets lets happen what was planned.
 func (w *coldWorld) meets(e *coldEvent) {
 	switch m := e.by; {
 	case m == nil:
@@ -233,7 +237,7 @@
 		w.arrives(e)
 	case e.life == m.lives:
 		m.At(w.now)
-		m.told = m.told || e.fell
+		m.told = m.told || e.toldOutage
 		if e.id == "" {
 			m.Probed(e.receiver, e.out, Report{})
 		} else {
@@ -307,154 +311,3 @@
 	}
 	return w
 }
-
-func TestReturnBearsTheSumOfAllSenders(t *testing.T) {
-	for name, d := range map[string]coldDay{
-		"three senders":            {senders: 3, endpoints: 1, capacity: 2},
-		"thirty":                   {senders: 30, endpoints: 1, capacity: 8},
-		"thirty at few calls":      {senders: 30, endpoints: 1, capacity: 2},
-		"no note heard":            {senders: 30, endpoints: 1, capacity: 30, deaf: true},
-		"a third restarted":        {senders: 20, endpoints: 1, capacity: 8, restarted: .34},
-		"rough weights":            {senders: 20, endpoints: 2, capacity: 30, trust: RoughWeight},
-		"twice as many as told":    {senders: 20, endpoints: 1, capacity: 2, believed: .5},
-		"four endpoints":           {senders: 30, endpoints: 4, capacity: 8},
-		"four endpoints at thirty": {senders: 30, endpoints: 4, capacity: 30},
-		"two that hear no note":    {senders: 30, endpoints: 2, capacity: 8, deaf: true},
-	} {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			d.byPage, d.trust = true, cmp.Or(d.trust, NominalWeight)
-			falls, broken := 0, 0
-			for i, how := range []string{"refuse", "silent", "hang", "shut", "errors"} {
-				for seed := range uint64(12) {
-					d.how, d.tells, d.backAt = how, []float64{.15, .5, .9}[seed%3], coldFrom+(5+int64(seed%4)*4)*second
-					if w := d.play(seed*10 + uint64(i)); w.fell {
-						falls++
-						if w.broken {
-							broken++
-						}
-					}
-				}
-			}
-			t.Logf("of 60 returns %d pushed over, %d by senders that had been told", falls, broken)
-			assert.Zero(t, falls, "the budget leaves room for chance already")
-		})
-	}
-}
-
-// The fleet of report a2440e: 34 senders that meet each destination a few times in the outage, begun while they are young.
-func TestReturnBearsAFleetThatHardlySawTheOutage(t *testing.T) {
-	for _, how := range []string{"refuse", "silent", "hang", "shut", "errors"} {
-		t.Run(how, func(t *testing.T) {
-			t.Parallel()
-			for seed := range uint64(6) {
-				for _, capacity := range []float64{4, 8, 16, 50} {
-					for endpoints := 1; endpoints <= 2; endpoints++ {
-						for _, trust := range []WeightTrust{NominalWeight, NoWeight} {
-							d := coldDay{senders: 34, endpoints: endpoints, capacity: capacity, how: how, trust: trust, load: 1, tells: .5, spread: .3,
-								from: 3 * second, backAt: 11 * second, restarted: []float64{0, .5}[seed%2]}
-							assert.False(t, d.play(seed*7+3).fell, "seed %d: %+v", seed, d)
-						}
-					}
-				}
-			}
-		})
-	}
-}
-
-// drawnDay is a return under conditions drawn from a seed.
-func drawnDay(seed uint64) coldDay {
-	r := rand.New(rand.NewPCG(seed, 99))
-	one := func(of ...float64) float64 { return of[r.IntN(len(of))] }
-	d := coldDay{byPage: true, senders: int(one(3, 6, 12, 20, 34, 60, 120)), endpoints: 1 + r.IntN(3), capacity: one(2, 4, 8, 16, 30, 60),
-		how: []string{"refuse", "silent", "hang", "shut", "errors"}[r.IntN(5)], trust: []WeightTrust{NoWeight, RoughWeight, NominalWeight}[r.IntN(3)],
-		load: one(.5, .75, 1, 1.3), spread: one(0, .3, .8), restarted: one(0, 0, .3, .6), tells: one(0, .5, 1), deaf: r.IntN(2) == 0}
-	d.from = int64(one(1.5, 3, 10, 30) * float64(second))
-	d.backAt = d.from + int64(one(2, 5, 8, 15, 30)*float64(second))
-	return d
-}
-
-// drawnDays are virtual days drawn from seeds.
-type drawnDays struct {
-	variable string // by hand: so many days in place of the usual ones
-	usual    int
-	draw     func(uint64) coldDay
-	found    []uint64 // days beyond the usual ones that were once pushed over
-	apart    []uint64 // days that have a test of their own
-}
-
-// seeds lists the days to play.
-func (d drawnDays) seeds() (seeds []uint64) {
-	first := d.usual
-	if n, err := strconv.Atoi(os.Getenv(d.variable)); err == nil {
-		first = n
-	}
-	for seed := range uint64(first) {
-		if !slices.Contains(d.apart, seed) {
-			seeds = append(seeds, seed)
-		}
-	}
-	for _, seed := range d.found {
-		if seed >= uint64(first) {
-			seeds = append(seeds, seed)
-		}
-	}
-	return seeds
-}
-
-// Days of TestDrawnReturns that have a test of their own.
-const (
-	overloadedSilentDay = 14
-	fewSawItShutDay     = 193
-	knownLimitDay       = 848
-)
-
-// Guards against a backlog that goes at a return, over outages drawn at random, overload and outages of 2 s among them.
-func TestDrawnReturns(t *testing.T) {
-	playDrawn(t, drawnDays{variable: "DRAWN_RETURNS", usual: 300, draw: drawnDay, found: []uint64{400, 626},
-		apart: []uint64{overloadedSilentDay, fewSawItShutDay, knownLimitDay}})
-}
-
-// Guards against a sum of new messages that pushes over a silent destination under 1.3 of its load, most of whose senders are restarted.
-func TestDrawnReturnOfAnOverloadedSilentDestination(t *testing.T) { playDay(t, overloadedSilentDay) }
-
-// Guards against the same at a destination that was shut for 2 s and that few of 120 senders met meanwhile.
-func TestDrawnReturnOfADestinationThatFewSawShut(t *testing.T) { playDay(t, fewSawItShutDay) }
-
-// Guards against a pace at a known limit, with all that was held for 30 s at 1.3 of the load, that passes what a cold destination bears.
-func TestDrawnReturnBelowAKnownLimitWithAFullBacklog(t *testing.T) { playDay(t, knownLimitDay) }
-
-// playDay plays one drawn day, which has to keep the budget.
-func playDay(t *testing.T, seed uint64) {
-	t.Parallel()
-	w := drawnDay(seed).play(seed)
-	assert.False(t, w.fell, "%d ms after the return, by senders that had been told: %v, %+v", (w.now-w.backAt)/ms, w.broken, w.coldDay)
-}
-
-// playDrawn plays drawn days. None may be pushed over, whoever sent the calls; it tells the days that were, and how many by senders that had been told.
-func playDrawn(t *testing.T, d drawnDays) {
-	seeds := d.seeds()
-	fell, broken := 0, 0
-	var mu sync.Mutex
-	t.Run("days", func(t *testing.T) {
-		for part := range drawnParts {
-			t.Run(strconv.Itoa(part), func(t *testing.T) {
-				t.Parallel()
-				for i := part; i < len(seeds); i += drawnParts {
-					if w := d.draw(seeds[i]).play(seeds[i]); w.fell {
-						t.Logf("day %d fell %d ms after the return, by senders that had been told: %v, %+v", seeds[i], (w.now-w.backAt)/ms, w.broken, w.coldDay)
-						mu.Lock()
-						if fell++; w.broken {
-							broken++
-						}
-						mu.Unlock()
-					}
-				}
-			})
-		}
-	})
-	t.Logf("of %d returns %d pushed over, %d by senders that had been told", len(seeds), fell, broken)
-	assert.Zero(t, fell)
-}
-
-const drawnParts = 8
--- /dev/null
+++ b/choice/returns_test.go
@@ -0,0 +1,62 @@
+package choice
+
+import (
+	"cmp"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+func TestReturnBearsTheSumOfAllSenders(t *testing.T) {
+	for name, d := range map[string]coldDay{
+		"three senders":            {senders: 3, endpoints: 1, capacity: 2},
+		"thirty":                   {senders: 30, endpoints: 1, capacity: 8},
+		"thirty at few calls":      {senders: 30, endpoints: 1, capacity: 2},
+		"no note heard":            {senders: 30, endpoints: 1, capacity: 30, deaf: true},
+		"a third restarted":        {senders: 20, endpoints: 1, capacity: 8, restarted: .34},
+		"rough weights":            {senders: 20, endpoints: 2, capacity: 30, trust: RoughWeight},
+		"twice as many as told":    {senders: 20, endpoints: 1, capacity: 2, believed: .5},
+		"four endpoints":           {senders: 30, endpoints: 4, capacity: 8},
+		"four endpoints at thirty": {senders: 30, endpoints: 4, capacity: 30},
+		"two that hear no note":    {senders: 30, endpoints: 2, capacity: 8, deaf: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d.threeRoots, d.trust = true, cmp.Or(d.trust, NominalWeight)
+			falls, broken := 0, 0
+			for i, how := range []string{"refuse", "silent", "hang", "shut", "errors"} {
+				for seed := range uint64(12) {
+					d.how, d.tells, d.backAt = how, []float64{.15, .5, .9}[seed%3], coldFrom+(5+int64(seed%4)*4)*second
+					if w := d.play(seed*10 + uint64(i)); w.fell {
+						falls++
+						if w.broken {
+							broken++
+						}
+					}
+				}
+			}
+			t.Logf("of 60 returns %d pushed over, %d by senders that had been told", falls, broken)
+			assert.Zero(t, falls, "the budget leaves room for chance already")
+		})
+	}
+}
+
+// The fleet of report a2440e: 34 senders that meet each destination a few times in the outage, begun while they are young.
+func TestReturnBearsAFleetThatHardlySawTheOutage(t *testing.T) {
+	for _, how := range []string{"refuse", "silent", "hang", "shut", "errors"} {
+		t.Run(how, func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(6) {
+				for _, capacity := range []float64{4, 8, 16, 50} {
+					for endpoints := 1; endpoints <= 2; endpoints++ {
+						for _, trust := range []WeightTrust{NominalWeight, NoWeight} {
+							d := coldDay{senders: 34, endpoints: endpoints, capacity: capacity, how: how, trust: trust, load: 1, tells: .5, spread: .3,
+								from: 3 * second, backAt: 11 * second, restarted: []float64{0, .5}[seed%2]}
+							assert.False(t, d.play(seed*7+3).fell, "seed %d: %+v", seed, d)
+						}
+					}
+				}
+			}
+		})
+	}
+}
