Tests hold the ports that they name: two senders of a test fleet drew one port

fleetOf holds its ports now, by internal/loopback as the process tests do. The same fault stood in three more places: the test of a taken address, the address at which nobody listens in internal/transport, and the deaf peer in internal/links whose port is listened at again. No check changes. The product has no such place: senders are told their addresses.

--- a/internal/fleet/runtime_test.go
+++ b/internal/fleet/runtime_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -14,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"ravenlink/internal/links"
+	"ravenlink/internal/loopback"
 	"ravenlink/internal/members"
 	"ravenlink/internal/ranked"
 	"ravenlink/internal/routing"
@@ -93,15 +93,15 @@
 	t.Cleanup(o.stop)
 }
 
-// fleetOf starts so many senders that reach one another on loopback.
+// fleetOf starts so many senders that reach one another on loopback. Their ports are held: one that was given back may be drawn again.
 func fleetOf(t *testing.T, n int) (all []*one) {
 	t.Helper()
 	var at []string
 	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		port, err := loopback.Reserve("127.0.0.1")
 		require.NoError(t, err)
-		at = append(at, l.Addr().String())
-		require.NoError(t, l.Close())
+		t.Cleanup(port.Release)
+		at = append(at, port.Addr.String())
 	}
 	for i := range n {
 		o := &one{dir: t.TempDir(), table: Table{Name: "east", Self: fmt.Sprint("n", i), Listen: at[i], MostMB: 1,
@@ -243,10 +243,13 @@
 }
 
 func TestAnAddressThatIsTakenLeavesNothingBehind(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	port, err := loopback.Reserve("127.0.0.1")
+	require.NoError(t, err)
+	t.Cleanup(port.Release)
+	l, err := port.Listen()
 	require.NoError(t, err)
 	defer l.Close()
-	o := &one{dir: t.TempDir(), table: Table{Name: "east", Self: "a", Listen: l.Addr().String(), MostMB: 1}}
+	o := &one{dir: t.TempDir(), table: Table{Name: "east", Self: "a", Listen: port.Addr.String(), MostMB: 1}}
 	o.table.Fill()
 	_, err = Open(o.table, o.dir, zap.NewNop(), &desk{})
 	require.ErrorContains(t, err, "links")
--- a/internal/links/links_test.go
+++ b/internal/links/links_test.go
@@ -17,6 +17,8 @@
 	"go.uber.org/zap/zaptest/observer"
 	"golang.org/x/time/rate"
 	"pgregory.net/rapid"
+
+	"ravenlink/internal/loopback"
 )
 
 const (
@@ -99,9 +101,12 @@
 	}
 }
 
-// deaf accepts and never answers; release closes it.
+// deaf accepts and never answers; release closes it, and its port is given to nobody else.
 func deaf(t *testing.T) (addr string, release func()) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	port, err := loopback.Reserve("127.0.0.1")
+	require.NoError(t, err)
+	t.Cleanup(port.Release)
+	l, err := port.Listen()
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
 	return l.Addr().String(), func() { require.NoError(t, l.Close()) }
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -17,6 +17,8 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
+
+	"ravenlink/internal/loopback"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -147,13 +149,13 @@
 		_ = c.(*net.TCPConn).SetLinger(0)
 		_ = c.Close()
 	})
-	nobody, err := net.Listen("tcp", "127.0.0.1:0")
+	nobody, err := loopback.Reserve("127.0.0.1") // nobody else is given it meanwhile
 	require.NoError(t, err)
-	require.NoError(t, nobody.Close())
+	t.Cleanup(nobody.Release)
 
 	p := pool(t, long, 9)
 	bg := context.Background()
-	assert.Equal(t, NotConnected, p.Do(bg, "nobody", nobody.Addr().String(), long, whole()))
+	assert.Equal(t, NotConnected, p.Do(bg, "nobody", nobody.Addr.String(), long, whole()))
 	assert.Equal(t, Broken, p.Do(bg, "reset", reset.addr, long, whole()))
 	assert.Equal(t, TimedOut, p.Do(bg, "silent", silent.addr, shortly, whole()))
 	x := whole()
