A call for the list holds others back from its first 16 KiB on

Callers saw: where lists are pushed and the machine gives all calls together 400 KB a second, a sender had its list after 10 to 18 s and up to 64 calls, and answered BUSY meanwhile.

Cause: contest.grown held others back from 64 KiB on alone. Ruled out: the order of goroutines under load, for it comes without load.

Why it works: the first step of 16 KiB holds others back now, so the first call is not joined by five.

--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -28,6 +28,7 @@
 	askedSoon    = 300 * time.Millisecond  // before a call that nobody asks for, by a draw: the watch fell silent, the call before failed
 	movedSoon    = 800 * time.Millisecond  // likewise when discovery moved: all senders hear of that at once
 	unaskedCalls = 2                       // then the module says when
+	steadyFrom   = 64 << 10                // bytes of text of a list, up to which its call has no more time than others
 	largeOn      = 600 * time.Millisecond  // for each further 5,000 members of a large list, counted from the members before; see watch.goesOn
 	largeAgain   = 2 * time.Second         // from a list that was too large to the next call, so that discovery need not send it five times a second
 )
@@ -209,7 +210,7 @@
 	}
 	defer w.close()
 	w.objects.Limit(d.mostList, func() error { w.goesOn(); return nil })
-	w.objects.Grown(func() {})
+	w.objects.Grown(func(int64) {})
 	d.unasked = 0
 	d.take(w.first)
 	w.first = protocol.List{} // a large one is not kept as long as the watch
@@ -252,12 +253,17 @@
 	warned, tooLarge sync.Once    // in the log
 }
 
-// grown has the one call whose list is beyond 64 KiB go on as long as it grows by two steps of 16 KiB within 0.6 s. Time is counted from the
-// step before, so a list that begins to trickle just before a step is found out in 0.6 s too. Danger: a sender that has a fiftieth of a core
-// cannot read 1 MiB in 0.6 s, and calls beside one another, each cut off in that time, let none of them come to its end.
-func (among *contest) grown(w *watch) {
+// grown notes that the list of a call has grown by a step. The one call whose list is beyond 64 KiB goes on as long as it grows by two steps of
+// 16 KiB within 0.6 s; time is counted from the step before, so a list that begins to trickle just before a step is found out in 0.6 s too.
+// Danger: a sender that has a fiftieth of a core cannot read 1 MiB in 0.6 s, and calls beside one another, each cut off in that time, let none
+// of them come to its end. So others are held back from the first step on: where five have begun by the time one is at 64 KiB, each of its
+// further steps takes longer than the pause to the next call, and they go on beginning.
+func (among *contest) grown(w *watch, text int64) {
+	now := time.Now()
 	before := w.grew
-	w.grew = time.Now()
+	if text >= steadyFrom {
+		w.grew = now
+	}
 	if !w.steady {
 		select {
 		case among.steady <- struct{}{}:
@@ -266,7 +272,7 @@
 			return // another has it, and this one keeps its limit
 		}
 	}
-	among.grew.Store(int64(w.grew.Sub(among.began)))
+	among.grew.Store(int64(now.Sub(among.began)))
 	if until := before.Add(largeOn); !before.IsZero() && until.After(w.until) {
 		w.limit(until)
 	}
@@ -298,7 +304,7 @@
 // race makes one call beside the other until one is answered. Danger: the agent is silent while discovery is down, and what it gets at
 // the return counts as told at once, so no moment may be without a call, and a call that it has lost must not be waited for. While one reads
 // a large list, no other begins: six large lists at once are more than there is memory for. None begins either within 0.1 to 0.2 s of the
-// growth of a list beyond 64 KiB, so that calls do not starve the one that gets on.
+// growth of a list by 16 KiB, so that calls do not starve the one that gets on.
 func (d *Discovery) race(ctx context.Context, addr string) (*watch, error) {
 	race, over := context.WithCancel(ctx)
 	defer over()
@@ -371,7 +377,7 @@
 	if w.objects, err = protocol.NewWatch(c.R); err != nil {
 		return nil, err
 	}
-	w.objects.Grown(func() { among.grown(w) })
+	w.objects.Grown(func(text int64) { among.grown(w, text) })
 	w.objects.Limit(d.mostList, func() error {
 		if !w.large {
 			select {
--- a/internal/protocol/discovery.go
+++ b/internal/protocol/discovery.go
@@ -18,8 +18,7 @@
 	modestCost = 3 << 20  // bytes of memory, likewise
 	mostGap    = 1 << 20  // bytes of text that bring no member, and so of one member
 	largeStep  = 5000     // members of a large list from one word that it goes on to the next
-	steadyFrom = 64 << 10 // bytes of text of a list from which words on its growth are given
-	steadyStep = 16 << 10 // bytes of text from one such word to the next
+	steadyStep = 16 << 10 // bytes of text of a list from one word on its growth to the next
 	memberCost = 256      // bytes: a Member is 88, stands twice while the list grows, and its strings have their borders
 	watchLine  = 4 << 10  // bytes read at once; a longer line comes in parts
 	mostNames  = 1000     // of zones and kinds that are kept once; further ones are kept with each member
@@ -43,7 +42,7 @@
 // ParseList reads one object of discovery's.
 func ParseList(text []byte) (l List, err error) {
 	in := json.NewDecoder(bytes.NewReader(text))
-	r := listReader{json: in, most: math.MaxInt64, began: func() {}, grown: func() {}, large: func() error { return nil }}
+	r := listReader{json: in, most: math.MaxInt64, began: func() {}, grown: func(int64) {}, large: func() error { return nil }}
 	l, err = r.read()
 	if err == nil {
 		if _, end := in.Token(); end != io.EOF {
@@ -59,10 +58,10 @@
 // listReader reads one list a member at a time: what it holds is what the members come to, not their text.
 type listReader struct {
 	json  *json.Decoder
-	most  int64        // bytes of memory for the members of a large list
-	began func()       // a member is to be read
-	grown func()       // the list has grown by a step
-	large func() error // the list is a large one, and goes on; an error ends the reading
+	most  int64            // bytes of memory for the members of a large list
+	began func()           // a member is to be read
+	grown func(text int64) // the list has grown by a step
+	large func() error     // the list is a large one, and goes on; an error ends the reading
 
 	from    int64             // in the text, where the list begins
 	cost    int64             // bytes, of the members so far
@@ -149,9 +148,9 @@
 			return err
 		}
 		l.Members = append(l.Members, m)
-		if text := r.json.InputOffset() - r.from; text >= max(r.step, steadyFrom) {
+		if text := r.json.InputOffset() - r.from; text >= max(r.step, steadyStep) {
 			r.step = text - text%steadyStep + steadyStep
-			r.grown()
+			r.grown(text)
 		}
 		if err := r.charge(m, len(l.Members)); err != nil {
 			return err
@@ -235,7 +234,7 @@
 	lines *lines
 	json  *json.Decoder
 	most  int64
-	grown func()
+	grown func(text int64)
 	large func() error
 }
 
@@ -306,15 +305,15 @@
 		return nil, malformed("a watch answered with status %d", a.Status)
 	}
 	l := &lines{r: bufio.NewReaderSize(&chunks{r: r}, watchLine)}
-	return &Watch{lines: l, json: json.NewDecoder(l), most: math.MaxInt64, grown: func() {}, large: func() error { return nil }}, nil
+	return &Watch{lines: l, json: json.NewDecoder(l), most: math.MaxInt64, grown: func(int64) {}, large: func() error { return nil }}, nil
 }
 
 // Limit has the members of a list take so many bytes of memory at most, if it is a large one: of more than 1 MiB of text, or 3 MiB of
 // memory. It calls large once that is found, and at each further 5,000 members; an error of large ends the reading.
 func (w *Watch) Limit(most int64, large func() error) { w.most, w.large = most, large }
 
-// Grown has grown called as a list reaches 64 KiB of text, and then at each further 16 KiB.
-func (w *Watch) Grown(grown func()) { w.grown = grown }
+// Grown has grown called with the bytes of text so far, at each 16 KiB of a list.
+func (w *Watch) Grown(grown func(text int64)) { w.grown = grown }
 
 // Next waits for the next object. An empty line between objects, which shows that the watch lives, gives an empty one; inside an
 // object it shows nothing: a torn one would else never be found out.
