Growth of a list holds other calls back at each 4 KiB, not only at each 16 KiB

Callers saw: at 200 KB/s of lists for all calls together a sender that follows pushed lists may get none within a minute.

Cause: the least that shows growth is a step of 16 KiB; up to two chunks pass before the first, 0.16 s there, and the next call may begin after 0.1 s. So two to four share what one needs, and none has two steps within its 0.6 s.

Why it works: words on growth come each 4 KiB, so a list of more than 40 KB/s holds others back; the time of a call goes by steps of 16 KiB from 64 KiB on as before.

--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -29,6 +29,7 @@
 	movedSoon    = 800 * time.Millisecond  // likewise when discovery moved: all senders hear of that at once
 	unaskedCalls = 2                       // then the module says when
 	steadyFrom   = 64 << 10                // bytes of text of a list, up to which its call has no more time than others
+	steadyStep   = 16 << 10                // bytes of text from there from one step of its growth to the next
 	largeOn      = 600 * time.Millisecond  // for each further 5,000 members of a large list, counted from the members before; see watch.goesOn
 	largeAgain   = 2 * time.Second         // from a list that was too large to the next call, so that discovery need not send it five times a second
 )
@@ -181,8 +182,10 @@
 	close   context.CancelFunc
 	large   bool      // it has the place of the call that reads a large list
 	steady  bool      // it has the place of the call that has time while its list grows
-	grew    time.Time // its list did, by a step; of a race's call alone
-	until   time.Time // for the whole object or beat that is read
+	stepped time.Time // its list grew by a step then; of a race's call alone
+
+	nextStep int64     // bytes of text of its list, at which it has grown by a step
+	until    time.Time // for the whole object or beat that is read
 }
 
 // within sets the time limit for what is read next.
@@ -253,16 +256,17 @@
 	warned, tooLarge sync.Once    // in the log
 }
 
-// grown notes that the list of a call has grown by a step. The one call whose list is beyond 64 KiB goes on as long as it grows by two steps of
+// grown notes that the list of a call has grown, and has the one call whose list is beyond 64 KiB go on as long as it grows by two steps of
 // 16 KiB within 0.6 s; time is counted from the step before, so a list that begins to trickle just before a step is found out in 0.6 s too.
 // Danger: a sender that has a fiftieth of a core cannot read 1 MiB in 0.6 s, and calls beside one another, each cut off in that time, let none
-// of them come to its end. So others are held back from the first step on: where five have begun by the time one is at 64 KiB, each of its
+// of them come to its end. So others are held back from the first 4 KiB on: where five have begun by the time one is at 64 KiB, each of its
 // further steps takes longer than the pause to the next call, and they go on beginning.
 func (among *contest) grown(w *watch, text int64) {
-	now := time.Now()
-	before := w.grew
-	if text >= steadyFrom {
-		w.grew = now
+	now, before := time.Now(), w.stepped
+	step := text >= w.nextStep
+	if step {
+		w.stepped = now
+		w.nextStep = text - text%steadyStep + steadyStep
 	}
 	if !w.steady {
 		select {
@@ -273,7 +277,7 @@
 		}
 	}
 	among.grew.Store(int64(now.Sub(among.began)))
-	if until := before.Add(largeOn); !before.IsZero() && until.After(w.until) {
+	if until := before.Add(largeOn); step && !before.IsZero() && until.After(w.until) {
 		w.limit(until)
 	}
 }
@@ -304,7 +308,7 @@
 // race makes one call beside the other until one is answered. Danger: the agent is silent while discovery is down, and what it gets at
 // the return counts as told at once, so no moment may be without a call, and a call that it has lost must not be waited for. While one reads
 // a large list, no other begins: six large lists at once are more than there is memory for. None begins either within 0.1 to 0.2 s of the
-// growth of a list by 16 KiB, so that calls do not starve the one that gets on.
+// growth of a list by 4 KiB, so that calls do not starve the one that gets on.
 func (d *Discovery) race(ctx context.Context, addr string) (*watch, error) {
 	race, over := context.WithCancel(ctx)
 	defer over()
@@ -366,7 +370,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w = &watch{conn: c, until: until}
+	w = &watch{conn: c, until: until, nextStep: steadyFrom}
 	_ = c.SetDeadline(until)
 	if err := protocol.WriteWatch(c.W, addr, from); err != nil {
 		return nil, err
--- a/internal/platform/large_test.go
+++ b/internal/platform/large_test.go
@@ -236,6 +236,31 @@
 	}
 }
 
+// At half that rate a list comes 16 KiB each 0.08 s: two steps take longer than the shortest pause to the next call, which began beside it.
+func TestNoCallBeginsBesideOneThatGetsOnSlowly(t *testing.T) {
+	const step, members = 80 * time.Millisecond, 8000
+	alone := members / 140 * step
+	synctest.Test(t, func(t *testing.T) {
+		core := make(chan struct{}, 1)
+		p := begin(t, 1, pushed, func(*play, string) deed {
+			return func(c net.Conn) {
+				says(head + chunk(beginning(8)))(c)
+				err := inSteps(c, 0, members, func() {
+					core <- struct{}{}
+					time.Sleep(step)
+					<-core
+				})
+				if err == nil {
+					says(chunk(listEnd))(c)
+				}
+			}
+		})
+		began := time.Now()
+		assert.Equal(t, members+1, p.known(members+1), "the list and the one from before the start")
+		assert.Less(t, time.Since(began), 2*alone+time.Second)
+	})
+}
+
 // One that got on beyond its first 0.6 s, and then hangs or trickles, is not waited for, and is found out in 0.6 s.
 func TestAListThatGotOnAndHangsIsNotWaitedFor(t *testing.T) {
 	for name, breaks := range map[string]deed{"hung": hangs, "trickles": trickles(chunk(" ")), "beats": trickles(chunk("\n"))} {
--- a/internal/protocol/discovery.go
+++ b/internal/protocol/discovery.go
@@ -14,14 +14,14 @@
 )
 
 const (
-	modestText = 1 << 20  // bytes of text; a list of more is a large one
-	modestCost = 3 << 20  // bytes of memory, likewise
-	mostGap    = 1 << 20  // bytes of text that bring no member, and so of one member
-	largeStep  = 5000     // members of a large list from one word that it goes on to the next
-	steadyStep = 16 << 10 // bytes of text of a list from one word on its growth to the next
-	memberCost = 256      // bytes: a Member is 88, stands twice while the list grows, and its strings have their borders
-	watchLine  = 4 << 10  // bytes read at once; a longer line comes in parts
-	mostNames  = 1000     // of zones and kinds that are kept once; further ones are kept with each member
+	modestText = 1 << 20 // bytes of text; a list of more is a large one
+	modestCost = 3 << 20 // bytes of memory, likewise
+	mostGap    = 1 << 20 // bytes of text that bring no member, and so of one member
+	largeStep  = 5000    // members of a large list from one word that it goes on to the next
+	grownStep  = 4 << 10 // bytes of text of a list from one word on its growth to the next
+	memberCost = 256     // bytes: a Member is 88, stands twice while the list grows, and its strings have their borders
+	watchLine  = 4 << 10 // bytes read at once; a longer line comes in parts
+	mostNames  = 1000    // of zones and kinds that are kept once; further ones are kept with each member
 )
 
 // Member is one receiver as discovery lists it.
@@ -148,8 +148,8 @@
 			return err
 		}
 		l.Members = append(l.Members, m)
-		if text := r.json.InputOffset() - r.from; text >= max(r.step, steadyStep) {
-			r.step = text - text%steadyStep + steadyStep
+		if text := r.json.InputOffset() - r.from; text >= max(r.step, grownStep) {
+			r.step = text - text%grownStep + grownStep
 			r.grown(text)
 		}
 		if err := r.charge(m, len(l.Members)); err != nil {
@@ -312,7 +312,7 @@
 // memory. It calls large once that is found, and at each further 5,000 members; an error of large ends the reading.
 func (w *Watch) Limit(most int64, large func() error) { w.most, w.large = most, large }
 
-// Grown has grown called with the bytes of text so far, at each 16 KiB of a list.
+// Grown has grown called with the bytes of text so far, at each 4 KiB of a list.
 func (w *Watch) Grown(grown func(text int64)) { w.grown = grown }
 
 // Next waits for the next object. An empty line between objects, which shows that the watch lives, gives an empty one; inside an
