--- a/review/driver/channels.go
+++ b/review/driver/channels.go
@@ -16,25 +16,25 @@
 
 // fleet starts three senders as one, with channels.
 func (p *play) fleet() (all []*sender, err error) {
-	receiver, discovery, err := p.world()
+	receivers, discovery, err := p.world()
 	if err != nil {
 		return nil, err
 	}
-	var links [senders]string
-	for i := range links {
-		if links[i], err = p.freeAddr(); err != nil {
+	for i := range p.links {
+		if p.links[i], err = p.freeAddr(); err != nil {
 			return nil, err
 		}
 	}
+	links := p.links
 	for i := range senders {
-		text := fmt.Sprintf("version = 1\n[fleet]\nname = \"yard\"\nself = \"%c\"\nlisten = \"%s\"\norders_dst = %d\nmost_mb = 0.25\n", 'a'+i, links[i], ordersDst)
+		text := fmt.Sprintf("version = 1\n[fleet]\nname = \"yard\"\nself = \"%c\"\nlisten = \"%s\"\norders_dst = %d\n", 'a'+i, links[i], ordersDst)
 		for j := range senders {
 			if j != i {
 				text += fmt.Sprintf("[[fleet.peer]]\nname = \"%c\"\naddress = \"%s\"\n", 'a'+j, links[j])
 			}
 		}
 		text += "[[fleet.tenant]]\nname = \"north\"\ndst = [7]\n[fleet.channels]\n"
-		s, err := p.sender(i, senders, receiver, discovery, text)
+		s, err := p.sender(i, senders, receivers, discovery, text)
 		if err != nil {
 			return nil, err
 		}
@@ -115,6 +115,9 @@
 	if !p.until(8*time.Second, func() bool { return len(p.delivered("step-1")) > 0 }) {
 		return fmt.Errorf("position 1 is not delivered")
 	}
+	for _, s := range all {
+		defer p.usualTraffic(s, 5)()
+	}
 	hang(true)
 	if answer := p.step(a, 2, "step-2", "step 2", 3000, 5*time.Second); !strings.HasPrefix(answer, "+OK") {
 		return fmt.Errorf("position 2 is not taken on: %q", answer)
--- a/review/driver/kept.go
+++ b/review/driver/kept.go
@@ -39,11 +39,11 @@
 		}
 		return 200, 250 * time.Millisecond
 	}
-	receiver, discovery, err := p.world()
+	receivers, discovery, err := p.world()
 	if err != nil {
 		return err
 	}
-	s, err := p.sender(0, 1, receiver, discovery, keptRule)
+	s, err := p.sender(0, 1, receivers, discovery, keptRule)
 	if err != nil {
 		return err
 	}
@@ -57,8 +57,8 @@
 	if p.trouble {
 		p.note("receiver: shut for %v, answers 503", shutFor)
 	}
-	stop := p.others(s)
-	defer stop()
+	defer p.notices7(s)()
+	defer p.usualTraffic(s, 10)()
 	var clients sync.WaitGroup
 	for i := range payouts {
 		clients.Go(func() { p.payout(s, i) })
@@ -95,8 +95,8 @@
 	}
 }
 
-// others is the usual traffic: notices of a keyed lane. Their clients do without a second try.
-func (p *play) others(s *sender) (stop func()) {
+// notices7 hands notices in for the destination itself, a few; their clients do without a second try.
+func (p *play) notices7(s *sender) (stop func()) {
 	done := make(chan struct{})
 	go func() {
 		each := time.NewTicker(noticeEvery)
@@ -107,7 +107,7 @@
 				return
 			case <-each.C:
 				id := fmt.Sprintf("%016x", 0xbeef0000+n)
-				p.handIn("other", s, id, fmt.Sprintf("c=notice,d=9000,k=%s,dest=%d", id, dest), "notice "+id)
+				p.handIn("other client", s, id, fmt.Sprintf("c=notice,d=9000,k=%s,dest=%d", id, dest), "notice "+id)
 			}
 		}
 	}()
--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -21,9 +21,13 @@
 )
 
 var cases = map[string]func(*play) error{
-	"kept-again":    keptAgain,
-	"lost-position": lostPosition,
-	"foreign-id":    foreignID,
+	"kept-again":      keptAgain,
+	"lost-position":   lostPosition,
+	"foreign-id":      foreignID,
+	"without-fleet":   withoutFleet,
+	"full-log":        fullLog,
+	"search":          search,
+	"search-channels": searchChannels,
 }
 
 // errBroken marks what breaks the rule.
--- a/review/driver/stand.go
+++ b/review/driver/stand.go
@@ -16,16 +16,19 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
 
 const (
-	dest        = 7    // the destination of all cases
+	dest        = 7    // the destination that trouble comes to
+	others      = 3    // further destinations, numbered from there on, which are always well
 	ordersDst   = 1000 // where orders go
 	readyWithin = 15 * time.Second
 	answerIn    = 400 * time.Millisecond // a client waits so long for its answer
 	beat        = 2 * time.Second        // of a watch
+	wellTakes   = 150 * time.Millisecond // a call to one of the other destinations
 )
 
 // play is one run of a case.
@@ -35,13 +38,16 @@
 	run     string // the deploy file's line
 	temp    string
 
+	otherTaken, otherCalls atomic.Int64 // messages for the other destinations, and calls there
+
 	mu      sync.Mutex
 	record  *os.File
 	calls   []call
 	notices []notice
 	senders []*sender
 	servers []*http.Server
-	addrs   []string                                        // of senders
+	addrs   []string // of senders
+	links   [senders]string
 	answer  func(c *call) (status int, after time.Duration) // of the receiver; status 0 hangs
 }
 
@@ -113,6 +119,7 @@
 	for _, s := range p.servers {
 		_ = s.Close()
 	}
+	p.note("other destinations: %d messages taken on, %d calls", p.otherTaken.Load(), p.otherCalls.Load())
 	if os.Getenv("KEEP") == "" {
 		_ = os.RemoveAll(p.temp)
 	}
@@ -166,10 +173,10 @@
 }
 
 // platform is discovery and the platform.
-func (p *play) platform(receiver string) http.Handler {
+func (p *play) platform(receivers []string) http.Handler {
 	m := http.NewServeMux()
 	m.HandleFunc("GET /discovery/hosts", func(w http.ResponseWriter, r *http.Request) {
-		fmt.Fprintln(w, list(receiver))
+		fmt.Fprintln(w, list(receivers))
 		for r.URL.Query().Get("watch") == "1" {
 			w.(http.Flusher).Flush()
 			select {
@@ -202,18 +209,77 @@
 	return m
 }
 
-func list(receiver string) string {
-	return fmt.Sprintf(`{"revision":2,"complete":true,"members":[{"id":"r-1","host_port":"%s","locality":"here","flavor":"plant",`+
-		`"cell":%d,"phase":"SERVING","size":1,"up_since_ms":0}]}`, receiver, dest)
+// list names the receiver of each destination.
+func list(receivers []string) string {
+	var members []string
+	for i, addr := range receivers {
+		members = append(members, fmt.Sprintf(`{"id":"r-%d","host_port":"%s","locality":"here","flavor":"plant","cell":%d,"phase":"SERVING",`+
+			`"size":1,"up_since_ms":0}`, dest+i, addr, dest+i))
+	}
+	return `{"revision":2,"complete":true,"members":[` + strings.Join(members, ",") + `]}`
+}
+
+// well is a receiver that is always so.
+func (p *play) well() http.Handler {
+	m := http.NewServeMux()
+	m.HandleFunc("POST /events", func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.ReadAll(r.Body)
+		p.otherCalls.Add(1)
+		time.Sleep(wellTakes)
+	})
+	m.HandleFunc("GET /alive", func(http.ResponseWriter, *http.Request) {})
+	return m
+}
+
+// usualTraffic hands so many notices a second in at a sender, for the other destinations, until stop is called.
+func (p *play) usualTraffic(s *sender, perSec int) (stop func()) {
+	done := make(chan struct{})
+	go func() {
+		each := time.NewTicker(time.Second / time.Duration(perSec))
+		defer each.Stop()
+		var c *client
+		for n := 0; ; n++ {
+			select {
+			case <-done:
+				return
+			case <-each.C:
+			}
+			if c == nil {
+				var err error
+				if c, err = dial(s.listen); err != nil {
+					c = nil
+					continue
+				}
+			}
+			id := fmt.Sprintf("%s-other-%d", s.name, n)
+			answer, err := c.say(answerIn, "ENQUEUE", "0000000000000000", id,
+				fmt.Sprintf("c=notice,d=9000,k=%s,dest=%d", id, dest+1+n%others), "notice "+id)
+			if err != nil {
+				c.close()
+				c = nil
+			} else if answer == "+OK" {
+				p.otherTaken.Add(1)
+			}
+		}
+	}()
+	return func() { close(done) }
 }
 
 // world starts the stand-ins, and gives what every sender is told.
-func (p *play) world() (receiver, discovery string, err error) {
-	if receiver, err = p.serve(p.receiver()); err != nil {
-		return "", "", err
+func (p *play) world() (receivers []string, discovery string, err error) {
+	for i := range 1 + others {
+		h := p.well()
+		if i == 0 {
+			h = p.receiver()
+		}
+		addr, err := p.serve(h)
+		if err != nil {
+			return nil, "", err
+		}
+		receivers = append(receivers, addr)
 	}
-	discovery, err = p.serve(p.platform(receiver))
-	return receiver, discovery, err
+	discovery, err = p.serve(p.platform(receivers))
+	return receivers, discovery, err
 }
 
 // settings are those of a small deployment: two or three senders, one lane that must never take effect twice and one that is keyed.
@@ -230,7 +296,7 @@
 "rules":{"start_capacity":0.2,"warm_within":10000,"overload_factor":2,"fall":2000,"stop_sending_within":1000,"grace_to_answer":300}}}`
 
 // sender prepares a process; operatorText is what its operator's file says, empty for none.
-func (p *play) sender(number, of int, receiver, discovery, operatorText string) (*sender, error) {
+func (p *play) sender(number, of int, receivers []string, discovery, operatorText string) (*sender, error) {
 	name := string(rune('a' + number))
 	dir := filepath.Join(p.temp, name)
 	if err := os.MkdirAll(filepath.Join(dir, "state"), 0o755); err != nil {
@@ -241,7 +307,7 @@
 		return nil, err
 	}
 	config := filepath.Join(dir, "config.json")
-	text := fmt.Sprintf(settings, name, number, discovery, list(receiver), of, number)
+	text := fmt.Sprintf(settings, name, number, discovery, list(receivers), of, number)
 	if err := os.WriteFile(config, []byte(text), 0o644); err != nil {
 		return nil, err
 	}
