--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -27,6 +27,8 @@
 	"without-fleet":   withoutFleet,
 	"full-log":        fullLog,
 	"search":          search,
+	"search-kept":     searchKept,
+	"search-backlog":  searchBacklog,
 	"search-channels": searchChannels,
 }
 
--- a/review/driver/search.go
+++ b/review/driver/search.go
@@ -38,12 +38,13 @@
 
 type searchWorld struct {
 	*play
-	mu    sync.Mutex
-	mode  map[int]string
-	hits  []*hit
-	hands []*handed
-	seq   int
-	spans map[string][][2]time.Duration // of senders' restarts, up to 1.5 s after they are ready
+	mu               sync.Mutex
+	mode             map[int]string
+	hits             []*hit
+	hands            []*handed
+	seq              int
+	orders, complete map[string]time.Duration      // of purges: when handed in, when the customer heard
+	spans            map[string][][2]time.Duration // of senders' restarts, up to 1.5 s after they are ready
 }
 
 const searchSettings = `{"name":"%s","seed":"8c1f30d27a5be9%02x","discovery":"%s","limits":{"cores":1.0,"memory_mb":192,"sockets":1024,"disk_mb":3},
@@ -63,11 +64,19 @@
 func (w *searchWorld) receiverOf(dst int) http.Handler {
 	m := http.NewServeMux()
 	m.HandleFunc("POST /events", func(rw http.ResponseWriter, r *http.Request) {
-		if _, err := io.ReadAll(r.Body); err != nil {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
 			return
 		}
 		w.mu.Lock()
 		mode := w.mode[dst]
+		if strings.Contains(string(body), `"purge":"complete"`) {
+			if _, id, found := strings.Cut(string(body), `"id":"`); found {
+				id, _, _ = strings.Cut(id, `"`)
+				w.complete[id] = w.since()
+				w.note("complete: %.200s", body)
+			}
+		}
 		h := &hit{id: r.Header.Get("X-Txn"), dst: dst, begun: w.since(), mode: mode}
 		w.hits = append(w.hits, h)
 		w.mu.Unlock()
@@ -121,7 +130,7 @@
 func search(p *play) error {
 	seed, _ := strconv.ParseUint(os.Getenv("SEED"), 10, 64)
 	draw := rand.New(rand.NewPCG(seed, 7))
-	w := &searchWorld{play: p, mode: map[int]string{}, spans: map[string][][2]time.Duration{}}
+	w := &searchWorld{play: p, mode: map[int]string{}, spans: map[string][][2]time.Duration{}, orders: map[string]time.Duration{}, complete: map[string]time.Duration{}}
 	dsts := []int{7, 8, 9}
 	var members []string
 	for _, d := range dsts {
@@ -167,7 +176,7 @@
 			held = "40"
 		}
 		if strings.Contains(parts, "kept") {
-			op += "[kept]\nmost_mb = 0.2\n"
+			op += "[kept]\nmost_mb = 0.2\n[[kept.rule]]\nact = \"send\"\nafter = \"3s\"\nrate = 20.0\nmay_have_run = \"no\"\nend = \"failed\"\n[[kept.rule]]\nact = \"send\"\nafter = \"3s\"\nrate = 20.0\nlane = \"status\"\n"
 		}
 		if strings.Contains(parts, "fleet") {
 			op += fmt.Sprintf("[fleet]\nname = \"yard\"\nself = \"%c\"\nlisten = \"%s\"\norders_dst = %d\nmost_mb = 0.25\n", 'a'+i, links[i], ordersDst)
@@ -228,6 +237,23 @@
 		w.mu.Unlock()
 		p.note("all destinations: ok")
 	})
+	if strings.Contains(parts, "purge") {
+		work.Go(func() {
+			for n := 0; time.Now().Before(stop.Add(-25 * time.Second)); n++ {
+				time.Sleep(4 * time.Second)
+				s, id := all[rand.IntN(senders)], fmt.Sprintf("order-%d", n)
+				at := p.since()
+				scope := []string{"all", "held"}[n%2]
+				answer := p.handIn("customer", s, fmt.Sprintf("0rd%d", n), fmt.Sprintf("c=status,d=8000,dest=%d", ordersDst),
+					`{"order":"purge","tenant":"north","scope":"`+scope+`","id":"`+id+`","tell":{"destination":9,"lane":"status"}}`)
+				if answer == "+OK" {
+					w.mu.Lock()
+					w.orders[id] = at
+					w.mu.Unlock()
+				}
+			}
+		})
+	}
 	died := ""
 	work.Go(func() {
 		if !p.trouble {
@@ -396,6 +422,24 @@
 			}
 		}
 	}
+	w.note("COUNT orders %d complete %d", len(w.orders), len(w.complete))
+	for id, told := range w.complete {
+		for _, h := range w.hands {
+			if h.dst != 7 || h.ok > w.orders[id] || w.orders[id] == 0 {
+				continue
+			}
+			for _, x := range hits[h.id] {
+				if x.begun > told {
+					say("purged", "%s handed in %v, order %s %v, complete %v, called %v", h.id, h.at, id, w.orders[id], told, x.begun)
+				}
+			}
+			for _, x := range hits[h.id+"-r1"] {
+				if x.begun > told {
+					say("purged kept", "%s handed in %v, order %s %v, complete %v, called %v", h.id, h.at, id, w.orders[id], told, x.begun)
+				}
+			}
+		}
+	}
 	over := func(h *handed) time.Duration { // when its end was known
 		at := time.Hour
 		for _, x := range hits[h.id] {
