--- a/review/driver/searchch.go
+++ b/review/driver/searchch.go
@@ -140,6 +140,22 @@
 			w.setMode("ok")
 		}
 	})
+	if os.Getenv("CHANGES") != "" {
+		work.Go(func() {
+			version := map[int]int{}
+			for time.Now().Before(stop.Add(-15 * time.Second)) {
+				time.Sleep(time.Duration(700+rand.IntN(2000)) * time.Millisecond)
+				i := rand.IntN(len(kinds))
+				k := kinds[i]
+				next := max(2, version[i]+1)
+				text := fmt.Sprintf(`{"order":"contract","channel":"%s","tenant":"north","dst":7,"mode":"%s","gap":"%s","wait":"%ds","pass_failed":%v,"most_hold":"8s","version":%d,"window":%d}`,
+					k.name, k.mode, k.gap, 1+rand.IntN(3), k.pass, next, 8+rand.IntN(24))
+				if a := p.handIn("tenant", all[rand.IntN(senders)], fmt.Sprintf("c1%d-%d-%d", i, next, rand.IntN(1e6)), fmt.Sprintf("c=payout,d=8000,dest=%d", ordersDst), text); a == "+OK" {
+					version[i] = next
+				}
+			}
+		})
+	}
 	died := ""
 	work.Go(func() {
 		draw := rand.New(rand.NewPCG(seed, 8))
