--- a/review/cases_test.go
+++ b/review/cases_test.go
@@ -8,6 +8,21 @@
 	"testing"
 )
 
+// play runs a play of the driver that is no case.
+func play(t *testing.T, variable, name string) {
+	t.Helper()
+	if os.Getenv(variable) == "" {
+		t.Skip(variable + " is not set")
+	}
+	folder := t.TempDir()
+	c := exec.Command("review/bin/driver", name, folder)
+	c.Dir = ".."
+	if out, err := c.CombinedOutput(); err != nil {
+		record, _ := os.ReadFile(folder + "/record.txt")
+		t.Fatalf("driver %s: %v %s\n%s", name, err, out, record)
+	}
+}
+
 func script(t *testing.T, variable, folder string) {
 	t.Helper()
 	if os.Getenv(variable) == "" {
@@ -30,3 +45,21 @@
 func TestAFailedPositionIsNotPassedAfterARestart(t *testing.T) {
 	script(t, "RAVENLINK_REVIEW_3", "3")
 }
+
+// Further faults, beside the three cases.
+
+func TestABadClientsIDDoesNotTakeAnothersPlace(t *testing.T) {
+	play(t, "RAVENLINK_REVIEW_FOREIGN_ID", "foreign-id")
+}
+
+func TestChannelsKeepTheirOrderWhereTheFleetCannotBeHad(t *testing.T) {
+	play(t, "RAVENLINK_REVIEW_WITHOUT_FLEET", "without-fleet")
+}
+
+func TestEndsAreToldInTimeWhileKeptMessagesGiveWay(t *testing.T) {
+	play(t, "RAVENLINK_REVIEW_KEPT_FULL", "kept-full")
+}
+
+func TestALetterOfANewerVersionCrashesNobody(t *testing.T) {
+	play(t, "RAVENLINK_REVIEW_NEWER_PEER", "newer-peer")
+}
--- a/review/driver/backlogfull.go
+++ b/review/driver/backlogfull.go
@@ -46,7 +46,7 @@
 			for n := 0; p.since() < 25*time.Second; n++ {
 				id := fmt.Sprintf("b%d-%d", k, n)
 				until := end + time.Duration(n%100)*spread/100
-				answer, err := c.say(2*time.Second, "ENQUEUE", "0000000000000000", id, fmt.Sprintf("c=payout,d=%d,dest=%d", (until-p.since()).Milliseconds(), dest+n%2*0), "x")
+				answer, err := c.say(2*time.Second, "ENQUEUE", "0000000000000000", id, fmt.Sprintf("c=payout,d=%d,dest=%d", (until-p.since()).Milliseconds(), dest), "x")
 				if err != nil {
 					p.note("client %d: %v", k, err)
 					c.close()
--- a/review/driver/channels.go
+++ b/review/driver/channels.go
@@ -60,15 +60,15 @@
 	return nil
 }
 
-func stepFields(pos int64, ms int) string {
-	return fmt.Sprintf("c=payout,d=%d,dest=%d,ch=steps,pos=%d", ms, dest, pos)
+func stepFields(id string, pos int64, ms int) string {
+	return fmt.Sprintf("c=notice,d=%d,k=%s,dest=%d,ch=steps,pos=%d", ms, id, dest, pos)
 }
 
 // step hands a position in until it is taken on, as a client does that is told to come back. It gives the answer, empty if it is not taken
 // on in time.
 func (p *play) step(s *sender, pos int64, id, body string, ms int, within time.Duration) string {
 	for end := time.Now().Add(within); time.Now().Before(end); {
-		answer := p.handIn("client", s, id, stepFields(pos, ms), body)
+		answer := p.handIn("client", s, id, stepFields(id, pos, ms), body)
 		if strings.HasPrefix(answer, "+OK") || strings.HasPrefix(answer, "-ERR") {
 			return answer
 		}
@@ -214,7 +214,7 @@
 		return fmt.Errorf("it runs already")
 	}
 	if p.trouble {
-		p.handIn("bad client", a, open, fmt.Sprintf("c=payout,d=9000,dest=%d", dest), "not of that client")
+		p.handIn("bad client", a, open, fmt.Sprintf("c=notice,d=9000,k=bad,dest=%d", dest), "not of that client")
 	}
 	p.until(12*time.Second, func() bool {
 		_, told := p.noticeOf(open)
--- a/review/driver/kept.go
+++ b/review/driver/kept.go
@@ -57,7 +57,7 @@
 	if p.trouble {
 		p.note("receiver: shut for %v, answers 503", shutFor)
 	}
-	defer p.notices7(s)()
+	defer p.noticesToo(s)()
 	defer p.usualTraffic(s, 10)()
 	var clients sync.WaitGroup
 	for i := range payouts {
@@ -95,8 +95,8 @@
 	}
 }
 
-// notices7 hands notices in for the destination itself, a few; their clients do without a second try.
-func (p *play) notices7(s *sender) (stop func()) {
+// noticesToo hands notices in for the destination itself, a few; their clients do without a second try.
+func (p *play) noticesToo(s *sender) (stop func()) {
 	done := make(chan struct{})
 	go func() {
 		each := time.NewTicker(noticeEvery)
--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -1,15 +1,20 @@
 // Command driver plays one case of the review: it starts senders by the deploy file as separate processes, with stand-ins for
-// clients, receivers, discovery and the platform on loopback, and judges what these saw.
+// clients, receivers, discovery and the platform on loopback, and judges what these saw. It is started from the repository's root.
 //
-//	driver CASE FOLDER   writes FOLDER/record.txt; ends with 1 if the rule was broken, 0 if it held, 2 if the case could not run
+//	driver PLAY FOLDER   writes FOLDER/record.txt; ends with 1 if the rule was broken, 0 if it held, 2 if the play could not run
 //
-// TROUBLE=0 in the environment plays the same without the disruption.
+// TROUBLE=0 in the environment plays the same without the disruption. The plays whose names begin with search look for faults in drawn trouble
+// (SEED, PARTS, CHANGES); they and the further faults are no cases.
 package main
 
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"os"
+	"os/signal"
+	"slices"
+	"syscall"
 	"time"
 )
 
@@ -20,16 +25,23 @@
 	longest = 112 * time.Second // of a case; then it could not run
 )
 
-var cases = map[string]func(*play) error{
-	"kept-again":      keptAgain,
-	"lost-position":   lostPosition,
-	"foreign-id":      foreignID,
-	"without-fleet":   withoutFleet,
-	"full-log":        fullLog,
+var plays = map[string]func(*play) error{
+	// The cases.
+	"full-log":      fullLog,
+	"kept-again":    keptAgain,
+	"lost-position": lostPosition,
+
+	// Further faults.
+	"foreign-id":    foreignID,
+	"without-fleet": withoutFleet,
+	"kept-full":     keptFull,
+	"newer-peer":    newerPeer,
+
+	// Looking for faults.
 	"search":          search,
-	"search-kept":     searchKept,
 	"search-backlog":  searchBacklog,
 	"search-channels": searchChannels,
+	"search-drain":    searchDrain,
 }
 
 // errBroken marks what breaks the rule.
@@ -38,8 +50,8 @@
 func main() { os.Exit(run(os.Args[1:])) }
 
 func run(args []string) int {
-	if len(args) != 2 || cases[args[0]] == nil {
-		fmt.Fprintln(os.Stderr, "driver CASE FOLDER; cases: kept-again, lost-position, foreign-id")
+	if len(args) != 2 || plays[args[0]] == nil {
+		fmt.Fprintln(os.Stderr, "driver PLAY FOLDER; plays:", slices.Sorted(maps.Keys(plays)))
 		return cannot
 	}
 	p, err := newPlay(args[1])
@@ -48,9 +60,13 @@
 		return cannot
 	}
 	done := make(chan error, 1)
-	go func() { done <- cases[args[0]](p) }()
+	go func() { done <- plays[args[0]](p) }()
+	told := make(chan os.Signal, 1)
+	signal.Notify(told, syscall.SIGTERM, syscall.SIGINT)
 	select {
 	case err = <-done:
+	case <-told:
+		err = errors.New("told to end")
 	case <-time.After(longest):
 		err = errors.New("the case did not end in its time")
 	}
--- a/review/driver/stand.go
+++ b/review/driver/stand.go
@@ -342,6 +342,16 @@
 	return "", errors.New("no free port")
 }
 
+// diskMB gives the sender another limit on its folder.
+func (s *sender) diskMB(mb int) error {
+	path := filepath.Join(s.p.temp, s.name, "config.json")
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, []byte(strings.Replace(string(text), `"disk_mb":3`, fmt.Sprintf(`"disk_mb":%d`, mb), 1)), 0o644)
+}
+
 // begin starts the process by the deploy file's line.
 func (s *sender) begin() error {
 	line := s.p.run
