Review: plays of lists that change, told waits and cuts between senders

Further looks for faults, no cases. search-lists: three senders, each with an agent and receiver addresses of its own; receivers drain, go and are replaced at the same address, discovery moves with SIGHUP, waits are told, senders are killed and told to end.

--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -42,6 +42,7 @@
 	"search-backlog":  searchBacklog,
 	"search-channels": searchChannels,
 	"search-drain":    searchDrain,
+	"search-lists":    searchLists,
 }
 
 // errBroken marks what breaks the rule.
--- a/review/driver/searchch.go
+++ b/review/driver/searchch.go
@@ -94,15 +94,23 @@
 	for i := range links {
 		links[i], _ = p.freeAddr()
 	}
+	var wires [senders][senders]*wire
 	var all []*sender
 	for i := range senders {
 		op := fmt.Sprintf("version = 1\n[fleet]\nname = \"yard\"\nself = \"%c\"\nlisten = \"%s\"\norders_dst = %d\nmost_mb = 0.25\n", 'a'+i, links[i], ordersDst)
 		for j := range senders {
-			if j != i {
-				op += fmt.Sprintf("[[fleet.peer]]\nname = \"%c\"\naddress = \"%s\"\n", 'a'+j, links[j])
+			if j == i {
+				continue
+			}
+			at := links[j]
+			if os.Getenv("CUTS") != "" {
+				if wires[i][j], at, err = p.wire(links[j]); err != nil {
+					return err
+				}
 			}
+			op += fmt.Sprintf("[[fleet.peer]]\nname = \"%c\"\naddress = \"%s\"\n", 'a'+j, at)
 		}
-		op += "[[fleet.tenant]]\nname = \"north\"\ndst = [7]\n[fleet.channels]\nlease = \"2s\"\nleg = \"2500ms\"\nlive = \"500ms\"\ndrain = \"500ms\"\n"
+		op += "[[fleet.tenant]]\nname = \"north\"\ndst = [7]\n[fleet.channels]\nlease = \"2s\"\nleg = \"2500ms\"\nlive = \"500ms\"\ndrain = \"500ms\"\n" + strings.ReplaceAll(os.Getenv("MORE"), ";", "\n") + "\n"
 		s, err := p.sender(i, senders, []string{raddr}, discovery, op)
 		if err != nil {
 			return err
@@ -156,6 +164,12 @@
 			}
 		})
 	}
+	if os.Getenv("CUTS") != "" {
+		work.Go(func() { p.cuts(wires, rand.New(rand.NewPCG(seed, 9)), stop.Add(-20*time.Second)) })
+	}
+	if more := os.Getenv("MORE"); more != "" { // further tables of the operator's file
+		p.note("with %s", more)
+	}
 	died := ""
 	work.Go(func() {
 		draw := rand.New(rand.NewPCG(seed, 8))
