--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -28,14 +28,15 @@
 var plays = map[string]func(*play) error{
 	// The cases.
 	"full-log":      fullLog,
-	"kept-again":    keptAgain,
+	"foreign-id":    foreignID,
 	"lost-position": lostPosition,
 
 	// Further faults.
-	"foreign-id":    foreignID,
+	"kept-again":    keptAgain,
 	"without-fleet": withoutFleet,
 	"kept-full":     keptFull,
 	"newer-peer":    newerPeer,
+	"without-log":   withoutLog,
 
 	// Looking for faults.
 	"search":          search,
--- a/review/driver/search.go
+++ b/review/driver/search.go
@@ -192,7 +192,11 @@
 			return err
 		}
 		config := filepath.Join(p.temp, s.name, "config.json")
-		if err := os.WriteFile(config, fmt.Appendf(nil, searchSettings, s.name, i, discovery, whole, senders, i, held), 0o644); err != nil {
+		text := searchSettings
+		if strings.Contains(parts, "ordered") {
+			text = strings.Replace(text, `"repeat":"once"}`, `"repeat":"once","sequential":true}`, 1)
+		}
+		if err := os.WriteFile(config, fmt.Appendf(nil, text, s.name, i, discovery, whole, senders, i, held), 0o644); err != nil {
 			return err
 		}
 		if err := s.begin(); err != nil {
@@ -317,7 +321,7 @@
 			}
 		}
 		key := "0000000000000000"
-		if lane == "release" {
+		if lane == "release" || lane == "payout" && strings.Contains(os.Getenv("PARTS"), "ordered") {
 			key = fmt.Sprintf("key-%d-%d-%d", at, dst, rand.IntN(3))
 		}
 		w.mu.Lock()
@@ -413,8 +417,8 @@
 			if good != nil {
 				counts[h.lane+" delivered"]++
 			}
-			if h.lane == "release" {
-				byKey[h.key] = append(byKey[h.key], h)
+			if h.lane == "release" || h.key != "0000000000000000" {
+				byKey[h.lane+h.key] = append(byKey[h.lane+h.key], h)
 			}
 		} else if word == "-BUSY" || word == "-ERR" {
 			if len(hits[h.id]) > 0 {
--- a/review/driver/searchch.go
+++ b/review/driver/searchch.go
@@ -115,6 +115,9 @@
 		if err != nil {
 			return err
 		}
+		if err := s.quiet(600); err != nil { // above the longest call
+			return err
+		}
 		if err := s.begin(); err != nil {
 			return err
 		}
@@ -125,7 +128,8 @@
 			return err
 		}
 	}
-	kinds := []chanKind{{"wp", "whole", "wait", true}, {"wf", "whole", "wait", false}, {"wp2", "whole", "wait", true}, {"sk", "whole", "skip", true}, {"no", "none", "wait", true}}
+	kinds := []chanKind{{"wp", "whole", "wait", true}, {"wf", "whole", "wait", false}, {"wp2", "whole", "wait", true}, {"sk", "whole", "skip", true}, {"no", "none", "wait", true},
+		{"pk", "per-key", "wait", true}, {"ps", "per-key", "skip", true}, {"cl", "whole", "close", true}}
 	for i, k := range kinds {
 		text := fmt.Sprintf(`{"order":"contract","channel":"%s","tenant":"north","dst":7,"mode":"%s","gap":"%s","wait":"2s","pass_failed":%v,"most_hold":"8s","version":1,"window":16}`, k.name, k.mode, k.gap, k.pass)
 		if a := p.handIn("tenant", all[i%senders], fmt.Sprintf("c0%d", i), fmt.Sprintf("c=payout,d=8000,dest=%d", ordersDst), text); a != "+OK" {
@@ -244,7 +248,11 @@
 		}
 		id := fmt.Sprintf("%s-%d", k.name, next)
 		d := 3000 + rand.IntN(4000)
-		answer, err := c.say(answerIn, "ENQUEUE", "0000000000000000", id, fmt.Sprintf("c=payout,d=%d,dest=7,ch=%s,pos=%d", d, k.name, next), id)
+		key := "0000000000000000"
+		if k.mode == "per-key" {
+			key = perKey(next)
+		}
+		answer, err := c.say(answerIn, "ENQUEUE", key, id, fmt.Sprintf("c=payout,d=%d,dest=7,ch=%s,pos=%d", d, k.name, next), id)
 		w.note("client %s at %s: pos=%d %q %v", k.name, all[at].name, next, answer, err)
 		if err != nil {
 			drop()
@@ -279,6 +287,8 @@
 	w.note("client %s: ended at position %d", k.name, next)
 }
 
+func perKey(pos int64) string { return fmt.Sprintf("%016x", 0xabc0+pos*7%5%3) }
+
 func (w *chanWorld) judge(kinds []chanKind, all []*sender) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -331,6 +341,25 @@
 		}
 	}
 	for _, k := range kinds {
+		if k.mode == "per-key" {
+			high := map[string]int64{}
+			last := map[string]*hit{}
+			for _, h := range w.hits {
+				if !strings.HasPrefix(h.id, k.name+"-") || h.status == 503 {
+					continue
+				}
+				pos, _ := strconv.ParseInt(h.id[len(k.name)+1:], 10, 64)
+				key := perKey(pos)
+				if pos < high[key] {
+					say("key order", "%s began at %v after position %d", h.id, h.begun, high[key])
+				}
+				if l := last[key]; l != nil && l.status == 200 && h.begun < l.end {
+					say("key beside", "%s began at %v beside %s", h.id, h.begun, l.id)
+				}
+				high[key], last[key] = max(high[key], pos), h
+			}
+			w.note("COUNT %s: %v", k.name, high)
+		}
 		if k.mode != "whole" {
 			continue
 		}
--- a/review/driver/searchlists.go
+++ b/review/driver/searchlists.go
@@ -53,6 +53,7 @@
 
 type toldWait struct {
 	sender, dst int
+	member      string
 	at, until   time.Duration
 }
 
@@ -143,7 +144,7 @@
 		rw.Header().Set("Retry-After", fmt.Sprintf("%.3f", float64(span)/1000))
 		w.mu.Lock()
 		at := w.since()
-		w.waits = append(w.waits, toldWait{s.sender, m.Cell, at, at + time.Duration(span)*time.Millisecond})
+		w.waits = append(w.waits, toldWait{s.sender, m.Cell, m.ID, at, at + time.Duration(span)*time.Millisecond})
 		w.mu.Unlock()
 	case "shut":
 		status = 503
@@ -283,10 +284,15 @@
 	for _, d := range dsts {
 		w.mode[d] = "ok"
 	}
+	own := os.Getenv("OWN") != "" // each receiver is a route of its own
 	op := "version = 1\n" + strings.ReplaceAll(os.Getenv("MORE"), ";", "\n") + "\n"
 	var all []*sender
 	write := func(i int, s *sender, addr string) error {
-		return os.WriteFile(filepath.Join(p.temp, s.name, "config.json"), fmt.Appendf(nil, searchSettings, s.name, i, addr, `{"revision":0,"complete":true,"members":[]}`,
+		text := searchSettings
+		if own {
+			text = strings.Replace(text, `"own_limits":[false]`, `"own_limits":[true]`, 1)
+		}
+		return os.WriteFile(filepath.Join(p.temp, s.name, "config.json"), fmt.Appendf(nil, text, s.name, i, addr, `{"revision":0,"complete":true,"members":[]}`,
 			senders, i, "200"), 0o644)
 	}
 	for i := range senders {
@@ -464,6 +470,7 @@
 func (w *listWorld) judge(all []*sender) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	own := os.Getenv("OWN") != ""
 	bad, counts := map[string]int{}, map[string]int{}
 	say := func(kind, format string, a ...any) {
 		if bad[kind]++; bad[kind] <= 5 {
@@ -488,7 +495,7 @@
 			say("drain", "%s to %s at %v, sender %d was told at %v, its process began %v", x.id, x.member, x.begun, x.sender, told, began)
 		}
 		for _, t := range w.waits {
-			if t.sender == x.sender && t.dst == x.dst && began < t.at && x.begun > t.at+100*time.Millisecond+limitSlack && x.begun < t.until-limitSlack {
+			if t.sender == x.sender && t.dst == x.dst && (!own || t.member == x.member) && began < t.at && x.begun > t.at+100*time.Millisecond+limitSlack && x.begun < t.until-limitSlack {
 				say("wait", "%q at %v, sender %d, destination %d was told at %v to wait until %v", x.id, x.begun, x.sender, x.dst, t.at, t.until)
 			}
 		}
--- a/review/driver/stand.go
+++ b/review/driver/stand.go
@@ -352,6 +352,16 @@
 	return os.WriteFile(path, []byte(strings.Replace(string(text), `"disk_mb":3`, fmt.Sprintf(`"disk_mb":%d`, mb), 1)), 0o644)
 }
 
+// quiet has a key rest for so many milliseconds after a call without an outcome.
+func (s *sender) quiet(ms int) error {
+	path := filepath.Join(s.p.temp, s.name, "config.json")
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, []byte(strings.Replace(string(text), `"grace_to_answer":300`, fmt.Sprintf(`"grace_to_answer":300,"key_quiet":%d`, ms), 1)), 0o644)
+}
+
 // begin starts the process by the deploy file's line.
 func (s *sender) begin() error {
 	line := s.p.run
