Fleet log: a step is whole, channels claim room, a failed compaction fails no write

By reading, two more ways to the same end: a step that deletes and writes was two steps, the writes first, so that what went made no room for what came; and compaction that failed behind a committed step was told as the step's failure, and could leave no file open until a restart.

Change: Change forgets and writes in one step and counts the sum; what does not grow is written in a full log too. Claim keeps room for rows of channels, which the other modules cannot take; one byte in eight stays theirs. A failed compaction is told by Uncompacted, logged every ten seconds, and tried again with the next step; a file that it left closed is opened again.

TestAFailedCompactionFailsNoWrite, TestAStepInAFullLog and TestTheRoomIsDivided are new: they use calls that were not there before.

--- a/internal/fleet/runtime.go
+++ b/internal/fleet/runtime.go
@@ -148,6 +148,9 @@
 			return
 		case <-say.C:
 			r.counts.say(r.log)
+			if err := r.store.Uncompacted(); err != nil {
+				r.log.Warn("fleet log: not compacted", zap.Error(err))
+			}
 		case <-each.C:
 			for _, p := range r.order {
 				p.Tick()
--- a/internal/fleetlog/log.go
+++ b/internal/fleetlog/log.go
@@ -72,9 +72,13 @@
 	dir  string
 	most int64
 
-	mu   sync.RWMutex // held to write while the file is replaced; it leads to no other lock
-	db   *bbolt.DB
-	live int64 // bytes of records, as they are counted; changed in write only
+	mu          sync.RWMutex // held to write while the file is replaced; it leads to the room's lock alone
+	db          *bbolt.DB
+	closed      bool  // compacting left no file open; the next call opens it
+	live        usage // of records; changed in write and Wipe only
+	uncompacted error
+
+	room room
 }
 
 // Open opens the log of a folder, or begins it. What was cut for not being whole is told in notes. An error means that the sender does
@@ -83,7 +87,7 @@
 	if most < LeastBytes {
 		return nil, nil, fmt.Errorf("fleet log: %d bytes are too few; the least is %d", most, int64(LeastBytes))
 	}
-	l = &Log{dir: dir, most: most}
+	l = &Log{dir: dir, most: most, room: room{most: Room(most)}}
 	if err := l.sweep(); err != nil {
 		return nil, nil, err
 	}
@@ -206,7 +210,7 @@
 					notes = append(notes, fmt.Sprintf("record %q of %s is not whole and was cut", k, name))
 					continue
 				}
-				l.live += cost(k, v)
+				l.live.add(name, cost(k, v))
 			}
 			for _, k := range torn {
 				if err := b.Delete(k); err != nil {
@@ -219,6 +223,7 @@
 	if err != nil {
 		return notes, fmt.Errorf("fleet log: %w", err)
 	}
+	l.room.otherIs(l.live.other)
 	return notes, nil
 }
 
--- a/internal/fleetlog/log_test.go
+++ b/internal/fleetlog/log_test.go
@@ -217,6 +217,79 @@
 	}
 }
 
+// Channels have what they claimed, and the others a part of the room whatever channels claim; what does not grow is always written.
+func TestTheRoomIsDivided(t *testing.T) {
+	l := open(t, t.TempDir())
+	room := Room(most)
+	require.False(t, l.Claim(room), "a part is kept for the others")
+	require.True(t, l.Claim(l.ChannelRoom()))
+	value := make([]byte, 700)
+	fill := func(b Bucket) (n int) {
+		for ; n < 1000; n++ {
+			if err := l.Put(Record{b, fmt.Sprint(n), 1, value}); err != nil {
+				require.ErrorIs(t, err, ErrFull)
+				break
+			}
+		}
+		return n
+	}
+	others := int64(fill(Purge)) * Cost(3, len(value))
+	require.Positive(t, others)
+	require.LessOrEqual(t, others, room/otherPart+Cost(3, len(value)))
+	for n := int64(0); n+Cost(5, len(value)) <= l.ChannelRoom(); n += Cost(5, len(value)) {
+		require.NoError(t, l.Put(Record{Channels, fmt.Sprintf("c%04d", n/100), 1, value}), "what was claimed is there")
+	}
+	require.True(t, l.Claim(0))
+	for n := 0; l.Put(Record{Purge, fmt.Sprint("rest", n), 1, value}) == nil; n++ {
+		require.Less(t, n, 10, "it is taken, though not claimed")
+	}
+	require.NoError(t, l.Delete(Channels, "c0000"))
+	require.NoError(t, l.Put(Record{Purge, "more", 1, value}))
+	for n := range 50 {
+		require.NoError(t, l.Put(Record{Channels, "c0007", 1, append(value[:600], byte(n))}), "a full log takes what does not grow")
+	}
+}
+
+// A step that forgets and writes down counts as a whole.
+func TestAStepInAFullLog(t *testing.T) {
+	dir := t.TempDir()
+	l := open(t, dir)
+	value := make([]byte, 700)
+	n := 0
+	for ; l.Put(Record{Channels, fmt.Sprint("k", n), 1, value}) == nil; n++ {
+	}
+	require.ErrorIs(t, l.Change([]Record{{Channels, "new", 1, value}, {Channels, "newer", 1, value}}, []Key{{Channels, "k1"}}), ErrFull)
+	_, found, err := l.Get(Channels, "k1")
+	require.NoError(t, err)
+	require.True(t, found, "a refused step changes nothing")
+	require.NoError(t, l.Change([]Record{{Channels, "new", 1, value}}, []Key{{Channels, "k1"}, {Channels, "k2"}}))
+	live := l.live
+	require.NoError(t, l.Close())
+	require.Equal(t, live, open(t, dir).live)
+}
+
+// Guards against channels that stop though their rows are on disk: compacting the file failed, behind the step that had written them.
+func TestAFailedCompactionFailsNoWrite(t *testing.T) {
+	for _, blocked := range []string{newName, oldName} { // before the file is closed, and after
+		dir := t.TempDir()
+		l, _, err := Open(dir, LeastBytes)
+		require.NoError(t, err)
+		require.NoError(t, os.MkdirAll(filepath.Join(dir, blocked, "in the way"), 0o700))
+		l.most = l.Size() // due with each step
+		require.NoError(t, l.Put(Record{Channels, "before", 1, []byte("it")}))
+		require.Error(t, l.Uncompacted(), blocked)
+		require.NoError(t, l.Put(Record{Channels, "after", 1, []byte("it")}))
+		require.NoError(t, os.RemoveAll(filepath.Join(dir, blocked)))
+		require.NoError(t, l.Put(Record{Channels, "last", 1, []byte("it")}))
+		require.NoError(t, l.Uncompacted())
+		require.NoError(t, l.Close())
+		r, found, err := open(t, dir).Get(Channels, "after")
+		require.NoError(t, err)
+		require.True(t, found)
+		require.Equal(t, "it", string(r.Value))
+	}
+}
+
 func BenchmarkPut(b *testing.B) {
 	l, _, err := Open(b.TempDir(), 16<<20)
 	if err != nil {
--- a/internal/fleetlog/record.go
+++ b/internal/fleetlog/record.go
@@ -43,8 +43,10 @@
 }
 
 // cost is what a record counts towards the bound.
-func cost(key, v []byte) int64 {
-	n := int64(len(key) + len(v) + extra)
+func cost(key, v []byte) int64 { return sealedCost(len(key), len(v)) }
+
+func sealedCost(key, sealedValue int) int64 {
+	n := int64(key + sealedValue + extra)
 	if n > bigValue {
 		n *= 2
 	}
@@ -52,55 +54,84 @@
 }
 
 func (l *Log) read(f func(*bbolt.Tx) error) error {
+	if err := l.reopenClosed(); err != nil {
+		return wrap(err)
+	}
 	l.mu.RLock()
 	defer l.mu.RUnlock()
 	return wrap(l.db.View(f))
 }
 
-// write changes the file in one step, and has it compacted when it has grown too long.
+// write changes the file in one step, and has it compacted when it has grown too long. What was written stands though it could not be
+// compacted: Uncompacted tells that, and the next change tries again.
 func (l *Log) write(f func(*bbolt.Tx) error) error {
 	ranked.Free("writing to the fleet's log")
+	if err := l.reopenClosed(); err != nil {
+		return wrap(err)
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	before := l.live
 	if err := l.db.Update(f); err != nil {
 		l.live = before
+		l.room.otherIs(before.other)
 		return wrap(err)
 	}
-	if l.size() <= l.most/filePart {
-		return nil
+	l.uncompacted = nil
+	if l.size() > l.most/filePart {
+		l.uncompacted = wrap(l.compact())
 	}
-	return wrap(l.compact())
+	return nil
+}
+
+// Uncompacted says why the file could not be compacted when that was last due; nil where it could.
+func (l *Log) Uncompacted() error {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return l.uncompacted
+}
+
+// Key names a record.
+type Key struct {
+	Bucket Bucket
+	Key    string
 }
 
 // Put writes records down in one step: all or none.
-func (l *Log) Put(rs ...Record) error {
-	for _, r := range rs {
+func (l *Log) Put(rs ...Record) error { return l.Change(rs, nil) }
+
+// Change forgets records and writes others down in one step: all or none. ErrFull: the records would take more than their room, and more
+// than they did.
+func (l *Log) Change(put []Record, gone []Key) error {
+	for _, r := range put {
 		if len(r.Key) == 0 || len(r.Key) > mostKey || len(r.Value) > mostValue {
 			return ErrSize
 		}
 	}
 	return l.write(func(tx *bbolt.Tx) error {
-		for _, r := range rs {
-			b, k, v := tx.Bucket([]byte(r.Bucket)), []byte(r.Key), seal(r)
-			if old := b.Get(k); old != nil {
-				l.live -= cost(k, old)
-			}
-			if l.live += cost(k, v); l.live > l.room() {
-				return ErrFull
+		before := l.live
+		for _, k := range gone {
+			if err := l.drop(tx, k.Bucket, []string{k.Key}); err != nil {
+				return err
 			}
-			if err := b.Put(k, v); err != nil {
+		}
+		for _, r := range put {
+			if err := l.put(tx, r); err != nil {
 				return err
 			}
 		}
-		return nil
+		return l.room.admit(before, l.live)
 	})
 }
 
-// Room is how many bytes of records a log of so many bytes may hold.
-func Room(most int64) int64 { return (most - 2*base) / livePart }
-
-func (l *Log) room() int64 { return Room(l.most) }
+func (l *Log) put(tx *bbolt.Tx, r Record) error {
+	b, k, v := tx.Bucket([]byte(r.Bucket)), []byte(r.Key), seal(r)
+	if old := b.Get(k); old != nil {
+		l.live.add(r.Bucket, -cost(k, old))
+	}
+	l.live.add(r.Bucket, cost(k, v))
+	return b.Put(k, v)
+}
 
 // Get finds a record.
 func (l *Log) Get(b Bucket, key string) (r Record, found bool, err error) {
@@ -131,14 +162,18 @@
 
 // Delete forgets records. Their bytes may stay in the file until it is compacted: Wipe is for those that must go.
 func (l *Log) Delete(b Bucket, keys ...string) error {
-	return l.write(func(tx *bbolt.Tx) error { return l.drop(tx, b, keys) })
+	var gone []Key
+	for _, k := range keys {
+		gone = append(gone, Key{b, k})
+	}
+	return l.Change(nil, gone)
 }
 
 func (l *Log) drop(tx *bbolt.Tx, b Bucket, keys []string) error {
 	for _, k := range keys {
 		at := tx.Bucket([]byte(b))
 		if old := at.Get([]byte(k)); old != nil {
-			l.live -= cost([]byte(k), old)
+			l.live.add(b, -cost([]byte(k), old))
 		}
 		if err := at.Delete([]byte(k)); err != nil {
 			return err
--- a/internal/fleetlog/wipe.go
+++ b/internal/fleetlog/wipe.go
@@ -17,11 +17,18 @@
 // them, and the old one overwritten.
 func (l *Log) Wipe(b Bucket, keys ...string) error {
 	ranked.Free("writing to the fleet's log")
+	if err := l.reopenClosed(); err != nil {
+		return wrap(err)
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if err := l.db.Update(func(tx *bbolt.Tx) error { return l.drop(tx, b, keys) }); err != nil {
+	before := l.live
+	err := l.db.Update(func(tx *bbolt.Tx) error { return l.drop(tx, b, keys) })
+	if err != nil {
+		l.live = before
 		return wrap(err)
 	}
+	l.room.otherIs(l.live.other)
 	return wrap(l.compact())
 }
 
@@ -51,8 +58,9 @@
 		return errors.Join(err, erase(l.path(newName)))
 	}
 	if err := l.db.Close(); err != nil {
-		return err
+		return errors.Join(err, erase(l.path(newName)))
 	}
+	l.closed = true
 	if err := l.swap(); err != nil {
 		return errors.Join(err, l.reopen())
 	}
@@ -72,11 +80,27 @@
 func (l *Log) reopen() (err error) {
 	db, err := openFile(l.path(fileName), new(*os.File))
 	if err == nil {
-		l.db = db
+		l.db, l.closed = db, false
 	}
 	return err
 }
 
+// reopenClosed opens the file where compacting had closed it and could not open it again.
+func (l *Log) reopenClosed() error {
+	l.mu.RLock()
+	closed := l.closed
+	l.mu.RUnlock()
+	if !closed {
+		return nil
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.closed {
+		return nil
+	}
+	return l.reopen()
+}
+
 // erase overwrites a file and removes it. One that has another name still (a process died between link and rename) is only removed.
 func erase(path string) error {
 	if sole, err := soleName(path); err != nil {
