Messages of channels end in their time whatever becomes of the fleet's log

Change: the table claims the room of each row before it asks for it (internal/channels/budget.go). Seats and owners' rows are claimed as long as they may grow; what finds no room is refused before it is taken on: BUSY, "no room for another channel", fewer ids remembered. A host whose store refuses rows pauses (internal/ordered/pause.go): what it holds ends at its time, what a refused step took on is taken back, and the rows are written again until the store takes them. Rows that cannot be read are read again. On an older copy all that is known of channels is forgotten, as without the folder, and what is held is told at once. A message whose row is gone at a restart is given up instead of dropped: it may have been taken on.

Tests, on the commit before: TestChannelMessagesEndWhileTheLogIsFull/running fails ("never: all messages of the channel end"; killed and terminated pass there), TestARefusedWriteEndsNoChannel, TestEffectsOfARefusedWrite, TestAStoreThatCannotBeReadEndsNoChannel and TestAnOlderFolderEndsNoChannel fail. TestRowsKeepToTheirBudget, TestLargestRows, TestClaimsAreGivenBack and TestAFullBudgetIsToldAndPasses use a budget, which was not there. In TestALostTurnOfWhatIsGivenUp the case "broken" is named "older" and names the later start; what it asks is as it was.

--- a/internal/channels/channel.go
+++ b/internal/channels/channel.go
@@ -40,10 +40,12 @@
 	gone bool
 
 	// Positions.
-	mine   Record // durable: as this sender left or leads it
-	ceilOK int64  // ceil on a majority's disks
-	ceilAt uint64 // seq of the record that told the newest ceil
-	gapEnd int64
+	mine    Record // durable: as this sender left or leads it
+	claimed int64  // bytes of the budget for that
+	ids     int    // that it has room for
+	ceilOK  int64  // ceil on a majority's disks
+	ceilAt  uint64 // seq of the record that told the newest ceil
+	gapEnd  int64
 
 	entries []*entry // by position
 	rests   []rest
@@ -121,7 +123,7 @@
 }
 
 // advance takes Last on to a position; those between are remembered as skipped.
-func (c *channel) advance(pos int64, sum uint64) {
+func (t *Table) advance(c *channel, pos int64, sum uint64) {
 	window := usualWindow
 	if c.contract != nil {
 		window = c.contract.Window
@@ -133,7 +135,7 @@
 		sums = append(sums, make([]uint64, pos-c.mine.Last-1)...)
 	}
 	sums = append(sums, sum)
-	c.mine.Sums = slices.Clone(sums[max(0, len(sums)-window):])
+	c.mine.Sums = slices.Clone(newest(sums, t.ownIDs(c, min(len(sums), window))))
 	c.mine.Last = pos
 }
 
--- a/internal/channels/line.go
+++ b/internal/channels/line.go
@@ -118,37 +118,38 @@
 	case c.mine.Doubt > at: // it may have run at an owner that vanished, or something before it may
 		return Verdict{Way: Busy, Pos: at, Wait: max(t.t.Answer, c.gapEnd-now)}
 	}
-	if in.Look && t.fits(c, k, in) {
+	e := newEntry(now, c, k, in)
+	if in.Look && t.fits(c, k, e) {
 		return Verdict{Way: Taken, Pos: at}
 	}
 	if ahead := c.ahead(); in.Pos > at+1 && !ahead && (k.Wait == 0 || in.Pos > at+int64(k.Window)) && k.Gap != Wait {
-		return t.jump(now, c, k, in)
+		return t.jump(now, c, k, e)
 	}
-	if !t.fits(c, k, in) || in.Pos > at+int64(k.Window) {
+	if !t.fits(c, k, e) || in.Pos > at+int64(k.Window) {
 		return Verdict{Way: Busy, Pos: at, Wait: max(t.t.Answer, c.gapEnd-now)}
 	}
-	return t.take(now, c, k, in)
+	return t.take(c, e)
 }
 
 // jump heeds the gap rule at once: nothing is waited for, or the position lies beyond the window.
-func (t *Table) jump(now int64, c *channel, k *Contract, in In) Verdict {
+func (t *Table) jump(now int64, c *channel, k *Contract, e *entry) Verdict {
 	if k.Gap == Close {
 		t.close(now, c)
 		return Verdict{Way: Barred, Pos: c.mine.Last, Cause: fmt.Sprintf("channel %s is closed since a gap after position %d", c.name, c.mine.Last)}
 	}
-	if !t.fits(c, k, in) {
-		if in.Pos > c.ceilOK && c.acked() >= c.ceilAt {
-			t.raise(now, c, in.Pos)
+	if !t.fits(c, k, e) {
+		if e.Pos > c.ceilOK && c.acked() >= c.ceilAt {
+			t.raise(now, c, e.Pos)
 		}
 		return Verdict{Way: Busy, Pos: c.mine.Last, Wait: t.t.Answer}
 	}
-	c.advance(in.Pos-1, 0)
-	return t.take(now, c, k, in)
+	t.advance(c, e.Pos-1, 0)
+	return t.take(c, e)
 }
 
 // fits tells whether there is room for a message, and its position on a majority's disks.
-func (t *Table) fits(c *channel, k *Contract, in In) bool {
-	return len(c.entries)+len(c.rests) < k.Window && t.held < t.room.Held && in.Pos <= c.ceilOK
+func (t *Table) fits(c *channel, k *Contract, e *entry) bool {
+	return len(c.entries)+len(c.rests) < k.Window && t.held < t.room.Held && e.Pos <= c.ceilOK && t.hasRoom(e)
 }
 
 // ahead tells whether a message stands behind a gap.
@@ -188,9 +189,15 @@
 	return Verdict{Way: Doubled, Pos: at}
 }
 
-func (t *Table) take(now int64, c *channel, k *Contract, in In) Verdict {
-	e := &entry{Channel: c.name, Pos: in.Pos, ID: in.ID, Key: in.Key, Until: min(in.Until, now+k.MostHold), Settle: in.Settle,
+func newEntry(now int64, c *channel, k *Contract, in In) *entry {
+	return &entry{Channel: c.name, Pos: in.Pos, ID: in.ID, Key: in.Key, Until: min(in.Until, now+k.MostHold), Settle: in.Settle,
 		Version: k.Version, Mode: k.Mode, Pass: k.PassFailed}
+}
+
+func (t *Table) take(c *channel, e *entry) Verdict {
+	if !t.claimEntry(e) { // another module of the sender has taken the room just now
+		return Verdict{Way: Busy, Pos: c.mine.Last, Wait: t.t.Answer}
+	}
 	c.insert(e)
 	t.held++
 	t.row(entryRow(e), e)
@@ -199,13 +206,34 @@
 	return Verdict{Way: Taken, Pos: c.mine.Last}
 }
 
+// Untake takes a message back that was taken on and could not be written down: its client is told to come back.
+func (t *Table) Untake(channel string, pos int64) []Row {
+	c := t.chans[channel]
+	if c == nil {
+		return nil
+	}
+	i, there := c.find(pos)
+	if !there {
+		return nil
+	}
+	t.dropEntry(c.entries[i])
+	c.entries = slices.Delete(c.entries, i, i+1)
+	if pos <= c.mine.Last {
+		c.back(pos - 1)
+		t.row(ownKey+c.name, c.mine)
+	}
+	rows := t.out.Rows
+	t.out.Rows = nil
+	return rows
+}
+
 func entryRow(e *entry) string { return fmt.Sprintf("%s%s/%x", entryKey, e.Channel, e.Pos) }
 
 // absorb takes Last on over messages that stood ahead of it.
 func (t *Table) absorb(c *channel) {
 	i, _ := c.find(c.mine.Last + 1)
 	for ; i < len(c.entries) && c.entries[i].Pos == c.mine.Last+1; i++ {
-		c.advance(c.entries[i].Pos, sumOf(c.entries[i].ID))
+		t.advance(c, c.entries[i].Pos, sumOf(c.entries[i].ID))
 	}
 }
 
@@ -225,9 +253,9 @@
 			}
 			return
 		}
-		c.advance(max(c.next.From-1, c.mine.Doubt), 0)
+		t.advance(c, max(c.next.From-1, c.mine.Doubt), 0)
 	}
-	if c.mine.Last+1 >= c.next.From {
+	if c.mine.Last+1 >= c.next.From && t.claimOwn(c, c.next) {
 		c.contract, c.next, c.renewAt = c.next, nil, now
 		t.row(ownKey+c.name, c.mine)
 	}
@@ -247,10 +275,10 @@
 		switch c.contract.Gap {
 		case Skip:
 			if doubt {
-				c.advance(c.mine.Doubt, 0)
+				t.advance(c, c.mine.Doubt, 0)
 			} else {
 				i, _ := c.find(c.mine.Last + 1)
-				c.advance(c.entries[i].Pos-1, 0)
+				t.advance(c, c.entries[i].Pos-1, 0)
 			}
 			t.absorb(c)
 			t.row(ownKey+c.name, c.mine)
@@ -335,8 +363,7 @@
 func (t *Table) finish(now int64, c *channel, i int, delivered, mayRun bool) {
 	e := c.entries[i]
 	c.entries = slices.Delete(c.entries, i, i+1)
-	t.held--
-	t.drop(entryRow(e))
+	t.dropEntry(e)
 	c.rest(now, e, mayRun)
 	if delivered || e.Pass || e.Pos > c.mine.Last {
 		return
@@ -365,8 +392,7 @@
 	if !e.released {
 		c.rest(now, e, e.begun)
 		c.entries = slices.Delete(c.entries, i, i+1)
-		t.held--
-		t.drop(entryRow(e))
+		t.dropEntry(e)
 	}
 }
 
@@ -448,27 +474,24 @@
 			e := c.entries[i]
 			t.giveUp(now, c, i)
 			if e.released {
-				t.held--
-				t.drop(entryRow(e))
+				t.dropEntry(e)
 			}
 		}
 		if c.contract != nil {
 			borns[c.contract.Born] = true
 		}
-		t.drop(ownKey + name)
+		t.dropOwn(c)
 		delete(t.chans, name)
 	}
 	for _, name := range slices.Sorted(maps.Keys(t.seats)) {
 		if mine(t.seats[name].Contract) {
 			borns[t.seats[name].Contract.Born] = true
-			delete(t.seats, name)
-			t.drop(seatKey + name)
+			t.dropSeat(name, t.seats[name])
 		}
 	}
 	for _, name := range slices.Sorted(maps.Keys(t.orders)) {
 		if mine(&t.orders[name].Contract) {
-			delete(t.orders, name)
-			t.drop(orderKey + name)
+			t.dropOrder(name, t.orders[name])
 		}
 	}
 	var keys []string
@@ -478,6 +501,7 @@
 	for _, born := range slices.Sorted(maps.Keys(borns)) {
 		if len(t.gone) < t.room.Channels {
 			t.gone[born] = now + t.t.Forget
+			t.claimKnown(0, t.goneCost())
 			t.row(goneRow(born), gone{born, t.gone[born]})
 		}
 	}
--- a/internal/channels/owner.go
+++ b/internal/channels/owner.go
@@ -8,6 +8,11 @@
 
 // step does what is due for a channel, and sees that it is woken for the next thing.
 func (t *Table) step(now int64, c *channel) {
+	if t.broken {
+		t.expire(now, c)
+		t.wakeToExpire(c)
+		return
+	}
 	switch c.phase {
 	case Quiet, Owning, Yielding:
 		if now >= c.leaseEnd(t) {
@@ -48,6 +53,16 @@
 	t.touch(now, c)
 }
 
+// wakeToExpire sets the alarm of a channel whose messages can do nothing but end.
+func (t *Table) wakeToExpire(c *channel) {
+	for _, e := range c.entries {
+		if !e.released && (c.wake == 0 || e.Until < c.wake) {
+			c.wake = e.Until
+			t.wakeAt(c.wake, c.name, false)
+		}
+	}
+}
+
 // touch lets go of a channel of which nothing is here, or sets its alarm.
 func (t *Table) touch(now int64, c *channel) {
 	if c.phase == Idle && now >= c.comeBack && len(c.entries) == 0 {
@@ -251,6 +266,10 @@
 		t.fenced(now, c, rec)
 		return
 	}
+	if !t.claimOwn(c, c.contract) {
+		t.abandon(now, c, noContract)
+		return
+	}
 	switch { // else the wait stands that a hold which came to nothing began
 	case kept && c.fresh || !kept && c.best.Fence > 0 && !c.best.Clean:
 		c.quietEnd = now + t.t.quiet()
@@ -259,6 +278,7 @@
 	}
 	if !kept {
 		c.mine = c.best
+		c.mine.Sums = newest(c.mine.Sums, t.ownIDs(c, len(c.mine.Sums)))
 		if c.best.Fence == 0 {
 			c.mine.Last = c.contract.From - 1
 		}
@@ -326,7 +346,7 @@
 		c.ceilOK = c.mine.Ceil
 	}
 	if c.phase == Releasing && c.acked() >= c.ceilAt {
-		t.drop(ownKey + c.name)
+		t.dropOwn(c)
 		c.mine, c.comeBack = Record{}, now
 		t.turn(c, Idle)
 	}
@@ -423,7 +443,7 @@
 		}
 	}
 	if c.tail == nil {
-		t.drop(ownKey + c.name)
+		t.dropOwn(c)
 		c.mine, c.rests, c.tailOK = Record{}, nil, nil
 		t.turn(c, Idle)
 	}
@@ -451,7 +471,7 @@
 		if !known {
 			sum = taken
 		}
-		c.advance(p, sum)
+		t.advance(c, p, sum)
 	}
 	c.mine.Before, c.mine.Doubt = r.Before, min(c.mine.Doubt, max(c.mine.Last, r.Doubt))
 	t.row(ownKey+c.name, c.mine)
--- a/internal/channels/seat.go
+++ b/internal/channels/seat.go
@@ -17,7 +17,9 @@
 
 	until   int64
 	touched int64
-	waiting bool // in the heap
+	waiting bool  // in the heap
+	claimed int64 // bytes of the budget
+	ids     int   // that the record has room for
 }
 
 // hearAsk promises a fence, or says why not. A promise to another is kept to its end.
@@ -60,20 +62,22 @@
 		return
 	}
 	if s == nil {
-		if len(t.seats) >= t.room.Channels {
+		if s = t.newSeat(m.Channel, &seat{Contract: m.Contract}); s == nil {
 			t.send(from, Msg{Kind: Deny, Channel: m.Channel, At: m.At, Life: m.Life, Fence: m.Fence, Blank: true})
 			return
 		}
-		s = &seat{}
-		t.seats[m.Channel] = s
 	}
 	if m.Fence < s.Fence || m.Fence == s.Fence && s.Owner != from && !m.Rec.Clean {
 		t.deny(now, from, m, s)
 		return
 	}
+	if !t.claimContract(m, s) {
+		return // without an answer it is not counted on
+	}
 	s.Fence, s.Owner, s.Life, s.until, s.Blank = m.Fence, from, m.Life, now+t.t.promise(), false
 	if m.Rec.newer(s.Rec) {
 		s.Rec = *m.Rec
+		s.Rec.Sums = newest(s.Rec.Sums, t.seatIDs(m.Channel, s, len(s.Rec.Sums)))
 	}
 	if s.Rec.Doubt <= s.Rec.Last && (s.Rec.Clean || s.Rec.Fence == m.Fence) { // nobody is in doubt of those before
 		s.Tails = slices.DeleteFunc(slices.Clone(s.Tails), func(r Record) bool { return r.Fence < s.Rec.Fence })
@@ -91,6 +95,31 @@
 	t.send(from, Msg{Kind: Held, Channel: m.Channel, Fence: m.Fence, At: m.At, Life: m.Life, Seq: m.Rec.Seq, Next: s.Next, Tails: s.Tails})
 }
 
+// newSeat has a channel known here; nil where there is no room for it.
+func (t *Table) newSeat(name string, s *seat) *seat {
+	s.ids = idsOf(s.Contract.Window)
+	if len(t.seats) >= t.room.Channels || !t.claimSeat(name, s) {
+		return nil
+	}
+	t.seats[name] = s
+	return s
+}
+
+// claimContract claims what the contract that an owner tells takes beyond the one at hand. False: there is no room for it.
+func (t *Table) claimContract(m Msg, s *seat) bool {
+	if s.Contract != nil && m.Contract.Version <= s.Contract.Version {
+		return true
+	}
+	changed := *s
+	changed.Contract, changed.ids = m.Contract, max(s.ids, idsOf(m.Contract.Window))
+	t.dropLongTails(&changed)
+	if !t.claimSeat(m.Channel, &changed) {
+		return false
+	}
+	s.claimed, s.ids, s.Tails = changed.claimed, changed.ids, changed.Tails
+	return true
+}
+
 // hearDrop ends a promise that its candidate does without: it never owns under that fence.
 func (t *Table) hearDrop(now int64, from string, m Msg) {
 	s := t.seats[m.Channel]
@@ -109,8 +138,11 @@
 		return
 	}
 	if !slices.ContainsFunc(s.Tails, func(r Record) bool { return r.Fence == m.Rec.Fence }) {
-		s.Tails = append(slices.Clone(s.Tails), *m.Rec)
-		s.Tails = s.Tails[max(0, len(s.Tails)-mostTails):]
+		longer := *s
+		if !t.claimTail(m.Channel, &longer, *m.Rec) {
+			return // it tells it again
+		}
+		s.Tails, s.claimed = longer.Tails, longer.claimed
 		t.keepSeat(now, m.Channel, s)
 	}
 	t.send(from, Msg{Kind: TailHeard, Channel: m.Channel, Fence: m.Rec.Fence})
@@ -126,18 +158,25 @@
 	}
 	answer := Msg{Kind: Declared, Channel: k.Channel, Fence: k.Version}
 	s := t.seats[k.Channel]
-	if s == nil && len(t.seats) >= t.room.Channels {
-		answer.Kind, answer.Cause = Refused, "no room for another channel"
-	} else if s == nil {
-		t.seats[k.Channel] = &seat{Contract: k, Blank: k.Version != 1}
-		t.keepSeat(now, k.Channel, t.seats[k.Channel])
+	if s == nil {
+		if s = t.newSeat(k.Channel, &seat{Contract: k, Blank: k.Version != 1}); s == nil {
+			answer.Kind, answer.Cause = Refused, "no room for another channel"
+		} else {
+			t.keepSeat(now, k.Channel, s)
+		}
 	} else if err := k.follows(s.newest()); err != nil {
 		answer.Kind, answer.Cause = Refused, err.Error()
 	} else if k.Version > s.newest().Version {
-		next := *k
+		changed, next := *s, *k
 		next.Electors, next.Born = s.Contract.Electors, s.Contract.Born
-		s.Next = &next
-		t.keepSeat(now, k.Channel, s)
+		changed.Next = &next
+		changed.ids = max(s.ids, idsOf(next.Window))
+		if t.claimSeat(k.Channel, &changed) {
+			s.Next, s.claimed, s.ids = &next, changed.claimed, changed.ids
+			t.keepSeat(now, k.Channel, s)
+		} else {
+			answer.Kind, answer.Cause = Refused, "no room for this version"
+		}
 	}
 	t.send(from, answer)
 }
@@ -170,8 +209,7 @@
 		s.waiting = true
 		t.wakeAt(max(s.touched+t.t.Forget, s.until), name, true)
 	case s.newest().Withdrawn:
-		delete(t.seats, name)
-		t.drop(seatKey + name)
+		t.dropSeat(name, s)
 	case s.Rec.Sums != nil || s.Tails != nil:
 		s.Rec.Sums, s.Tails = nil, nil
 		t.row(seatKey+name, s)
--- a/internal/channels/table.go
+++ b/internal/channels/table.go
@@ -53,7 +53,10 @@
 	gone    map[uint64]int64    // by a contract's Born: purged, and refused until then; emptied as that passes
 	due     alarms
 	held    int
-	local   []Msg // letters to oneself
+	budget  Budget // nil: rows are not bounded
+	claimed int64  // bytes of it
+	fixed   int64  // of these, for rows that are not of messages held
+	local   []Msg  // letters to oneself
 	out     Effects
 	broken  bool
 	leaving bool
@@ -67,6 +70,7 @@
 	Contract Contract `cbor:"1,keyasint"`
 	yes, no  map[string]bool
 	again    int64
+	claimed  int64
 }
 
 // gone is a purged channel, by nothing that its tenant named.
@@ -115,7 +119,14 @@
 	if known != nil && known.Electors != nil {
 		k.Electors, k.Born = known.Electors, known.Born
 	}
-	o := &order{Contract: k, yes: map[string]bool{}, no: map[string]bool{}}
+	o := &order{Contract: k, yes: map[string]bool{}, no: map[string]bool{}, claimed: t.orderCost(&k)}
+	was := int64(0)
+	if before := t.orders[k.Channel]; before != nil {
+		was = before.claimed
+	}
+	if !t.claim(was, o.claimed) {
+		return Effects{}, fmt.Errorf("no room for a further declaration")
+	}
 	t.orders[k.Channel] = o
 	t.row(orderKey+k.Channel, o)
 	t.tellOrder(now, o)
@@ -168,11 +179,16 @@
 		t.refused = fmt.Sprintf("%s version %d: %s", m.Channel, m.Fence, m.Cause)
 	}
 	if n := len(o.Contract.Electors); len(o.yes)+len(o.no) == n || len(o.no) > n/2 {
-		delete(t.orders, m.Channel)
-		t.drop(orderKey + m.Channel)
+		t.dropOrder(m.Channel, o)
 	}
 }
 
+func (t *Table) dropOrder(channel string, o *order) {
+	delete(t.orders, channel)
+	t.drop(orderKey + channel)
+	t.claim(o.claimed, 0)
+}
+
 // Heard takes a letter in.
 func (t *Table) Heard(now int64, from string, m Msg) Effects {
 	if t.broken || !Name(m.Channel) || !slices.Contains(t.listed, from) {
@@ -199,6 +215,7 @@
 	if there && now >= until {
 		delete(t.gone, born)
 		t.drop(goneRow(born))
+		t.claim(t.goneCost(), 0)
 		return false
 	}
 	return there
@@ -233,16 +250,18 @@
 
 // Tick lets time pass. It costs by what is due, not by what is known.
 func (t *Table) Tick(now int64) Effects {
-	if t.broken {
-		return Effects{}
-	}
 	for len(t.due) > 0 && t.due[0].at <= now {
 		a := heap.Pop(&t.due).(alarm)
+		if t.broken && (a.seat || t.orders[a.name] != nil) { // what is not written down waits
+			t.wakeAt(now+t.t.Lease, a.name, a.seat)
+		}
 		if a.seat {
-			t.forgetSeat(now, a.name)
+			if !t.broken {
+				t.forgetSeat(now, a.name)
+			}
 			continue
 		}
-		if o := t.orders[a.name]; o != nil && now >= o.again {
+		if o := t.orders[a.name]; o != nil && now >= o.again && !t.broken {
 			t.tellOrder(now, o)
 		}
 		if c := t.chans[a.name]; c != nil && c.wake == a.at {
@@ -261,9 +280,44 @@
 	return t.due[0].at
 }
 
-// Break stops this sender's part: rows could not be written, so it answers BUSY, begins nothing and votes for nobody until a restart.
+// Break stops this sender's part, for rows cannot be written: it answers BUSY, begins nothing and votes for nobody until Mend. What it holds
+// ends at its time all the same.
 func (t *Table) Break() { t.broken = true }
 
+// Mend has this sender take part again, once all rows are written. Leases that ran out meanwhile are asked for again.
+func (t *Table) Mend(now int64) Effects {
+	t.broken = false
+	for _, name := range slices.Sorted(maps.Keys(t.chans)) {
+		t.step(now, t.chans[name])
+	}
+	return t.done(now)
+}
+
+// Reset forgets all that is known of channels, as a sender does that begins without its folder: what it holds is given up, and it has no vote
+// for a channel until an owner's record comes. Life counts from then on.
+func (t *Table) Reset(now int64, life uint64) Effects {
+	t.life = life
+	for _, name := range slices.Sorted(maps.Keys(t.chans)) {
+		c := t.chans[name]
+		for i := len(c.entries) - 1; i >= 0; i-- {
+			e := c.entries[i]
+			t.giveUp(now, c, i)
+			if e.released {
+				t.dropEntry(e)
+			}
+		}
+		t.dropOwn(c)
+	}
+	for _, name := range slices.Sorted(maps.Keys(t.seats)) {
+		t.dropSeat(name, t.seats[name])
+	}
+	for _, name := range slices.Sorted(maps.Keys(t.orders)) {
+		t.dropOrder(name, t.orders[name])
+	}
+	t.chans, t.due = map[string]*channel{}, nil
+	return t.done(now)
+}
+
 // done takes in letters to oneself and hands out what the call asks for.
 func (t *Table) done(now int64) Effects {
 	t.pump(now)
@@ -337,6 +391,7 @@
 	slices.SortFunc(rows, func(a, b Row) int { return strings.Compare(a.Key, b.Key) })
 	for _, r := range rows {
 		if err := t.restore(now, r, began, &held); err != nil {
+			t.clear()
 			return nil, fmt.Errorf("channel row %q: %w", r.Key, err)
 		}
 	}
@@ -346,6 +401,13 @@
 	return held, nil
 }
 
+// clear forgets what was restored so far.
+func (t *Table) clear() {
+	t.seats, t.chans, t.orders, t.gone = map[string]*seat{}, map[string]*channel{}, map[string]*order{}, map[uint64]int64{}
+	t.due, t.held, t.fixed = nil, 0, 0
+	t.settleClaim(-t.claimed)
+}
+
 func (t *Table) restore(now int64, r Row, began func(string) bool, held *[]Restored) error {
 	if len(r.Key) < 3 {
 		return fmt.Errorf("no key of ours")
@@ -365,6 +427,9 @@
 		}
 		s.touched, s.waiting = now, true
 		t.seats[name] = s
+		s.ids = max(len(s.Rec.Sums), idsOf(s.Contract.Window))
+		s.claimed = t.cost(len(r.Key), t.seatValue(s))
+		t.claimKnown(0, s.claimed)
 		t.wakeAt(now+t.t.Forget, name, true)
 	case orderKey:
 		o := &order{yes: map[string]bool{}, no: map[string]bool{}}
@@ -372,6 +437,8 @@
 			return err
 		}
 		t.orders[name] = o
+		o.claimed = t.orderCost(&o.Contract)
+		t.claimKnown(0, o.claimed)
 		t.wakeAt(now, name, false)
 	case goneKey:
 		g := gone{}
@@ -379,12 +446,16 @@
 			return err
 		}
 		t.gone[g.Born] = g.Until
+		t.claimKnown(0, t.goneCost())
 	case ownKey:
 		c := t.open(name)
 		if err := cbor.Unmarshal(r.Value, &c.mine); err != nil {
 			return err
 		}
 		c.fence, c.heard = c.mine.Fence, c.mine.Fence
+		c.ids = len(c.mine.Sums)
+		c.claimed = t.ownCost(c, c.ids)
+		t.claimKnown(0, c.claimed)
 	case entryKey:
 		e := &entry{}
 		if err := cbor.Unmarshal(r.Value, e); err != nil {
@@ -394,6 +465,7 @@
 		c := t.open(e.Channel)
 		c.insert(e)
 		t.held++
+		t.settleClaim(t.entryCost(e))
 		*held = append(*held, Restored{e.ID, e.Channel, e.Pos})
 	default:
 		return fmt.Errorf("no key of ours")
--- a/internal/channels/world_test.go
+++ b/internal/channels/world_test.go
@@ -36,6 +36,7 @@
 	disk   map[string][]byte
 	down   bool
 	paused bool
+	budget *bounded // nil: none
 }
 
 type mail struct {
@@ -326,6 +327,9 @@
 	n.down = false
 	w.say("%s restarts", n.name)
 	n.t = New(n.name, n.life, names, quick, Room{1000, 1000})
+	if n.budget != nil {
+		n.t.Limit(n.budget)
+	}
 	var rows []Row
 	for _, k := range slices.Sorted(maps.Keys(n.disk)) {
 		rows = append(rows, Row{k, n.disk[k]})
--- a/internal/fleet/channels.go
+++ b/internal/fleet/channels.go
@@ -82,6 +82,7 @@
 		return nil, 0, fmt.Errorf("fleet.channels.leg of %v is not above the settle time of %v", c.Leg, strict.Span(settle))
 	}
 	table := channels.New(r.table.Self, r.id.Incarnation, r.table.Listed(), c.timing(r.table), channels.Room{Channels: c.Most, Held: c.Held})
+	table.Limit(budget{r.store})
 	post := func(l post.Letter[channels.Msg]) { send(r, links.Channels, []post.Letter[channels.Msg]{l}) }
 	o := &ordering{r: r, host: ordered.New(r.log, engine, rows{r.store}, table, post, settle)}
 	r.add(o)
@@ -102,10 +103,10 @@
 // Tick has nothing to do: the host has a timer of its own.
 func (o *ordering) Tick() {}
 
-// Seen stops channels where the fleet has seen a later start of this folder.
+// Seen has channels begin anew where the fleet has seen a later start of this folder.
 func (o *ordering) Seen(_ int64, v members.View) {
 	if me, _ := v.Member(v.Self); me.Incarnation > o.r.id.Incarnation {
-		o.host.Older()
+		o.host.Older(me.Incarnation)
 	}
 }
 
@@ -115,32 +116,32 @@
 // rows keeps channels' rows in the fleet's log.
 type rows struct{ log *fleetlog.Log }
 
-// Write puts the newest value of each key down in one step; what is no more goes after that, for to know too much of it does no harm.
+// budget is the room that the fleet's log has for channels.
+type budget struct{ log *fleetlog.Log }
+
+func (b budget) Cost(key, value int) int64 { return fleetlog.Cost(key, value) }
+func (b budget) Claim(bytes int64) bool    { return b.log.Claim(bytes) }
+func (b budget) Largest() int              { return fleetlog.LargestValue }
+func (b budget) Room() int64               { return b.log.ChannelRoom() }
+
+// Write puts the newest value of each key down and forgets what is no more, in one step.
 func (s rows) Write(all []channels.Row) error {
 	last := map[string]int{}
 	for i, r := range all {
 		last[r.Key] = i
 	}
 	var put []fleetlog.Record
-	var gone []string
+	var gone []fleetlog.Key
 	for i, r := range all {
 		switch {
 		case last[r.Key] != i:
 		case r.Value == nil:
-			gone = append(gone, r.Key)
+			gone = append(gone, fleetlog.Key{Bucket: fleetlog.Channels, Key: r.Key})
 		default:
 			put = append(put, fleetlog.Record{Bucket: fleetlog.Channels, Key: r.Key, Version: channelForm, Value: r.Value})
 		}
 	}
-	if len(put) > 0 {
-		if err := s.log.Put(put...); err != nil {
-			return err
-		}
-	}
-	if len(gone) == 0 {
-		return nil
-	}
-	return s.log.Delete(fleetlog.Channels, gone...)
+	return s.log.Change(put, gone)
 }
 
 // Rows reads all that there are; one of a form that is not known is an error.
@@ -180,7 +181,7 @@
 	if !slices.Contains(r.table.Tenants[i].Dst, k.Dst) {
 		return fmt.Errorf("dst: destination %d is not tenant %s's in the operator's file", k.Dst, k.Tenant)
 	}
-	if err := r.ordering.host.Declare(k); errors.Is(err, ordered.ErrBroken) {
+	if err := r.ordering.host.Declare(k); errors.Is(err, ordered.ErrPaused) {
 		return ErrBusy
 	} else if err != nil {
 		return err
