Channels: twelve at one sender fit the usual log; ids beyond 32 give way to them

Change: 32 ids are claimed with a channel; further ones, up to its window, while rows that are not of messages take at most half of the room.

--- a/internal/channels/budget.go
+++ b/internal/channels/budget.go
@@ -31,8 +31,9 @@
 // Shares of the room.
 const (
 	heldPart = 8  // one byte in so many is kept for messages held, whatever is declared
-	idsPart  = 2  // ids beyond the usual window are remembered while rows without messages take at most one byte in so many
-	idsStep  = 64 // of ids claimed at a time
+	freePart = 2  // one byte in so many is kept from ids beyond the least
+	leastIDs = 32 // remembered of each channel, where its window has as many
+	idsStep  = 32 // further ids claimed at a time
 )
 
 // Limit has rows keep to a budget; without one they are not bounded. It comes before anything else.
@@ -106,12 +107,16 @@
 	return true
 }
 
-// idsOf is how many ids are claimed with a channel: those of its window, at most as many as the usual one has.
-func idsOf(window int) int { return min(window, usualWindow) }
+// idsOf is how many ids are claimed with a channel.
+func idsOf(window int) int { return min(window, leastIDs) }
 
-// mayRemember tells whether ids beyond the usual window may have room.
+// mayRemember tells whether ids beyond the least may have room.
 func (t *Table) mayRemember(was, is int64) bool {
-	return t.budget == nil || t.fixed-was+is <= t.budget.Room()/idsPart
+	if t.budget == nil {
+		return true
+	}
+	room := t.budget.Room()
+	return t.fixed-was+is <= room-room/freePart
 }
 
 func (t *Table) ownCost(c *channel, ids int) int64 {
@@ -181,10 +186,10 @@
 	t.claim(s.claimed, 0)
 }
 
-// claimTail claims the word of a fenced owner, with all of its ids or with as many as are claimed with a channel.
+// claimTail claims the word of a fenced owner, with all of its ids or with the least.
 func (t *Table) claimTail(name string, s *seat, tail Record) bool {
 	tails := s.Tails
-	for _, ids := range []int{len(tail.Sums), min(len(tail.Sums), usualWindow)} {
+	for _, ids := range []int{len(tail.Sums), min(len(tail.Sums), leastIDs)} {
 		tail.Sums = newest(tail.Sums, ids)
 		s.Tails = append(slices.Clone(tails), tail)
 		s.Tails = s.Tails[max(0, len(s.Tails)-mostTails):]
