--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -77,7 +77,7 @@
 	if p.ordered != nil {
 		others, err := p.ordered.Restore(owed)
 		if err != nil {
-			part(p.log, "fleet").Error("channels stop here: what was written cannot be read", zap.Error(err))
+			part(p.log, "fleet").Error("channels pause here: what was written cannot be read; it is tried again", zap.Error(err))
 		}
 		owed = others
 		p.goWork(func() { p.ordered.Run(picking) })
