Return plays: nothing is done before the schedule is drawn

Events are planned as they are drawn and set going once all are; the play's second 0 is then, so the first events are no longer late by the drawing. No check changes. Two of the return tests and TestSoak, go test -race: passed.

--- a/internal/fleettest/return_rig_test.go
+++ b/internal/fleettest/return_rig_test.go
@@ -86,6 +86,8 @@
 	work    sync.WaitGroup
 	done    chan struct{}
 	stalls  stalls
+	planned []event // as it is drawn
+	begun   bool    // no event is only planned any more
 
 	mu         sync.Mutex
 	draw       *rand.Rand
@@ -116,9 +118,10 @@
 	for _, s := range p.senders {
 		require.Eventually(t, func() bool { return (&Sender{Listen: s.listen.Addr.String()}).ping() }, long, looks)
 	}
+	p.schedule()
 	p.start = time.Now()
 	p.work.Go(func() { p.stalls.watch(p) })
-	p.schedule()
+	p.begin()
 	p.sleepUntil(p.Until + returnWatch)
 	ws := p.judge()
 	if p.Settle > 0 {
@@ -157,8 +160,19 @@
 	}
 }
 
-// at does something at a time of the play, unless it is over by then.
+// event is something to be done at a time of the play.
+type event struct {
+	when time.Duration
+	do   func()
+}
+
+// at does something at a time of the play, unless it is over by then. Nothing is done before the schedule is drawn: events draw as well, from
+// the same source.
 func (p *returnRig) at(when time.Duration, do func()) {
+	if !p.begun {
+		p.planned = append(p.planned, event{when, do})
+		return
+	}
 	p.work.Go(func() {
 		t := time.NewTimer(when - p.now())
 		defer t.Stop()
@@ -170,6 +184,15 @@
 	})
 }
 
+// begin sets going what is planned.
+func (p *returnRig) begin() {
+	p.begun = true
+	for _, e := range p.planned {
+		p.at(e.when, e.do)
+	}
+	p.planned = nil
+}
+
 // restart kills a sender's process at a time and starts it again. Danger: as two timers of their own, both late, they may come the other way
 // round, and the new process is the one that is killed.
 func (p *returnRig) restart(s *returnSender, at time.Duration) {
