Copied answers test: a call whose sender had gone before the answer is no answer it could read

A sender cannot read an answer that is written after its patience; 'failed' says that the message may have run.

The receiver now looks, without waiting, whether the caller has closed the connection as it answers, and notes that with the call; the judge holds just such a call, as one that was torn, for one whose answer could not be known. A product that takes a copy for an own answer, or gives up a call that is answered in time, is told as before.

--- a/internal/fleettest/copied_answers_rig_test.go
+++ b/internal/fleettest/copied_answers_rig_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -209,15 +210,30 @@
 	return status, number
 }
 
+// callerGone tells whether the other end of a connection has closed it. It reads nothing and waits for nothing.
+func callerGone(conn net.Conn) (gone bool) {
+	raw, err := conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return true
+	}
+	err = raw.Read(func(socket uintptr) (done bool) {
+		var next [1]byte
+		n, _, err := syscall.Recvfrom(int(socket), next[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		gone = n == 0 && err == nil || err != nil && err != syscall.EAGAIN
+		return true
+	})
+	return gone || err != nil
+}
+
 // own notes what was answered to a call, 0 for nothing; torn where it cannot be told from what stands before or in it.
 func (c *copiedConn) own(number, status int) {
 	if number < 0 {
 		return
 	}
-	at := c.d.r.rec.now()
+	at, gone := c.d.r.rec.now(), callerGone(c.Conn)
 	c.d.r.rec.write(func(rec *Record) {
 		call := &rec.Calls[number]
-		call.Status, call.Answered = status, at
+		call.Status, call.Answered, call.CallerGone = status, at, gone
 		call.Torn = c.doubles && (c.kind == CopyCut || c.kind == CopyInside)
 	})
 }
--- a/internal/fleettest/judge_rig_test.go
+++ b/internal/fleettest/judge_rig_test.go
@@ -82,10 +82,10 @@
 }
 
 // unknowable tells whether each of the calls was out when its sender was killed, or stopped (its patience runs on), or when the
-// message's time was up, or had its answer torn.
+// message's time was up, or had its answer torn, or was answered after its sender had gone.
 func (r Record) unknowable(calls []Call, due time.Duration) bool {
 	for _, c := range calls {
-		if !c.Torn && c.Answered < due-travel && !slices.ContainsFunc(r.Acts, func(a Act) bool {
+		if !c.Torn && !c.CallerGone && c.Answered < due-travel && !slices.ContainsFunc(r.Acts, func(a Act) bool {
 			return a.Sender == c.Sender && (a.What == "kill" || a.What == "stop") && a.At >= c.At-travel && (c.Answered == 0 || a.At <= c.Answered+travel)
 		}) {
 			return false
--- a/internal/fleettest/record_rig_test.go
+++ b/internal/fleettest/record_rig_test.go
@@ -42,6 +42,7 @@
 	Dst          int64
 	Status       int // 0: no answer
 	Wait         time.Duration
+	CallerGone   bool   // its sender had closed the connection before the answer was written, so it cannot have read it
 	Torn         bool   // the answer came in pieces: no sender can tell what it says, so the message may be told as undelivered though it ran
 	Text         string // as it came, for transcripts
 }
