--- a/internal/fleettest/fleettest_test.go
+++ b/internal/fleettest/fleettest_test.go
@@ -157,10 +157,18 @@
 		want  string
 		plant func(f *faulty)
 	}{
-		"never ends":     {OneEnd(Lanes), "m: no end", func(f *faulty) { f.take(msg("m", "once")) }},
-		"two states":     {OneEnd(Lanes), "m: 2 states", func(f *faulty) { f.take(msg("m", "once")); f.tell("m", "failed"); f.tell("m", "returned") }},
-		"both ends":      {OneEnd(Lanes), "m: delivered and told", func(f *faulty) { f.take(msg("m", "once")); f.call("a", 7, "m"); f.tell("m", "failed") }},
-		"told late":      {OneEnd(Lanes), "m: told", func(f *faulty) { m := msg("m", "once"); m.Within = -time.Minute; f.take(m); f.tell("m", "failed") }},
+		"never ends": {OneEnd(Lanes), "m: no end", func(f *faulty) { f.take(msg("m", "once")) }},
+		"two states": {OneEnd(Lanes), "m: 2 states", func(f *faulty) { f.take(msg("m", "once")); f.tell("m", "failed"); f.tell("m", "returned") }},
+		"both ends":  {OneEnd(Lanes), "m: delivered and told", func(f *faulty) { f.take(msg("m", "once")); f.call("a", 7, "m"); f.tell("m", "failed") }},
+		"told late":  {OneEnd(Lanes), "m: told", func(f *faulty) { m := msg("m", "once"); m.Within = -time.Minute; f.take(m); f.tell("m", "failed") }},
+		"told late again": {OneEnd(Lanes), "m: told", func(f *faulty) {
+			m := msg("m", "once")
+			f.take(m)
+			f.tell("m", "returned")
+			m.Within = -time.Minute
+			f.take(m)
+			f.tell("m", "returned")
+		}},
 		"delivered late": {OneEnd(Lanes), "m: delivered", func(f *faulty) { m := msg("m", "once"); m.Within = -time.Minute; f.take(m); f.call("a", 7, "m") }},
 		"repeated":       {Repeats(Lanes), "m: may have run 2", func(f *faulty) { f.take(msg("m", "once")); f.call("a", 7, "m"); f.call("b", 7, "m") }},
 		"out of window":  {Repeats(map[string]Lane{"notice": {Keyed: true}}), "m: repeated", func(f *faulty) { f.take(msg("m", "notice")); f.call("a", 7, "m"); f.call("a", 7, "m") }},
