An id is one message's: a plain hand-in took the place of one waiting in a channel

Cause: Engine.hold held a plain hand-in against the tickets of the decisions alone, Spool.Take took any id, and Spool.place put the new message where the old one stood.

The spool decides on ids now, in one place under its lock (internal/spool/identity.go): Take, Spill and Reserve refuse an id that is owed or reserved; a plain hand-in reserves its id before the decisions see it. The id of an ended message is BUSY until its notice is known, for a kill would lose the notice. What is sent again by rule, and notices on purges, are told from foreign messages of their id by count and by body.

--- a/internal/daemon/backlog.go
+++ b/internal/daemon/backlog.go
@@ -35,12 +35,3 @@
 	}
 	return b
 }
-
-// owes tells which ids are owed from before the start, on disk or not.
-func (p *Program) owes() func(id string) bool {
-	owed := map[string]bool{}
-	for _, m := range p.spool.Owed() {
-		owed[m.ID] = true
-	}
-	return func(id string) bool { return owed[id] || p.rests != nil && p.spool.Has(id) }
-}
--- a/internal/daemon/program.go
+++ b/internal/daemon/program.go
@@ -292,7 +292,7 @@
 			l.Known, l.Retriable, l.Keyed, l.Window = startup.Repeats(p.settings, name)
 			return l
 		}
-		p.keeper, err = keep.NewKeeper(log, store, t, p.engine, lanes, p.router.Healthy, p.router.Owed, p.router.Room(), p.owes())
+		p.keeper, err = keep.NewKeeper(log, store, t, p.engine, lanes, p.router.Healthy, p.router.Owed, p.router.Room(), p.spool.Owes)
 	}
 	if err != nil {
 		log.Error("nothing is kept", zap.Error(err))
--- a/internal/daemon/purge.go
+++ b/internal/daemon/purge.go
@@ -214,6 +214,9 @@
 	case routing.Held:
 		e.p.engine.Carry(m)
 	case routing.Twice:
+		if !e.p.spool.OwesSame(m) {
+			return errors.New("its id is taken on for another message")
+		}
 	default:
 		return errors.New("not taken on just now")
 	}
--- a/internal/keep/keeper.go
+++ b/internal/keep/keeper.go
@@ -73,10 +73,16 @@
 
 	mu     sync.Mutex
 	rules  []kept.Rule
-	sentAs map[string]string // ids sent again and not over, to the records they come from; as many as are in Intended or Sent
+	sentAs map[string]sending // ids sent again and not over; as many as are in Intended or Sent
 	pace   kept.Pace
-	due    map[string]wait // records that wait, as many as the store holds; emptied as they are decided on
-	done   []string        // of sentAs, delivered and not written down yet; emptied at each look
+	due    map[string]wait  // records that wait, as many as the store holds; emptied as they are decided on
+	done   []*spool.Message // of sentAs, delivered and not written down yet; emptied at each look
+}
+
+// sending is a record that was sent again.
+type sending struct {
+	from  string // its id
+	taken int64  // the count of what was sent (spool.Message.Taken), 0 for not known: another message may bear that id before or after
 }
 
 // wait is when a record is to be looked at again.
@@ -85,12 +91,12 @@
 	dst int64
 }
 
-// NewKeeper takes up a store. owes tells whether the sender owes an id from before its start: an intention whose message is
+// NewKeeper takes up a store. owes tells whether the sender owes a message of this id and count from before its start: an intention whose message is
 // owed goes on; any other counts as sent, for nobody can tell.
 func NewKeeper(log *zap.Logger, s *Store, t Table, engine Engine, lanes func(string) kept.Lane, healthy func(int64) bool,
-	owed func() int, room int, owes func(id string) bool) (*Keeper, error) {
+	owed func() int, room int, owes func(id string, taken int64) bool) (*Keeper, error) {
 	k := &Keeper{log: log, store: s, engine: engine, lanes: lanes, healthy: healthy, owed: owed, room: room, rules: t.Rules,
-		sentAs: map[string]string{}, due: map[string]wait{}}
+		sentAs: map[string]sending{}, due: map[string]wait{}}
 	var unsure []*kept.Record
 	err := k.each(func(r *kept.Record) {
 		if r.State == kept.Waiting {
@@ -99,8 +105,8 @@
 		if r.State == kept.Intended {
 			unsure = append(unsure, r)
 		}
-		if r.State == kept.Sent && owes(r.SentAs) {
-			k.sentAs[r.SentAs] = r.ID
+		if r.State == kept.Sent && owes(r.SentAs, r.Taken) {
+			k.sentAs[r.SentAs] = sending{r.ID, r.Taken}
 		}
 	})
 	if err != nil {
@@ -108,9 +114,9 @@
 	}
 	for _, r := range unsure {
 		why := "intended before a restart: it may have been sent"
-		if owes(r.SentAs) {
+		if owes(r.SentAs, r.Taken) {
 			why = "intended before a restart, and on record as taken on"
-			k.sentAs[r.SentAs] = r.ID
+			k.sentAs[r.SentAs] = sending{r.ID, r.Taken}
 		}
 		if err := s.Change(r.ID, func(r *kept.Record) error { return r.Turn(kept.Sent, engine.Now(), why) }); err != nil {
 			return nil, err
@@ -155,7 +161,7 @@
 			continue
 		}
 		m := u.Msg
-		r := kept.New(m.ID, m.Lane, m.Dst, m.Key, m.OrderKey, m.Body, now, u.PushedBack, u.Advice, legs(u.Attempts()), k.before(m.ID))
+		r := kept.New(m.ID, m.Lane, m.Dst, m.Key, m.OrderKey, m.Body, now, u.PushedBack, u.Advice, legs(u.Attempts()), k.before(m))
 		if r.Taken == 0 {
 			r.Taken = m.Taken
 		}
@@ -177,26 +183,32 @@
 		}
 	}
 	for _, u := range us {
-		k.settle(u.Msg.ID, kept.Followed, "ended undelivered, and is kept as "+u.Msg.ID)
+		k.settle(u.Msg, kept.Followed, "ended undelivered, and is kept as "+u.Msg.ID)
 	}
 }
 
 // before finds the record that a message was sent again from, nil for none.
-func (k *Keeper) before(id string) *kept.Record {
+func (k *Keeper) before(m *spool.Message) *kept.Record {
 	k.mu.Lock()
-	from := k.sentAs[id]
+	from, is := k.sentFrom(m)
 	k.mu.Unlock()
-	if from == "" {
+	if !is {
 		return nil
 	}
 	r, err := k.store.Get(from)
 	if err != nil {
-		k.log.Warn("record of what was sent again", zap.String("id", id), zap.Error(err))
+		k.log.Warn("record of what was sent again", zap.String("id", m.ID), zap.Error(err))
 		return nil
 	}
 	return r
 }
 
+// sentFrom finds the id of the record that a message was sent again from. The lock is held.
+func (k *Keeper) sentFrom(m *spool.Message) (from string, is bool) {
+	s, is := k.sentAs[m.ID]
+	return s.from, is && (s.taken == 0 || s.taken == m.Taken)
+}
+
 // legs are a message's as a record has them.
 func legs(attempts []relay.Attempt) (ls []kept.Leg) {
 	for _, a := range attempts {
@@ -240,11 +252,11 @@
 
 // Delivered says that a message is over and was not undelivered. Those that were not sent again are of no interest; the
 // others are written down by Run, so that nobody waits for the disk.
-func (k *Keeper) Delivered(id string) {
+func (k *Keeper) Delivered(m *spool.Message) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.sentAs[id] != "" {
-		k.done = append(k.done, id)
+	if _, is := k.sentFrom(m); is {
+		k.done = append(k.done, m)
 	}
 }
 
@@ -253,18 +265,20 @@
 	done := k.done
 	k.done = nil
 	k.mu.Unlock()
-	for _, id := range done {
-		k.settle(id, kept.Done, "delivered")
+	for _, m := range done {
+		k.settle(m, kept.Done, "delivered")
 	}
 }
 
 // settle ends the sending again of a record.
-func (k *Keeper) settle(id string, to kept.State, why string) {
+func (k *Keeper) settle(m *spool.Message, to kept.State, why string) {
 	k.mu.Lock()
-	from := k.sentAs[id]
-	delete(k.sentAs, id)
+	from, is := k.sentFrom(m)
+	if is {
+		delete(k.sentAs, m.ID)
+	}
 	k.mu.Unlock()
-	if from == "" {
+	if !is {
 		return
 	}
 	if err := k.store.Change(from, func(r *kept.Record) error { return r.Turn(to, k.engine.Now(), why) }); err != nil {
@@ -415,7 +429,7 @@
 	m := &spool.Message{ID: r.SentAs, Lane: r.Lane, Key: r.Key, OrderKey: r.OrderKey, Dst: r.Dst, Body: r.Body, Taken: r.Taken,
 		Expires: min(k.engine.Now()+v.Deadline, until)}
 	k.mu.Lock()
-	k.sentAs[r.SentAs] = id
+	k.sentAs[r.SentAs] = sending{id, r.Taken}
 	k.mu.Unlock()
 	way := routing.Failed
 	if known {
--- a/internal/keep/keeper_test.go
+++ b/internal/keep/keeper_test.go
@@ -20,6 +20,7 @@
 type fake struct {
 	now     int64
 	full    bool
+	refused func(*spool.Message) // its id is taken on already; nil: it is not
 	taken   []string
 	carried []string
 }
@@ -31,6 +32,10 @@
 	if f.full {
 		return routing.NoRoom, 0
 	}
+	if f.refused != nil {
+		f.refused(m)
+		return routing.Twice, 0
+	}
 	f.taken = append(f.taken, m.ID)
 	return routing.Held, 0
 }
@@ -42,8 +47,8 @@
 	rule.Fill()
 	k, err := NewKeeper(zap.NewNop(), s, Table{Rules: []kept.Rule{rule}}, f, func(string) kept.Lane { return kept.Lane{Known: true, Retriable: true} },
 		func(dst int64) bool { return !ill[dst] }, func() int { return 0 }, 10,
-		func(id string) bool {
-			return slices.ContainsFunc(owed, func(m *spool.Message) bool { return m.ID == id })
+		func(id string, taken int64) bool {
+			return slices.ContainsFunc(owed, func(m *spool.Message) bool { return m.ID == id && (taken == 0 || m.Taken == taken) })
 		})
 	require.NoError(t, err)
 	return k
@@ -94,7 +99,43 @@
 	f.now += 2 * second
 	require.NoError(t, k.Look(context.Background()))
 	assert.Equal(t, []string{"a-r1"}, f.carried)
-	k.Delivered("a-r1")
+	k.Delivered(&spool.Message{ID: "a-r1"})
+	require.NoError(t, k.Look(context.Background()))
+	r, err = s.Get("a")
+	require.NoError(t, err)
+	assert.Equal(t, kept.Done, r.State)
+}
+
+// Another client may bear the id under which a record is to be sent again. What becomes of its message is nothing of the record's.
+func TestAForeignMessageUnderTheNextIDSettlesNoRecord(t *testing.T) {
+	f := &fake{now: 1000 * second}
+	s := open(t, t.TempDir(), 0, 0)
+	k := keeper(t, s, f, kept.Rule{Act: kept.Send, Rate: 100})
+	us := ended("a")
+	us[0].Msg.Taken = 5
+	k.Keep(us)
+	foreign := &spool.Message{ID: "a-r1", Lane: "order", Dst: 7, Taken: 9}
+	f.refused = func(*spool.Message) { // it ends while the own one is refused
+		k.Delivered(foreign)
+		k.Keep([]relay.Undelivered{{Msg: &spool.Message{ID: "a-r1", Lane: "order", Dst: 7, Taken: 10}, Attempts: func() []relay.Attempt { return nil }}})
+	}
+	require.NoError(t, k.Look(context.Background()))
+	require.NoError(t, k.Look(context.Background()))
+	r, err := s.Get("a")
+	require.NoError(t, err)
+	assert.Equal(t, kept.Waiting, r.State)
+	f.refused = nil
+	for range 2 { // the foreign one is kept as well, and goes again too
+		f.now += 2 * second
+		require.NoError(t, k.Look(context.Background()))
+	}
+	assert.Contains(t, f.carried, "a-r1")
+	k.Delivered(foreign)
+	require.NoError(t, k.Look(context.Background()))
+	r, err = s.Get("a")
+	require.NoError(t, err)
+	assert.Equal(t, kept.Sent, r.State)
+	k.Delivered(&spool.Message{ID: "a-r1", Taken: 5})
 	require.NoError(t, k.Look(context.Background()))
 	r, err = s.Get("a")
 	require.NoError(t, err)
--- a/internal/ordered/host.go
+++ b/internal/ordered/host.go
@@ -25,7 +25,6 @@
 // Engine carries messages; relay.Engine is one.
 type Engine interface {
 	Now() int64
-	Holds(id string) bool
 	Keep(m *spool.Message) error
 	Over(m *spool.Message)
 	Resume(m *spool.Message)
@@ -211,14 +210,9 @@
 		delete(h.held, m.ID)
 		h.mu.Unlock()
 	}
-	if h.engine.Holds(m.ID) {
-		forget()
-		return relay.Word{Cause: "this id is taken on already", Pos: -1}
-	}
 	if err := h.engine.Keep(m); err != nil {
-		h.log.Warn("not taken on", zap.Error(err))
 		forget()
-		return relay.Word{Wait: noStore, Pos: -1}
+		return h.notKept(err)
 	}
 	in.Look = false
 	h.mu.Lock()
@@ -241,6 +235,18 @@
 	return w
 }
 
+// notKept answers a hand-in that the spool did not take.
+func (h *Host) notKept(err error) relay.Word {
+	switch {
+	case errors.Is(err, spool.ErrTwice):
+		return relay.Word{Cause: "this id is taken on already", Pos: -1}
+	case errors.Is(err, spool.ErrEnding):
+		return relay.Word{Wait: aMoment, Pos: -1}
+	}
+	h.log.Warn("not taken on", zap.Error(err))
+	return relay.Word{Wait: noStore, Pos: -1}
+}
+
 func word(v channels.Verdict) relay.Word {
 	return relay.Word{OK: v.Way == channels.Taken || v.Way == channels.Doubled, Cause: v.Cause, Wait: v.Wait, Pos: v.Pos}
 }
--- a/internal/ordered/host_test.go
+++ b/internal/ordered/host_test.go
@@ -66,8 +66,7 @@
 	withdrawn int
 }
 
-func (e *engine) Now() int64        { return e.clock.Now() }
-func (e *engine) Holds(string) bool { return false }
+func (e *engine) Now() int64 { return e.clock.Now() }
 
 func (e *engine) Keep(m *spool.Message) error {
 	e.mu.Lock()
--- a/internal/relay/backlog.go
+++ b/internal/relay/backlog.go
@@ -188,10 +188,7 @@
 // spill writes a message down that rests. Without an error its end is owed.
 func (r *rest) spill(m *spool.Message) (routing.Way, int64) {
 	e := r.e
-	err := error(spool.ErrTwice)
-	if !e.Holds(m.ID) {
-		err = e.spool.Spill(m)
-	}
+	err := e.spool.Spill(m)
 	may := false
 	r.change(func(q *backlog.Queues, now int64) { may = q.Recorded(now, m.Dst, err == nil) })
 	if err != nil {
--- a/internal/relay/channels.go
+++ b/internal/relay/channels.go
@@ -50,7 +50,7 @@
 	return min(p.Patience, e.legMost)
 }
 
-// Keep writes a message down whose turn has not come: its end is owed from then on. Nothing is sent before Resume.
+// Keep writes a message down whose turn has not come: its end is owed from then on. Nothing is sent before Resume. Errors as spool.Take.
 func (e *Engine) Keep(m *spool.Message) error {
 	if err := e.spool.Take(m); err != nil {
 		return err
@@ -59,13 +59,6 @@
 	return nil
 }
 
-// Holds tells whether a message is with the decisions.
-func (e *Engine) Holds(id string) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.held[id] != nil
-}
-
 // GiveUp ends a message that was kept and not resumed: pushed back if no leg of it can have run, else failed.
 func (e *Engine) GiveUp(m *spool.Message, advice int64) {
 	e.tell(&carried{msg: m}, !mayHaveRun(m), advice)
@@ -112,7 +105,7 @@
 	e.counts.ended(c.msg)
 	e.Over(c.msg)
 	if e.Delivered != nil {
-		e.Delivered(c.msg.ID)
+		e.Delivered(c.msg)
 	}
 	e.endTurn(c, true)
 }
--- a/internal/relay/channels_test.go
+++ b/internal/relay/channels_test.go
@@ -122,6 +122,13 @@
 	return &spool.Message{ID: id, Lane: "n", Key: id, Dst: 7, Expires: r.Now() + 8e6, Channel: "x", Pos: 1}
 }
 
+// Holds tells whether a message is with the decisions.
+func (e *Engine) Holds(id string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.held[id] != nil
+}
+
 func TestALegAsksForItsTurn(t *testing.T) {
 	r := begin(t)
 	m := r.message("a")
--- a/internal/relay/courier.go
+++ b/internal/relay/courier.go
@@ -32,7 +32,7 @@
 	legMost time.Duration
 
 	// Delivered, where it is set, hears of messages that are over and not undelivered. It must not block for long.
-	Delivered func(id string)
+	Delivered func(m *spool.Message)
 
 	// Proven, where it is set before Begin, hears that a leg surely never ran though its message was told as undelivered before that was
 	// known. It may write to the disk.
@@ -127,8 +127,12 @@
 }
 
 func (e *Engine) hold(m *spool.Message, lane int) (way routing.Way, advice int64) {
+	if err := e.spool.Reserve(m); err != nil {
+		return e.refused(err)
+	}
 	way, advice = e.router.Take(message(m, lane))
 	if way != routing.Held {
+		e.spool.Release(m)
 		return way, advice
 	}
 	if err := e.spool.Take(m); err != nil {
@@ -141,8 +145,11 @@
 
 // refused is what a hand-in comes to that was not recorded.
 func (e *Engine) refused(err error) (routing.Way, int64) {
-	if errors.Is(err, spool.ErrTwice) { // it rests
+	switch {
+	case errors.Is(err, spool.ErrTwice):
 		return routing.Twice, 0
+	case errors.Is(err, spool.ErrEnding):
+		return routing.NoRoom, e.router.ComeBackIn()
 	}
 	e.log.Warn("not taken on", zap.Error(err))
 	return routing.NoRoom, e.router.ComeBackIn()
--- a/internal/spool/backlog.go
+++ b/internal/spool/backlog.go
@@ -19,7 +19,6 @@
 var (
 	ErrKeys    = errors.New("spool: too many order keys are spilled")
 	ErrChannel = errors.New("spool: a message of a channel, or one that ended, is not spilled")
-	ErrTwice   = errors.New("spool: a spilled message has this id")
 	ErrOff     = errors.New("spool: the backlog is off")
 )
 
@@ -66,7 +65,7 @@
 // Spill records a message as owed, new or working, and lets go of it: m is not the spool's any more but for Over, and comes back by Load
 // as a copy with all its attempts. Without an error it is owed. With one, a new message is not, and a working one stays so. ErrFull: no
 // room, or the indexes cannot be written. ErrKeys: its order key would be one too many. ErrChannel: it is of a channel, or ended.
-// ErrTwice: a spilled one has its id. ErrFenced: as Take. ErrOver: it was working, and is not.
+// ErrTwice, ErrEnding, ErrFenced: as Take. ErrOver: it was working, and is not.
 func (s *Spool) Spill(m *Message) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -88,6 +87,7 @@
 		return nil
 	}
 	if !working {
+		defer s.release(m)
 		if err := s.admit(m); err != nil {
 			return err
 		}
--- /dev/null
+++ b/internal/spool/identity.go
@@ -0,0 +1,82 @@
+package spool
+
+import (
+	"bytes"
+	"errors"
+)
+
+// What a message is not taken on for because of its id.
+var (
+	ErrTwice  = errors.New("spool: a message that is owed has this id")
+	ErrEnding = errors.New("spool: a message with this id has ended, and its notice is owed")
+)
+
+// Reserve keeps an id for a new message until Take, Spill or Release. ErrTwice and ErrEnding: as Take. Any other error says that it is not
+// known whether a spilled message has the id.
+func (s *Spool) Reserve(m *Message) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.identify(m); err != nil {
+		return err
+	}
+	s.reserved[m.ID] = m
+	return nil
+}
+
+// Release lets go of an id that Reserve keeps.
+func (s *Spool) Release(m *Message) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.release(m)
+}
+
+func (s *Spool) release(m *Message) {
+	if s.reserved[m.ID] == m {
+		delete(s.reserved, m.ID)
+	}
+}
+
+// identify tells whether a new message may have its id. It is the one place that decides: a second record under the id of a message that is
+// owed would take that one's place, in memory and at the next start.
+func (s *Spool) identify(m *Message) error {
+	if holder := s.reserved[m.ID]; holder == m {
+		return nil
+	} else if holder != nil {
+		return ErrTwice
+	}
+	if old := s.owed[m.ID]; old != nil && !old.settled {
+		if old.Ended {
+			return ErrEnding
+		}
+		return ErrTwice
+	}
+	_, _, spilled, err := s.find(m.ID)
+	if spilled {
+		return ErrTwice
+	}
+	return err
+}
+
+// Owes tells whether the message of this id that is owed, spilled or not, is the one that was taken on with this count (Message.Taken; 0 of
+// an older version: any). Where a file cannot be read at the moment, it says yes.
+func (s *Spool) Owes(id string, taken int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if m := s.owed[id]; m != nil {
+		return taken == 0 || m.Taken == taken
+	}
+	_, e, found, err := s.find(id)
+	return found && (taken == 0 || e.taken == taken) || err != nil
+}
+
+// OwesSame tells whether what is owed under a message's id, in memory, has its destination and body. Of a spilled one the destination alone
+// is compared.
+func (s *Spool) OwesSame(m *Message) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if old := s.owed[m.ID]; old != nil {
+		return old.Dst == m.Dst && bytes.Equal(old.Body, m.Body)
+	}
+	_, e, found, _ := s.find(m.ID)
+	return found && e.dst == m.Dst
+}
--- a/internal/spool/recover.go
+++ b/internal/spool/recover.go
@@ -25,7 +25,7 @@
 }
 
 func openBacklog(dir string, room int64, b *backlog) (*Spool, []string, error) {
-	s := &Spool{dir: dir, room: room, owed: map[string]*Message{}, backlog: b}
+	s := &Spool{dir: dir, room: room, owed: map[string]*Message{}, reserved: map[string]*Message{}, backlog: b}
 	b.opening = true
 	names, err := filepath.Glob(filepath.Join(dir, "*"+extension))
 	if err != nil {
--- a/internal/spool/spool.go
+++ b/internal/spool/spool.go
@@ -52,6 +52,7 @@
 	Bare                    bool  // ended, and its body and keys were erased on a purge's order
 
 	drawn   bool     // loaded from the backlog
+	settled bool     // nothing is owed for it any more, and that could not be recorded
 	slot    uint32   // with the backlog on: so many taken records stand in front of its newest one in that segment
 	segment *segment // that holds its newest record of all it needs
 	length  int64    // of that record
@@ -73,26 +74,27 @@
 
 // Spool is the journal of one sender.
 type Spool struct {
-	mu      sync.Mutex
-	dir     string
-	room    int64               // bytes for all segments
-	owed    map[string]*Message // emptied as messages are over
-	live    int64               // bytes of their records
-	order   []*segment          // oldest first, the last is written to; bounded by room
-	last    int64               // highest number in use
-	count   int64               // of messages taken on in this process
-	fenced  func(*Message) bool // older than a fence; nil: none is
-	foreign int64               // bytes of files that are not ours to read
-	strange []string            // their names
-	file    *os.File
-	earlier bool     // a process wrote here before this one
-	backlog *backlog // nil: off
-	torn    bool     // the newest segment ends in part of a record: what follows there would not be believed
+	mu       sync.Mutex
+	dir      string
+	room     int64               // bytes for all segments
+	owed     map[string]*Message // emptied as messages are over
+	reserved map[string]*Message // hand-ins that are being decided on, as many as clients; emptied by their Take, Spill or Release
+	live     int64               // bytes of their records
+	order    []*segment          // oldest first, the last is written to; bounded by room
+	last     int64               // highest number in use
+	count    int64               // of messages taken on in this process
+	fenced   func(*Message) bool // older than a fence; nil: none is
+	foreign  int64               // bytes of files that are not ours to read
+	strange  []string            // their names
+	file     *os.File
+	earlier  bool     // a process wrote here before this one
+	backlog  *backlog // nil: off
+	torn     bool     // the newest segment ends in part of a record: what follows there would not be believed
 }
 
 // Open reads back what is owed and starts a new segment. It says in notes what it could not read.
 func Open(dir string, room int64) (s *Spool, notes []string, err error) {
-	s = &Spool{dir: dir, room: room, owed: map[string]*Message{}}
+	s = &Spool{dir: dir, room: room, owed: map[string]*Message{}, reserved: map[string]*Message{}}
 	names, err := filepath.Glob(filepath.Join(dir, "*"+extension))
 	if err != nil {
 		return nil, nil, fmt.Errorf("spool: %w", err)
--- a/internal/spool/spool_test.go
+++ b/internal/spool/spool_test.go
@@ -30,7 +30,7 @@
 func bare(ms []*Message) (all []Message) {
 	for _, m := range ms {
 		b := *m
-		b.segment, b.length = nil, 0
+		b.segment, b.length, b.settled = nil, 0, false
 		all = append(all, b)
 	}
 	return all
--- a/internal/spool/write.go
+++ b/internal/spool/write.go
@@ -144,10 +144,12 @@
 	return old.owed == 0
 }
 
-// Take records a message. Without an error it is owed from now on.
+// Take records a message. Without an error it is owed from now on. ErrTwice: one that is owed, or reserved for another, has its id.
+// ErrEnding: one has that ended, and its notice is owed. ErrFull: there is no room. ErrFenced: it is older than a fence.
 func (s *Spool) Take(m *Message) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	defer s.release(m)
 	if err := s.admit(m); err != nil {
 		return err
 	}
@@ -166,12 +168,8 @@
 
 // admit counts a message that is to be taken on.
 func (s *Spool) admit(m *Message) error {
-	if s.backlog != nil {
-		if _, _, twice, err := s.find(m.ID); twice {
-			return ErrTwice
-		} else if err != nil { // it might be
-			return err
-		}
+	if err := s.identify(m); err != nil {
+		return err
 	}
 	if m.Taken == 0 {
 		s.count++
@@ -237,10 +235,19 @@
 	})
 }
 
-// Over records that nothing is owed for a message any more, also for one that was given to Spill.
+// Over records that nothing is owed for a message any more, also for one that was given to Spill. With an error the record still says that it
+// is owed, but its id is free.
 func (s *Spool) Over(m *Message) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	err := s.over(m)
+	if err != nil {
+		m.settled = true
+	}
+	return err
+}
+
+func (s *Spool) over(m *Message) error {
 	if s.backlog != nil && s.owed[m.ID] != m {
 		return s.withdraw(m)
 	}
