Channel tests: one way to hand a position in and to go on where the answer tells

hand and handAll stood alike: both handed a position in, took the next one from the answer and waited after a BUSY. They share offer now, and flood goOn. hand names channel and position as the others do, so the judges of order read its messages too.

--- a/internal/fleettest/channels_full_test.go
+++ b/internal/fleettest/channels_full_test.go
@@ -38,9 +38,7 @@
 		if strings.HasPrefix(answer, "+OK") {
 			taken++
 		}
-		if last := position(answer); last >= 0 {
-			s.next = last + 1
-		}
+		s.goOn(answer)
 	}
 	return taken
 }
@@ -70,16 +68,9 @@
 	for deadline := time.Now().Add(long); len(ids) < times; {
 		require.True(s.r.t, time.Now().Before(deadline), "position %d is not taken on", s.next)
 		id := fmt.Sprintf("x%d-%d", s.next, len(s.r.Record().HandIns))
-		answer := s.c.HandIn(Message{ID: id, Lane: "once", Dst: acme, Channel: "x", Pos: s.next, Within: handInsWithin})
-		if strings.HasPrefix(answer, "+OK") {
+		if s.offer(Message{ID: id, Lane: "once", Dst: acme, Channel: "x", Pos: s.next, Within: handInsWithin}) {
 			ids = append(ids, id)
 		}
-		if last := position(answer); last >= 0 {
-			s.next = last + 1
-		}
-		if strings.HasPrefix(answer, "-BUSY") {
-			time.Sleep(50 * time.Millisecond) // as a client waits that is told to come back
-		}
 	}
 	return ids
 }
--- a/internal/fleettest/channels_test.go
+++ b/internal/fleettest/channels_test.go
@@ -59,16 +59,26 @@
 	s.r.t.Helper()
 	for deadline := time.Now().Add(long); n > 0; {
 		require.True(s.r.t, time.Now().Before(deadline), "position %d is not taken on", s.next)
-		answer := s.c.HandIn(Message{ID: fmt.Sprint("x", s.next), Lane: "once", Dst: acme, Fields: fmt.Sprint("ch=x,pos=", s.next), Within: handInsWithin})
-		if strings.HasPrefix(answer, "+OK") {
+		if s.offer(Message{ID: fmt.Sprint("x", s.next), Lane: "once", Dst: acme, Channel: "x", Pos: s.next, Within: handInsWithin}) {
 			n--
 		}
-		if last := position(answer); last >= 0 {
-			s.next = last + 1
-		}
-		if strings.HasPrefix(answer, "-BUSY") {
-			time.Sleep(50 * time.Millisecond) // as a client waits that is told to come back
-		}
+	}
+}
+
+// offer hands a message in, goes on where the answer tells it to, and says whether it was taken on.
+func (s *stream) offer(m Message) (taken bool) {
+	answer := s.c.HandIn(m)
+	s.goOn(answer)
+	if strings.HasPrefix(answer, "-BUSY") {
+		time.Sleep(50 * time.Millisecond) // as a client waits that is told to come back
+	}
+	return strings.HasPrefix(answer, "+OK")
+}
+
+// goOn takes the next position from an answer that names the last one.
+func (s *stream) goOn(answer string) {
+	if last := position(answer); last >= 0 {
+		s.next = last + 1
 	}
 }
 
