Read again: an id whose end could not be recorded is BUSY, not refused for good

For a channel -ERR means never, so its client would drop the position; before the hand-in was taken on. Found by reading the diff.

The message is marked in memory as ending; its id is BUSY until Over, and free then, as where the record was written. The new test failed on in both forms, with and without a backlog, and passes; internal/relay and the spool's tests of ids and failed writes pass, -race.

--- a/internal/relay/channels_test.go
+++ b/internal/relay/channels_test.go
@@ -201,15 +201,21 @@
 		require.Eventually(t, func() bool { return r.Owed() == 0 }, long, glimpse, "an end is carried out once its channel has heard of it")
 		require.Empty(t, r.ends)
 		require.Empty(t, r.ended)
-		r.open <- true
-		r.Resume(m)
-		require.Same(t, m, <-r.gone)
-		r.how <- routing.Delivered
-		require.Equal(t, [2]bool{true, false}, <-r.ended)
-		require.Empty(t, r.ends)
+		r.delivers(t, m)
 	}
 }
 
+// delivers sets a message going whose turn has come, and has it delivered.
+func (r *rig) delivers(t *testing.T, m *spool.Message) {
+	t.Helper()
+	r.open <- true
+	r.Resume(m)
+	require.Same(t, m, <-r.gone)
+	r.how <- routing.Delivered
+	require.Equal(t, [2]bool{true, false}, <-r.ended)
+	require.Empty(t, r.ends)
+}
+
 // resumed has an engine that does not run yet carry message a.
 func resumed(t *testing.T) (*rig, *carried) {
 	r := prepare(t)
--- a/internal/relay/identity_test.go
+++ b/internal/relay/identity_test.go
@@ -26,12 +26,7 @@
 	lane, _ := r.Lane("n")
 	way, _ := r.Take(r.plain("a"), lane)
 	require.Equal(t, routing.Twice, way)
-	r.open <- true
-	r.Resume(m)
-	require.Same(t, m, <-r.gone)
-	r.how <- routing.Delivered
-	require.Equal(t, [2]bool{true, false}, <-r.ended)
-	require.Empty(t, r.ends)
+	r.delivers(t, m)
 }
 
 func TestAMessageOfAChannelDoesNotTakeTheIDOfAPlainOne(t *testing.T) {
--- a/internal/spool/identity.go
+++ b/internal/spool/identity.go
@@ -45,7 +45,7 @@
 		return ErrTwice
 	}
 	if old := s.owed[m.ID]; old != nil && !old.settled {
-		if old.Ended {
+		if old.Ended || old.ending {
 			return ErrEnding
 		}
 		return ErrTwice
--- a/internal/spool/identity_test.go
+++ b/internal/spool/identity_test.go
@@ -98,6 +98,19 @@
 	})
 }
 
+// Where the end itself cannot be recorded it is told all the same. Its client may come back: a refusal for good would have it drop the message.
+func TestAnIDWhoseEndCannotBeRecordedIsNotRefusedForGood(t *testing.T) {
+	identities(t, func(t *testing.T, s *Spool, _ func() *Spool) {
+		m := message("a", 3)
+		require.NoError(t, s.Take(m))
+		require.NoError(t, s.file.Close())
+		require.Error(t, s.End(m, true, 0))
+		require.ErrorIs(t, s.Take(message("a", 3)), ErrEnding)
+		require.NoError(t, s.Over(m), "the next segment takes it")
+		require.NoError(t, s.Take(message("a", 3)))
+	})
+}
+
 // Where an end that was told cannot be recorded, its client may hand the message in again all the same.
 func TestAnIDIsFreeWhereItsEndCannotBeRecorded(t *testing.T) {
 	identities(t, func(t *testing.T, s *Spool, _ func() *Spool) {
--- a/internal/spool/spool.go
+++ b/internal/spool/spool.go
@@ -52,6 +52,7 @@
 	Bare                    bool  // ended, and its body and keys were erased on a purge's order
 
 	drawn   bool     // loaded from the backlog
+	ending  bool     // its end is told, and could not be recorded
 	settled bool     // nothing is owed for it any more, and that could not be recorded
 	slot    uint32   // with the backlog on: so many taken records stand in front of its newest one in that segment
 	segment *segment // that holds its newest record of all it needs
--- a/internal/spool/spool_test.go
+++ b/internal/spool/spool_test.go
@@ -30,7 +30,7 @@
 func bare(ms []*Message) (all []Message) {
 	for _, m := range ms {
 		b := *m
-		b.segment, b.length, b.settled = nil, 0, false
+		b.segment, b.length, b.ending, b.settled = nil, 0, false, false
 		all = append(all, b)
 	}
 	return all
--- a/internal/spool/write.go
+++ b/internal/spool/write.go
@@ -228,11 +228,16 @@
 	return slices.Clone(m.Legs)
 }
 
-// End records that a message ended undelivered: no leg goes out for it any more, its notice is owed.
+// End records that a message ended undelivered: no leg goes out for it any more, its notice is owed. With an error its end is told all the
+// same, and its id is free once that is known.
 func (s *Spool) End(m *Message, pushedBack bool, advice int64) error {
-	return s.note(m, begin(recEnded, m.ID).number(flag(pushedBack)).number(advice).seal(), func() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	err := s.noteHeld(m, begin(recEnded, m.ID).number(flag(pushedBack)).number(advice).seal(), func() {
 		m.Ended, m.PushedBack, m.Advice = true, pushedBack, advice
 	})
+	m.ending = err != nil
+	return err
 }
 
 // Over records that nothing is owed for a message any more, also for one that was given to Spill. With an error the record still says that it
