--- a/internal/fleettest/foreign_id_test.go
+++ b/internal/fleettest/foreign_id_test.go
@@ -56,6 +56,7 @@
 				assert.NotContains(t, call.Text, foreignBody)
 			}
 			s.judge()
+			r.Until("all messages of the channel end", func(rec Record) bool { return len(messages(rec).Owed()) == 0 }) // a notice may come later
 			rec := messages(r.Record())
 			for _, judge := range []Judge{OneEnd(Lanes), Repeats(Lanes), Order(ByChannel)} {
 				assert.Empty(t, judge(rec))
