Channels: an owner put back to an older copy of the same start does not go on with it

Cause: an older folder is known by its count of starts, which is right here; Table.hold took any record of its own fence at electors for its own latest word, though theirs was later than the one on its disk and said something else.

Why this works: a row is on disk before its record is told, so under one fence the electors' later record can say nothing else than the latest row, but for positions taken back after a restart, which the row notes now (Retracted). Where it does, the channel is in doubt as without its folder.

--- a/internal/channels/channel.go
+++ b/internal/channels/channel.go
@@ -144,6 +144,7 @@
 	if n := c.mine.Last - pos; n > 0 {
 		c.mine.Sums = slices.Clone(c.mine.Sums[:max(0, len(c.mine.Sums)-int(n))])
 		c.mine.Last = pos
+		c.mine.Retracted = c.fresh
 	}
 }
 
--- a/internal/channels/channels_test.go
+++ b/internal/channels/channels_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"github.com/cespare/xxhash/v2"
+	"maps"
 	"os"
 	"runtime"
 	"slices"
@@ -74,6 +75,45 @@
 	require.Empty(t, w.wrong)
 }
 
+// Guards against a position that runs twice: an owner whose folder was put back to an older copy of the same start went on with what the copy
+// said, though electors had its later record.
+func TestAnOlderCopyOfTheSameStartIsNotGoneOnWith(t *testing.T) {
+	w := newWorld(contract("x", nil))
+	a := w.nodes[0]
+	forward := func(upTo int64) {
+		for w.client["x"] <= upTo {
+			require.Equal(t, Taken, w.until(a, "x", 0).Way)
+			w.run(a)
+		}
+		for end := w.now + quick.Lease; w.now < end; w.settle() { // the record is told
+			w.pass(100_000)
+		}
+	}
+	forward(3)
+	older := maps.Clone(a.disk)
+	forward(6)
+	w.crash(a)
+	a.disk = older
+	w.restart(a)
+	w.client["x"] = 4
+	for range 200 {
+		v := w.handIn(a, "x", 0)
+		require.Equal(t, Busy, v.Way, "nobody knows here whether it ran")
+		w.settle()
+		w.pass(100_000)
+	}
+	require.Positive(t, a.t.chans["x"].mine.Doubt)
+	e, err := a.t.Declare(w.now, contract("x", func(k *Contract) { k.Version, k.From = 2, 200 }))
+	require.NoError(t, err)
+	w.do(a, e)
+	w.settle()
+	w.strict["x"] = false // 200 goes though those before it were not taken on
+	require.Equal(t, int64(199), w.until(a, "x", 0).Pos, "its operator said where to go on")
+	require.Equal(t, Verdict{Way: Taken, Pos: 200}, w.until(a, "x", 0))
+	w.finish()
+	require.Empty(t, w.wrong)
+}
+
 func (w *world) isolate(n int, off bool) {
 	w.cut = [3][3]bool{}
 	for i := range w.nodes {
--- a/internal/channels/letters.go
+++ b/internal/channels/letters.go
@@ -23,17 +23,18 @@
 
 // Record is what an owner has electors write down. Of two, the one with the higher fence counts, then the higher seq.
 type Record struct {
-	Owner  string   `cbor:"1,keyasint"`
-	Fence  uint64   `cbor:"2,keyasint"`
-	Seq    uint64   `cbor:"3,keyasint"`
-	Last   int64    `cbor:"4,keyasint"`            // taken on, without a gap
-	Ceil   int64    `cbor:"5,keyasint"`            // nothing above it was ever taken on
-	Clean  bool     `cbor:"6,keyasint,omitempty"`  // its owner has stopped, no leg of it can run
-	Closed uint64   `cbor:"7,keyasint,omitempty"`  // the version whose gap rule closed the channel
-	Doubt  int64    `cbor:"9,keyasint,omitempty"`  // up to here an owner before may have taken on more than Last
-	Before uint64   `cbor:"10,keyasint,omitempty"` // the fence that Doubt is about
-	Since  uint64   `cbor:"11,keyasint,omitempty"` // the first fence since which nobody else owned the channel
-	Sums   []uint64 `cbor:"8,keyasint,omitempty"`  // of ids at positions up to Last, the newest last; 0 where one was skipped
+	Owner     string   `cbor:"1,keyasint"`
+	Fence     uint64   `cbor:"2,keyasint"`
+	Seq       uint64   `cbor:"3,keyasint"`
+	Last      int64    `cbor:"4,keyasint"`            // taken on, without a gap
+	Ceil      int64    `cbor:"5,keyasint"`            // nothing above it was ever taken on
+	Clean     bool     `cbor:"6,keyasint,omitempty"`  // its owner has stopped, no leg of it can run
+	Closed    uint64   `cbor:"7,keyasint,omitempty"`  // the version whose gap rule closed the channel
+	Doubt     int64    `cbor:"9,keyasint,omitempty"`  // up to here an owner before may have taken on more than Last
+	Before    uint64   `cbor:"10,keyasint,omitempty"` // the fence that Doubt is about
+	Since     uint64   `cbor:"11,keyasint,omitempty"` // the first fence since which nobody else owned the channel
+	Retracted bool     `cbor:"12,keyasint,omitempty"` // of a row: positions were taken back after a restart, before it was told again
+	Sums      []uint64 `cbor:"8,keyasint,omitempty"`  // of ids at positions up to Last, the newest last; 0 where one was skipped
 }
 
 func (r Record) newer(o Record) bool { return r.Fence > o.Fence || r.Fence == o.Fence && r.Seq > o.Seq }
--- a/internal/channels/owner.go
+++ b/internal/channels/owner.go
@@ -259,6 +259,9 @@
 
 // hold takes positions over from the newest record granted with, or goes on with its own if nobody owned the channel since.
 func (t *Table) hold(now int64, c *channel) {
+	if c.older() {
+		t.forgetOwn(now, c)
+	}
 	kept := c.mine.Fence > 0 && c.best.Fence <= c.mine.Fence
 	if !kept && (c.mine.Fence > 0 || len(c.entries) > 0) {
 		rec := c.best
@@ -287,7 +290,7 @@
 		}
 		c.mine.Since = c.fence
 	}
-	c.mine.Owner, c.mine.Fence, c.mine.Seq, c.mine.Clean, c.fresh = t.self, c.fence, 0, false, false
+	c.mine.Owner, c.mine.Fence, c.mine.Seq, c.mine.Clean, c.mine.Retracted, c.fresh = t.self, c.fence, 0, false, false, false
 	c.ceilOK, c.ceilAt, c.other = 0, 0, ""
 	c.heldAt, c.heldSeq = make([]int64, len(c.electors)), make([]uint64, len(c.electors))
 	c.askedAt, c.at = now, len(c.electors)
@@ -296,6 +299,22 @@
 	t.raise(now, c, 0)
 }
 
+// older tells whether the record restored is from an older copy of the log: electors have a later one under the same fence that says something
+// else. A row is on disk before its record is told, so the latest row says what the latest record does.
+func (c *channel) older() bool {
+	a, b := c.mine, c.best
+	return c.fresh && !a.Retracted && a.Fence > 0 && b.Fence == a.Fence && b.Seq > a.Seq &&
+		(b.Last != a.Last || b.Ceil != a.Ceil || b.Clean != a.Clean || b.Closed != a.Closed || b.Doubt != a.Doubt)
+}
+
+// forgetOwn lets go of what was restored, as a sender does that has lost its record: what is held is given up, and up to the ceiling nobody
+// knows what was taken on.
+func (t *Table) forgetOwn(now int64, c *channel) {
+	t.giveAll(now, c)
+	t.dropOwn(c)
+	c.mine, c.rests = Record{}, nil
+}
+
 // raise has electors write a higher ceiling down: no position is taken on above one that a majority has on disk.
 func (t *Table) raise(now int64, c *channel, pos int64) {
 	c.mine.Ceil = max(c.mine.Ceil, max(c.mine.Doubt, c.mine.Last, pos)+int64(c.contract.Window)+reserve)
