Channels: what the spool owes tells how far a sender had got whose log is lost

What callers saw: a sender whose fleet.db was lost while messages waited for a hanging destination ended each of them in its time, but under 'gap: wait' its channels answered -BUSY for good, also once the destination was well, until an operator declared the next version.

Cause: what an owner took on since its last renewal is in doubt at electors and the owner's to say; the owner was back, with its spool, and its spool was not asked.

Why this works: while the first message of a whole channel is owed nothing behind it can have had a leg. So where the newest record is the sender's own and the spool owes every message from the first one up to the record's last, what is owed behind it without a gap was taken on, and what is not never ran. Anything else stays in doubt.

TestWhatIsOwedTellsHowFarALostRecordHadGot: the cases that settle failed before.

--- a/internal/channels/channels_test.go
+++ b/internal/channels/channels_test.go
@@ -114,6 +114,107 @@
 	require.Empty(t, w.wrong)
 }
 
+// owes is what a sender's spool owes.
+func (w *world) owes(n *node) (all []Restored) {
+	for _, m := range w.msgs {
+		if m.node == n.name && m.ended == 0 {
+			all = append(all, Restored{m.id, m.ch, m.pos})
+		}
+	}
+	return all
+}
+
+// Where one sender loses its log, and has its spool, nothing runs twice or over a gap.
+func TestAnyScheduleWithALostLog(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		w := drawn(rt)
+		w.losable = true
+		schedule(rt, w, 160)
+		if w.wrong != "" {
+			rt.Fatal(w.wrong)
+		}
+	})
+}
+
+// restartWithoutRows brings a sender back whose log is lost, or replaced by other rows: what it owes is given up.
+func (w *world) restartWithoutRows(n *node, rows map[string][]byte, owed []Restored) {
+	n.disk = rows
+	for _, m := range w.msgs {
+		if m.node == n.name && m.ended == 0 {
+			m.ended++
+			m.released = false
+			if w.owed[m.ch] {
+				delete(w.ran, fmt.Sprintf("%s/%d", m.ch, m.pos))
+			}
+		}
+	}
+	w.restartWith(n, owed)
+}
+
+// Guards against a channel that stands still until its operator comes, though its sender can tell how far it had got: its log was lost while
+// messages waited for their receiver.
+func TestWhatIsOwedTellsHowFarALostRecordHadGot(t *testing.T) {
+	owing := func(positions ...int64) (all []Restored) {
+		for _, pos := range positions {
+			all = append(all, Restored{ID: fmt.Sprint("x", pos), Channel: "x", Pos: pos})
+		}
+		return all
+	}
+	for name, c := range map[string]struct {
+		change func(*Contract)
+		owed   []Restored
+		last   int64 // that the owner tells once it serves again; -1: it stays in doubt
+	}{
+		"all that waits":           {nil, owing(3, 4, 5, 6, 7), 7},
+		"the last had ended":       {nil, owing(3, 4, 5, 6), 6},
+		"the first had ended":      {nil, owing(5, 6, 7), 7},
+		"a failed one owes itself": {func(k *Contract) { k.PassFailed = false }, owing(3, 4, 5, 6, 7), 2},
+		"nothing":                  {nil, nil, -1},
+		"an older spool":           {nil, owing(1, 2, 3, 4), -1},
+		"a hole":                   {nil, owing(3, 5, 6, 7), -1},
+		"keys overtake":            {func(k *Contract) { k.Mode = PerKey }, owing(3, 4, 5, 6, 7), -1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(contract("x", func(k *Contract) {
+				k.Window = 16
+				if c.change != nil {
+					c.change(k)
+				}
+			}))
+			a := w.nodes[0]
+			for w.client["x"] <= 6 {
+				require.Equal(t, Taken, w.until(a, "x", 0).Way)
+				if w.client["x"] <= 3 {
+					w.run(a)
+				}
+			}
+			w.begin(a) // 3, which nobody answers
+			for end := w.now + quick.Lease/2; w.now < end; w.settle() {
+				w.pass(100_000)
+			}
+			require.Equal(t, Taken, w.handIn(a, "x", 0).Way, "behind the record that electors have")
+			w.crash(a)
+			w.mail = nil
+			w.restartWithoutRows(a, map[string][]byte{}, c.owed)
+			w.client["x"] = 8
+			for range 200 {
+				w.handIn(a, "x", 0)
+				w.settle()
+				w.pass(100_000)
+			}
+			channel := a.t.chans["x"]
+			if c.last < 0 {
+				require.Greater(t, channel.mine.Doubt, channel.mine.Last)
+				return
+			}
+			require.LessOrEqual(t, channel.mine.Doubt, channel.mine.Last)
+			require.Equal(t, c.last+1, channel.entries[0].Pos)
+			w.finish()
+			require.Empty(t, w.wrong)
+		})
+	}
+}
+
 func (w *world) isolate(n int, off bool) {
 	w.cut = [3][3]bool{}
 	for i := range w.nodes {
@@ -155,6 +256,9 @@
 			w.pass(rapid.SampledFrom([]int64{1000, 100_000, 1_000_000, 5_000_000}).Draw(rt, "for"))
 		case what == 18:
 			w.cut[node.Draw(rt, "from")][node.Draw(rt, "to")] = rapid.Bool().Draw(rt, "cut")
+		case n.down && w.losable && rapid.Bool().Draw(rt, "lost"):
+			w.losable = false
+			w.restartWithoutRows(n, map[string][]byte{}, w.owes(n))
 		case n.down:
 			w.restart(n)
 		case rapid.Bool().Draw(rt, "crash"):
--- a/internal/channels/owner.go
+++ b/internal/channels/owner.go
@@ -289,7 +289,9 @@
 			c.mine.Doubt, c.mine.Before = max(c.best.Ceil, c.best.Doubt), c.best.Fence
 		}
 		c.mine.Since = c.fence
+		t.settleProven(c)
 	}
+	delete(t.owed, c.name)
 	c.mine.Owner, c.mine.Fence, c.mine.Seq, c.mine.Clean, c.mine.Retracted, c.fresh = t.self, c.fence, 0, false, false, false
 	c.ceilOK, c.ceilAt, c.other = 0, 0, ""
 	c.heldAt, c.heldSeq = make([]int64, len(c.electors)), make([]uint64, len(c.electors))
--- a/internal/channels/table.go
+++ b/internal/channels/table.go
@@ -47,10 +47,11 @@
 	listed  []string
 	t       Timing
 	room    Room
-	seats   map[string]*seat    // emptied by forgetSeat
-	chans   map[string]*channel // emptied when idle without messages
-	orders  map[string]*order   // emptied by a majority's answers
-	gone    map[uint64]int64    // by a contract's Born: purged, and refused until then; emptied as that passes
+	seats   map[string]*seat      // emptied by forgetSeat
+	chans   map[string]*channel   // emptied when idle without messages
+	orders  map[string]*order     // emptied by a majority's answers
+	owed    map[string][]Restored // by channel, by position: as this sender started; emptied as channels are held
+	gone    map[uint64]int64      // by a contract's Born: purged, and refused until then; emptied as that passes
 	due     alarms
 	held    int
 	budget  Budget // nil: rows are not bounded
@@ -317,7 +318,7 @@
 	for _, name := range slices.Sorted(maps.Keys(t.orders)) {
 		t.dropOrder(name, t.orders[name])
 	}
-	t.chans, t.due = map[string]*channel{}, nil
+	t.chans, t.due, t.owed = map[string]*channel{}, nil, nil // what is owed may be as old
 	return t.done(now)
 }
 
--- a/internal/channels/world_test.go
+++ b/internal/channels/world_test.go
@@ -9,24 +9,25 @@
 
 // world is three senders with their disks, the letters between them, legs at one receiver and a client for each channel.
 type world struct {
-	now    int64
-	nodes  []*node
-	mail   []mail
-	cut    [3][3]bool
-	legs   []leg
-	msgs   []*taking // every message ever taken on
-	client map[string]int64
-	high   map[string]int64 // by channel: the highest position of which a leg began
-	ran    map[string]int   // legs by channel and position
-	mode   map[string]Mode
-	strict map[string]bool // channels whose gap rule is wait: no position goes before the one below was taken on
-	took   map[string]bool
-	owed   map[string]bool // channels where a failed message may not be passed
-	healed bool
-	story  []string
-	wrong  string
-	plant  func(w *world, n *node)          // a fault: runs after each step of a sender
-	lose   func(n *node, r Row) (lost bool) // a fault of the disk
+	now     int64
+	nodes   []*node
+	mail    []mail
+	cut     [3][3]bool
+	legs    []leg
+	msgs    []*taking // every message ever taken on
+	client  map[string]int64
+	high    map[string]int64 // by channel: the highest position of which a leg began
+	ran     map[string]int   // legs by channel and position
+	mode    map[string]Mode
+	strict  map[string]bool // channels whose gap rule is wait: no position goes before the one below was taken on
+	took    map[string]bool
+	owed    map[string]bool // channels where a failed message may not be passed
+	healed  bool
+	losable bool // one sender may lose its log, once
+	story   []string
+	wrong   string
+	plant   func(w *world, n *node)          // a fault: runs after each step of a sender
+	lose    func(n *node, r Row) (lost bool) // a fault of the disk
 }
 
 type node struct {
@@ -322,7 +323,10 @@
 }
 
 // restart brings a sender back with its folder: messages held, and no word of promises or leases.
-func (w *world) restart(n *node) {
+func (w *world) restart(n *node) { w.restartWith(n, nil) }
+
+// restartWith says what the sender owes besides.
+func (w *world) restartWith(n *node, owed []Restored) {
 	n.life++
 	n.down = false
 	w.say("%s restarts", n.name)
@@ -334,6 +338,7 @@
 	for _, k := range slices.Sorted(maps.Keys(n.disk)) {
 		rows = append(rows, Row{k, n.disk[k]})
 	}
+	n.t.Owed(owed)
 	ids, err := n.t.Restore(w.now, rows, func(id string) bool { m := w.held(n, id); return m != nil && m.begun })
 	if err != nil {
 		w.fail("restore: %v", err)
--- a/internal/ordered/restore.go
+++ b/internal/ordered/restore.go
@@ -67,9 +67,14 @@
 			others = append(others, m)
 		}
 	}
+	var all []channels.Restored
+	for _, m := range u.owed {
+		all = append(all, channels.Restored{ID: m.ID, Channel: m.Channel, Pos: m.Pos})
+	}
 	h.mu.Lock()
 	h.unread, h.paused = u, true
 	h.table.Break()
+	h.table.Owed(all)
 	h.mu.Unlock()
 	return others, h.read()
 }
