Fleet log: a file removed or replaced under a running sender is written anew

What callers saw: with fleet.db removed under a running sender, a kill lost all rows written since, so its channels were in doubt; a purge that erased rows ended the process in a panic (nil bucket).

Cause: nothing compared the open file with the named one; swap needed the old name to link it, and reopen made an empty file where it was gone.

Why this works: after each step the two are compared, and where they differ the file is written anew from the open one, as compaction does.

TestALogThatIsRemovedOrReplacedIsWrittenAnew failed before, 'removed, then a wipe' with the panic; fleetlog passes with -race.

--- a/internal/fleetlog/log.go
+++ b/internal/fleetlog/log.go
@@ -74,8 +74,9 @@
 
 	mu          sync.RWMutex // held to write while the file is replaced; it leads to the room's lock alone
 	db          *bbolt.DB
-	closed      bool  // compacting left no file open; the next call opens it
-	live        usage // of records; changed in write and Wipe only
+	file        *os.File // that db has open
+	closed      bool     // compacting left no file open; the next call opens it
+	live        usage    // of records; changed in write and Wipe only
 	uncompacted error
 
 	room room
@@ -91,7 +92,6 @@
 	if err := l.sweep(); err != nil {
 		return nil, nil, err
 	}
-	var file *os.File // to let go of where bbolt does not
 	done := make(chan struct{})
 	go func() { // of its own, for what a torn file does to reads ends a goroutine
 		defer close(done)
@@ -99,12 +99,12 @@
 		defer func() {
 			if fault := recover(); fault != nil {
 				err = fmt.Errorf("%w: %v", ErrTorn, fault)
-				l.db = nil                                         // it may hold locks of its own, so that closing it would wait for ever
-				_ = syscall.Flock(int(file.Fd()), syscall.LOCK_UN) // what is mapped keeps the lock beyond Close
-				_ = file.Close()
+				l.db = nil                                           // it may hold locks of its own, so that closing it would wait for ever
+				_ = syscall.Flock(int(l.file.Fd()), syscall.LOCK_UN) // what is mapped keeps the lock beyond Close
+				_ = l.file.Close()
 			}
 		}()
-		notes, err = l.begin(&file)
+		notes, err = l.begin()
 	}()
 	<-done
 	if err != nil {
@@ -144,8 +144,8 @@
 	return db, nil
 }
 
-func (l *Log) begin(file **os.File) (notes []string, err error) {
-	if l.db, err = openFile(l.path(fileName), file); err != nil {
+func (l *Log) begin() (notes []string, err error) {
+	if l.db, err = openFile(l.path(fileName), &l.file); err != nil {
 		return nil, err
 	}
 	if err := l.known(); err != nil {
--- a/internal/fleetlog/log_test.go
+++ b/internal/fleetlog/log_test.go
@@ -302,3 +302,39 @@
 		}
 	}
 }
+
+// Guards against a crash, and against rows that no next start finds: the file was removed, or an older copy put in its place, under a running
+// sender, which wrote on to the file that had no name any more; compacting it then began an empty one.
+func TestALogThatIsRemovedOrReplacedIsWrittenAnew(t *testing.T) {
+	for name, meddle := range map[string]func(path, older string) error{
+		"removed":  func(path, _ string) error { return os.Remove(path) },
+		"replaced": func(path, older string) error { return os.Rename(older, path) },
+	} {
+		for next, write := range map[string]func(l *Log) error{
+			"a write": func(l *Log) error { return l.Put(Record{Channels, "after", 1, []byte("it")}) },
+			"a wipe": func(l *Log) error {
+				return errors.Join(l.Wipe(Channels, "gone"), l.Put(Record{Channels, "after", 1, []byte("it")}))
+			},
+		} {
+			t.Run(name+", then "+next, func(t *testing.T) {
+				dir := t.TempDir()
+				l := open(t, dir)
+				path, older := filepath.Join(dir, fileName), filepath.Join(t.TempDir(), "older")
+				text, err := os.ReadFile(path)
+				require.NoError(t, err)
+				require.NoError(t, os.WriteFile(older, text, 0o600))
+				require.NoError(t, l.Put(Record{Channels, "before", 1, []byte("it")}, Record{Channels, "gone", 1, []byte("it")}))
+				require.NoError(t, meddle(path, older))
+				require.NoError(t, write(l))
+				require.NoError(t, l.Uncompacted())
+				require.NoError(t, l.Close())
+				l = open(t, dir)
+				for _, key := range []string{"before", "after"} {
+					_, found, err := l.Get(Channels, key)
+					require.NoError(t, err)
+					require.True(t, found, key)
+				}
+			})
+		}
+	}
+}
--- a/internal/fleetlog/record.go
+++ b/internal/fleetlog/record.go
@@ -78,7 +78,7 @@
 		return wrap(err)
 	}
 	l.uncompacted = nil
-	if l.size() > l.most/filePart {
+	if l.size() > l.most/filePart || !l.inPlace() {
 		l.uncompacted = wrap(l.compact())
 	}
 	return nil
--- a/internal/fleetlog/wipe.go
+++ b/internal/fleetlog/wipe.go
@@ -47,6 +47,19 @@
 	return info.Size()
 }
 
+// inPlace tells whether the open file is the one of the folder: what is written to a file that was removed or replaced outlasts no process.
+func (l *Log) inPlace() bool {
+	is, err := l.file.Stat()
+	if err != nil {
+		return true // not known
+	}
+	named, err := os.Stat(l.path(fileName))
+	if err != nil {
+		return !errors.Is(err, fs.ErrNotExist)
+	}
+	return os.SameFile(is, named)
+}
+
 // compact writes the file anew without what is free in it and puts it in the old one's place, which it overwrites. At each moment
 // fleet.db is whole: a process that dies here leaves further files that the next Open sweeps.
 func (l *Log) compact() error {
@@ -68,19 +81,22 @@
 }
 
 func (l *Log) swap() error {
-	if err := os.Link(l.path(fileName), l.path(oldName)); err != nil {
+	err := os.Link(l.path(fileName), l.path(oldName))
+	removed := errors.Is(err, fs.ErrNotExist)
+	if err != nil && !removed {
 		return err
 	}
-	if err := os.Rename(l.path(newName), l.path(fileName)); err != nil {
+	if err := os.Rename(l.path(newName), l.path(fileName)); err != nil || removed {
 		return err
 	}
 	return erase(l.path(oldName))
 }
 
 func (l *Log) reopen() (err error) {
-	db, err := openFile(l.path(fileName), new(*os.File))
+	var file *os.File
+	db, err := openFile(l.path(fileName), &file)
 	if err == nil {
-		l.db, l.closed = db, false
+		l.db, l.file, l.closed = db, file, false
 	}
 	return err
 }
