Judge of returns: a destination that got no call was not pushed over

Between its two outages that destination got no call at all on a busy machine; no calls over no budget is NaN, which the test took for over 1. None is over by a call that did not come: such a window counts 0. What is over is over as before.

TestReturnJudgeGoesByCalls failed before, and holds that a crowd of calls is over still.

--- a/internal/fleettest/return_judge_rig_test.go
+++ b/internal/fleettest/return_judge_rig_test.go
@@ -28,7 +28,13 @@
 	Probes  int           // among the calls
 }
 
-func (f fallen) ratio() float64 { return float64(f.Calls) / f.Budget }
+// ratio is above 1 where the destination was pushed over; one that got no call was not.
+func (f fallen) ratio() float64 {
+	if f.Calls == 0 {
+		return 0
+	}
+	return float64(f.Calls) / f.Budget
+}
 
 func (f fallen) String() string {
 	return fmt.Sprintf("destination %d: %d calls from %d senders, %d of them probes, in the window that ends %v after second 0; %.1f let through (%.2f)",
