Engine: a message that waits for its turn in a channel ends by the engine's own deadline

What callers would see: where the part that orders channels stands still, in a write to the fleet's log that hangs or otherwise, messages that wait for their turn have no end until it goes on. Found by reading: their time was kept by ordered.Host alone, on the goroutine that writes.

What a host kept for the time before its rows are read goes: the deadline is the same there. A message postponed to a host that no longer knows it had no end either, and has one now.

--- a/internal/daemon/purge.go
+++ b/internal/daemon/purge.go
@@ -72,7 +72,7 @@
 		if m.Ended || !e.oldMessage(m) {
 			rest = append(rest, m)
 		} else {
-			e.p.engine.GiveUp(m, 0)
+			e.p.engine.End(m, 0)
 		}
 	}
 	return rest
--- a/internal/daemon/purge_test.go
+++ b/internal/daemon/purge_test.go
@@ -83,8 +83,8 @@
 	early, late := &spool.Message{ID: "a", Dst: 7, Taken: 1}, &spool.Message{ID: "b", Dst: 7, Taken: 2}
 	e.Refuse([]fleet.Cuts{{Tenant: tenant, Held: 1}})
 	e.Refuse([]fleet.Cuts{{Tenant: tenant, Held: 2}})
-	e.p.engine.GiveUp(early, 0)
-	e.p.engine.GiveUp(late, 0)
+	e.p.engine.End(early, 0)
+	e.p.engine.End(late, 0)
 	e.counted(tenant, 2) // the second order's search found nothing open
 	for cut, count := range map[int64]int64{1: 1, 2: 2} {
 		ended, open := e.Recall(tenant, cut)
--- a/internal/fleettest/scale_hollow_test.go
+++ b/internal/fleettest/scale_hollow_test.go
@@ -159,6 +159,7 @@
 func (noEngine) Now() int64                   { return time.Since(began).Microseconds() + 1 }
 func (noEngine) Holds(string) bool            { return false }
 func (noEngine) Keep(*spool.Message) error    { return nil }
+func (noEngine) Await(*spool.Message)         {}
 func (noEngine) Over(*spool.Message)          {}
 func (noEngine) Resume(*spool.Message)        {}
 func (noEngine) GiveUp(*spool.Message, int64) {}
--- a/internal/ordered/host.go
+++ b/internal/ordered/host.go
@@ -26,6 +26,7 @@
 type Engine interface {
 	Now() int64
 	Keep(m *spool.Message) error
+	Await(m *spool.Message)
 	Over(m *spool.Message)
 	Resume(m *spool.Message)
 	GiveUp(m *spool.Message, advice int64)
@@ -215,10 +216,14 @@
 	return h.table.MayBegin(h.engine.Now(), m.Channel, m.Pos)
 }
 
-// Ended says that a message which was released is over.
+// Ended says that a message is over, which was released or waited to its deadline.
 func (h *Host) Ended(m *spool.Message, delivered, mayRun bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.unread != nil {
+		h.unread.over(m)
+		return
+	}
 	delete(h.held, m.ID)
 	h.add(h.table.Ended(h.engine.Now(), m.Channel, m.Pos, delivered, mayRun))
 }
@@ -345,16 +350,13 @@
 		case <-timer.C:
 		}
 		h.readAgain()
-		h.expireUnread()
 		h.mu.Lock()
 		now := h.engine.Now()
 		jobs := append(h.queue, &job{e: h.table.Tick(now), done: make(chan struct{})})
 		h.queue = nil
 		next := longest
-		for _, at := range []int64{h.table.Next(), h.unread.next()} {
-			if at > 0 {
-				next = max(shortest, min(next, time.Duration(at-now)*time.Microsecond))
-			}
+		if at := h.table.Next(); at > 0 {
+			next = max(shortest, min(longest, time.Duration(at-now)*time.Microsecond))
 		}
 		h.mu.Unlock()
 		h.carryOut(jobs)
--- a/internal/ordered/host_test.go
+++ b/internal/ordered/host_test.go
@@ -75,6 +75,19 @@
 	return nil
 }
 
+// Await ends a message that is still owed at its time.
+func (e *engine) Await(m *spool.Message) {
+	time.AfterFunc(time.Duration(m.Expires-e.Now())*time.Microsecond, func() {
+		e.mu.Lock()
+		owed := e.owed[m.ID] == m
+		e.mu.Unlock()
+		if owed {
+			e.GiveUp(m, 0)
+			e.turns.Ended(m, false, false)
+		}
+	})
+}
+
 func (e *engine) Over(m *spool.Message) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/ordered/restore.go
+++ b/internal/ordered/restore.go
@@ -1,6 +1,7 @@
 package ordered
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -21,32 +22,10 @@
 	again time.Time        // when the rows are read next
 }
 
-// next is when the first of those owed is out of time, in µs since 1970; 0 for never.
-func (u *unread) next() (at int64) {
-	if u == nil {
-		return 0
-	}
-	for _, m := range u.owed {
-		if at == 0 || m.Expires < at {
-			at = m.Expires
-		}
-	}
-	return at
-}
-
-// expire takes out what is out of time.
-func (u *unread) expire(now int64) (over []*spool.Message) {
-	var left []*spool.Message
-	for _, m := range u.owed {
-		if now < m.Expires {
-			left = append(left, m)
-			continue
-		}
-		over = append(over, m)
-		u.ended[m.ID] = true
-	}
-	u.owed = left
-	return over
+// over takes out a message whose deadline has ended it.
+func (u *unread) over(m *spool.Message) {
+	u.owed = slices.DeleteFunc(u.owed, func(o *spool.Message) bool { return o == m })
+	u.ended[m.ID] = true
 }
 
 // Begin names the sender's incarnation where its table was made without one. It comes before the rows can be read.
@@ -76,6 +55,11 @@
 	h.table.Break()
 	h.table.Owed(all)
 	h.mu.Unlock()
+	for _, m := range owed {
+		if m.Channel != "" && !m.Ended {
+			h.engine.Await(m)
+		}
+	}
 	return others, h.read()
 }
 
@@ -147,17 +131,3 @@
 	}
 	return without, nil
 }
-
-// expireUnread ends what is out of time while the rows cannot be read.
-func (h *Host) expireUnread() {
-	h.mu.Lock()
-	if h.unread == nil {
-		h.mu.Unlock()
-		return
-	}
-	over := h.unread.expire(h.engine.Now())
-	h.mu.Unlock()
-	for _, m := range over {
-		h.engine.GiveUp(m, noStore)
-	}
-}
--- a/internal/relay/channels.go
+++ b/internal/relay/channels.go
@@ -56,11 +56,19 @@
 		return err
 	}
 	e.Tally.Taken.Add(1)
+	e.Await(m)
 	return nil
 }
 
-// GiveUp ends a message that was kept and not resumed: pushed back if no leg of it can have run, else failed.
+// GiveUp ends a message that waits for its turn, unless its deadline has: pushed back if no leg of it can have run, else failed.
 func (e *Engine) GiveUp(m *spool.Message, advice int64) {
+	if e.waiting.take(m) {
+		e.End(m, advice)
+	}
+}
+
+// End ends a message that nobody has taken up since the start, as GiveUp does.
+func (e *Engine) End(m *spool.Message, advice int64) {
 	e.tell(&carried{msg: m}, !mayHaveRun(m), advice)
 }
 
@@ -162,6 +170,7 @@
 		return
 	}
 	e.router.EndKnown(c.msg.ID)
+	e.Await(c.msg)
 	e.turns.Postponed(c.msg, e.mayRun(c))
 }
 
--- a/internal/relay/channels_test.go
+++ b/internal/relay/channels_test.go
@@ -163,6 +163,39 @@
 	}
 }
 
+// Guards against a message without an end where the part that orders it stands still: it neither resumes the message nor gives it up.
+func TestWhatWaitsForItsTurnEndsAtItsDeadline(t *testing.T) {
+	r := begin(t)
+	m := r.message("a")
+	m.Expires = r.Now() + 200_000
+	require.NoError(t, r.Keep(m))
+	u := <-r.ends
+	require.Same(t, m, u.Msg)
+	require.True(t, u.PushedBack)
+	require.GreaterOrEqual(t, r.Now(), m.Expires)
+	require.Equal(t, [2]bool{false, false}, <-r.ended, "its channel hears of it")
+	r.open <- true
+	r.Resume(m)
+	r.GiveUp(m, 5)
+	require.Empty(t, r.ends, "it has one end")
+	require.False(t, r.Holds("a"))
+	require.Empty(t, r.gone)
+}
+
+// The same after its turn was lost before a leg began.
+func TestWhatIsPostponedEndsAtItsDeadline(t *testing.T) {
+	r := begin(t)
+	m := r.message("a")
+	m.Expires = r.Now() + 1_000_000
+	require.NoError(t, r.Keep(m))
+	r.open <- false
+	r.Resume(m)
+	require.False(t, <-r.back)
+	require.True(t, (<-r.ends).PushedBack)
+	require.GreaterOrEqual(t, r.Now(), m.Expires)
+	require.Equal(t, [2]bool{false, false}, <-r.ended)
+}
+
 func TestGivenUpBeforeItsTurn(t *testing.T) {
 	r := begin(t)
 	kept, resumed := r.message("a"), r.message("b")
--- a/internal/relay/courier.go
+++ b/internal/relay/courier.go
@@ -30,6 +30,7 @@
 
 	turns   Turns // nil where channels are off
 	legMost time.Duration
+	waiting waiting
 
 	// Delivered, where it is set, hears of messages that are over and not undelivered. It must not block for long.
 	Delivered func(m *spool.Message)
@@ -176,8 +177,12 @@
 // more: each turn looks at every destination that waits for a slot.
 const resumeMost = 1000
 
-// Resume takes up a message that the sender owed before its restart.
-func (e *Engine) Resume(m *spool.Message) { e.resume([]*spool.Message{m}) }
+// Resume takes up a message that was owed before a restart, or one of a channel whose turn has come, unless its deadline has ended it.
+func (e *Engine) Resume(m *spool.Message) {
+	if m.Channel == "" || e.waiting.take(m) {
+		e.resume([]*spool.Message{m})
+	}
+}
 
 // ResumeAll is Resume for many, in their order and many in a turn.
 func (e *Engine) ResumeAll(ms []*spool.Message) {
@@ -327,6 +332,9 @@
 
 // Over puts on record that nothing is owed for a message any more.
 func (e *Engine) Over(m *spool.Message) {
+	if m.Channel != "" {
+		e.waiting.take(m)
+	}
 	if err := e.spool.Over(m); err != nil && (e.rest == nil || !errors.Is(err, spool.ErrOver)) { // withdrawn on its way back
 		e.log.Error("end not recorded", zap.String("id", m.ID), zap.Error(err))
 	}
--- a/internal/relay/loader.go
+++ b/internal/relay/loader.go
@@ -431,7 +431,7 @@
 		ended.Unheard = true
 		e.router.TakeAll([]routing.Message{ended})
 	}
-	e.GiveUp(m, e.router.ComeBackIn())
+	e.End(m, e.router.ComeBackIn())
 	r.gone(m)
 }
 
