Channels: a message whose deadline ends it while it is taken on leaves nothing behind

The host looks whether the message is there still, by the message and not by its id, and answers BUSY where it is not.

TestAMessageThatEndsAsItIsTakenOnStopsNoChannel failed before; internal/ordered passes with -race.

--- a/internal/ordered/host.go
+++ b/internal/ordered/host.go
@@ -158,7 +158,7 @@
 func (h *Host) take(m *spool.Message, in channels.In) relay.Word {
 	forget := func() {
 		h.mu.Lock()
-		delete(h.held, m.ID)
+		h.letGo(m)
 		h.mu.Unlock()
 	}
 	if err := h.engine.Keep(m); err != nil {
@@ -167,10 +167,14 @@
 	}
 	in.Look = false
 	h.mu.Lock()
+	if !h.has(m) { // its deadline has ended it
+		h.mu.Unlock()
+		return relay.Word{Wait: aMoment, Pos: -1}
+	}
 	v, e := h.table.HandIn(h.engine.Now(), in)
 	j := h.add(e)
 	if v.Way != channels.Taken {
-		delete(h.held, m.ID)
+		h.letGo(m)
 		h.mu.Unlock()
 		h.engine.Over(m)
 		return word(v)
@@ -186,6 +190,19 @@
 	return w
 }
 
+// has tells whether a message is held, and not another of its id; mu is held.
+func (h *Host) has(m *spool.Message) bool {
+	x := h.held[m.ID]
+	return x != nil && x.m == m
+}
+
+// letGo holds a message no longer; mu is held.
+func (h *Host) letGo(m *spool.Message) {
+	if h.has(m) {
+		delete(h.held, m.ID)
+	}
+}
+
 // notKept answers a hand-in that the spool did not take.
 func (h *Host) notKept(err error) relay.Word {
 	switch {
@@ -224,7 +241,7 @@
 		h.unread.over(m)
 		return
 	}
-	delete(h.held, m.ID)
+	h.letGo(m)
 	h.add(h.table.Ended(h.engine.Now(), m.Channel, m.Pos, delivered, mayRun))
 }
 
--- a/internal/ordered/host_test.go
+++ b/internal/ordered/host_test.go
@@ -64,14 +64,19 @@
 	delivered []int64
 	given     []int64
 	withdrawn int
+	kept      func(m *spool.Message) // called as a message is kept; nil for nothing
 }
 
 func (e *engine) Now() int64 { return e.clock.Now() }
 
 func (e *engine) Keep(m *spool.Message) error {
 	e.mu.Lock()
-	defer e.mu.Unlock()
 	e.owed[m.ID] = m
+	kept := e.kept
+	e.mu.Unlock()
+	if kept != nil {
+		kept(m)
+	}
 	return nil
 }
 
--- a/internal/ordered/pause_test.go
+++ b/internal/ordered/pause_test.go
@@ -101,6 +101,29 @@
 	require.Empty(t, a.held)
 }
 
+// Guards against a channel that stands still: the deadline of a message ended it while it was taken on, and the channel waited for its end.
+func TestAMessageThatEndsAsItIsTakenOnStopsNoChannel(t *testing.T) {
+	a := fleet(t)[0]
+	require.True(t, a.until(t, 1).OK)
+	a.e.mu.Lock()
+	a.e.kept = func(m *spool.Message) {
+		a.e.GiveUp(m, 0)
+		a.Ended(m, false, false)
+	}
+	a.e.mu.Unlock()
+	w := a.HandIn(a.message(2), 0)
+	require.False(t, w.OK)
+	require.Empty(t, w.Cause, "its client comes back")
+	a.e.mu.Lock()
+	a.e.kept = nil
+	a.e.mu.Unlock()
+	for pos := int64(2); pos <= 3; pos++ {
+		require.True(t, a.until(t, pos).OK)
+	}
+	require.Eventually(t, func() bool { return len(a.e.seen()) == 3 }, eventually, time.Millisecond)
+	require.Equal(t, []int64{1, 2, 3}, a.e.seen())
+}
+
 // torn is a store that cannot be read for a while.
 type torn struct {
 	*disk
