Read again: a deadline ends no waiting message of a channel once picking has ended

 let the engine's deadline end such messages up to the process' last moment. From the end of picking (2.4 s after SIGTERM) their channel writes no row, so the row of a position that failed then would stand at the next start without an owed message and count as a delivery: under pass_failed false it would be passed. Such a message stays owed to the next process, as before.

--- a/internal/relay/channels_test.go
+++ b/internal/relay/channels_test.go
@@ -182,6 +182,20 @@
 	require.Empty(t, r.gone)
 }
 
+// Guards against a failed position that is passed: its end came when its channel could write no row any more. It stays owed to the next process.
+func TestWhatWaitsAsPickingEndsIsOwedToTheNextProcess(t *testing.T) {
+	r := begin(t)
+	m := r.message("a")
+	m.Expires = r.Now() + 1_000_000
+	require.NoError(t, r.Keep(m))
+	r.stopPicking()
+	r.expire(m) // as its deadline does
+	require.Empty(t, r.ends)
+	require.Empty(t, r.ended)
+	owed, _ := r.spool.Owing(func(*spool.Message) bool { return true })
+	require.Equal(t, []string{"a"}, owed)
+}
+
 // The same after its turn was lost before a leg began.
 func TestWhatIsPostponedEndsAtItsDeadline(t *testing.T) {
 	r := begin(t)
--- a/internal/relay/waiting.go
+++ b/internal/relay/waiting.go
@@ -45,9 +45,10 @@
 	e.waiting.add(m, left, func() { e.expire(m) })
 }
 
-// expire ends a message whose channel did not. What is left as the process ends is the next one's.
+// expire ends a message whose channel did not. Once no leg may start any more, what is left is the next process's. Danger: its channel writes no
+// row from then on, and the next start would take the row of a message that ended for a delivery.
 func (e *Engine) expire(m *spool.Message) {
-	if e.working.Err() != nil || !e.waiting.take(m) {
+	if e.picking.Err() != nil || !e.waiting.take(m) {
 		return
 	}
 	mayRun := mayHaveRun(m)
