--- a/review/driver-2/chaos.go
+++ b/review/driver-2/chaos.go
@@ -17,7 +17,7 @@
 func init() { cases["chaos"] = chaos }
 
 // The chaos play is no case: a search over drawn troubles, by SEED, that judges each end, run, wait, drain and key. KEPT=1, BACKLOG=1, ASK=1,
-// HUP=1 and BODIES=bytes add to it. Its seed draws the troubles; the times are the real clock's.
+// HUP=1, STOP=1 and BODIES=bytes add to it. Its seed draws the troubles; the times are the real clock's.
 
 // mode is how a receiver of the chaos play answers.
 type mode int
@@ -50,6 +50,7 @@
 	addr string
 	srv  *http.Server
 	mode mode
+	zone string
 	told time.Time // when the sender was told that it drains or is gone
 }
 
@@ -69,10 +70,10 @@
 	calls   []*sentCall
 	msgs    map[string]*chaosMsg
 	order   []*chaosMsg
-	waitTil map[int64][2]time.Time // by destination: told at, until; of this process
+	waitTil map[string][2]time.Time // by destination: told at, until; of this process
 	process int
 	down    [][2]time.Time // spans in which no notice is overdue
-	starts  []time.Time
+	zoned   bool
 }
 
 func (w *chaosWorld) newRecv(id string, cell int64) (*chaosReceiver, error) {
@@ -99,6 +100,14 @@
 	return v, nil
 }
 
+// route is what a wait binds: the destination, or the receiver where routes are apart.
+func (v *chaosReceiver) route() string {
+	if v.w.zoned {
+		return v.id
+	}
+	return fmt.Sprint(v.cell)
+}
+
 func (v *chaosReceiver) event(rw http.ResponseWriter, q *http.Request) {
 	body := make([]byte, q.ContentLength)
 	if _, err := readFull(q, body); err != nil {
@@ -132,7 +141,7 @@
 			w.r.breaks("order: %s of key %s begins while a call of %s is out", c.id, c.order, o.id)
 		}
 	}
-	if s, is := w.waitTil[v.cell]; is && now.After(s[0].Add(110*time.Millisecond)) && now.Before(s[1].Add(-2*time.Millisecond)) {
+	if s, is := w.waitTil[v.route()]; is && now.After(s[0].Add(110*time.Millisecond)) && now.Before(s[1].Add(-2*time.Millisecond)) {
 		w.r.breaks("wait: %s reaches destination %d %v before a wait is over, told %v ago", c.id, v.cell, s[1].Sub(now), now.Sub(s[0]))
 	}
 	if !v.told.IsZero() && now.Sub(v.told) > 1150*time.Millisecond {
@@ -184,11 +193,11 @@
 	case waits:
 		w.mu.Lock()
 		at := time.Now()
-		if s := w.waitTil[v.cell]; at.Add(wait).After(s[1]) {
+		if s := w.waitTil[v.route()]; at.Add(wait).After(s[1]) {
 			if !at.Before(s[1]) {
 				s[0] = at
 			}
-			w.waitTil[v.cell] = [2]time.Time{s[0], at.Add(wait)}
+			w.waitTil[v.route()] = [2]time.Time{s[0], at.Add(wait)}
 		}
 		w.mu.Unlock()
 		rw.Header().Set("Retry-After", fmt.Sprintf("%.3f", wait.Seconds()))
@@ -216,6 +225,12 @@
 	return id
 }
 
+// chaosMore is by how much longer than usual the chaos play takes: MORE seconds.
+func chaosMore() time.Duration {
+	n, _ := strconv.Atoi(os.Getenv("MORE"))
+	return time.Duration(n) * time.Second
+}
+
 // weigh looks at the folder that lasts: each file counts in whole 512 bytes.
 func (r *rig) weigh(dir string, limit int64) {
 	most := int64(0)
@@ -255,8 +270,10 @@
 
 func chaos(r *rig) error {
 	seed, _ := strconv.ParseUint(os.Getenv("SEED"), 10, 64)
-	w := &chaosWorld{r: r, rng: rand.New(rand.NewPCG(seed, 7)), msgs: map[string]*chaosMsg{}, waitTil: map[int64][2]time.Time{}}
+	w := &chaosWorld{r: r, rng: rand.New(rand.NewPCG(seed, 7)), msgs: map[string]*chaosMsg{}, waitTil: map[string][2]time.Time{}}
 	const window = 4 * time.Second
+	zoned := os.Getenv("ZONES") == "1" // two zones that remember keys apart, and routes apart
+	w.zoned = zoned
 	var ms []member
 	for i := range 6 {
 		v, err := w.newRecv(fmt.Sprintf("v%d", i), int64(i%3+1))
@@ -264,7 +281,11 @@
 			return err
 		}
 		w.recvs = append(w.recvs, v)
-		ms = append(ms, serving(v.id, v.addr, v.cell))
+		m := serving(v.id, v.addr, v.cell)
+		if zoned && i >= 3 {
+			v.zone, m.Locality = "there", "there"
+		}
+		ms = append(ms, m)
 	}
 	var err error
 	if w.a, err = r.newAgent(ms...); err != nil {
@@ -273,11 +294,21 @@
 	dl := 7 * time.Second
 	step := lane("step", "by_key", dl)
 	step["sequential"], step["window"] = true, window.Milliseconds()
+	if zoned {
+		step["group"] = "zone"
+	}
 	keyed := lane("keyed", "by_key", dl)
 	keyed["window"] = window.Milliseconds()
+	if zoned {
+		keyed["group"] = "zone"
+	}
 	f := startFile(knownOf(1, ms...), lane("again", "repeatable", dl), keyed, lane("once", "once", dl), step)
 	st := f["settings"].(map[string]any)
 	st["balancers"] = 1
+	if zoned {
+		st["zones"] = []string{"here", "there"}
+		st["family_info"].(map[string]any)["own_limits"] = []bool{true}
+	}
 	ask := os.Getenv("ASK") == "1"
 	if ask {
 		st["discovery"] = "subscribe"
@@ -309,7 +340,7 @@
 		return err
 	}
 	ready := []time.Time{time.Now()}
-	stopAt := time.Now().Add(70 * time.Second)
+	stopAt := time.Now().Add(70*time.Second + chaosMore())
 	var group sync.WaitGroup
 	bodies, _ := strconv.Atoi(os.Getenv("BODIES")) // bytes at most
 	go r.weigh(p.state, 3_000_000)
@@ -358,6 +389,19 @@
 			c.drop()
 		})
 	}
+	if os.Getenv("STOP") == "1" { // held up for up to 0.15 s, again and again
+		go func() {
+			for time.Now().Before(stopAt) {
+				time.Sleep(time.Duration(50+rand.IntN(300)) * time.Millisecond)
+				r.mu.Lock()
+				now := r.senders[len(r.senders)-1]
+				r.mu.Unlock()
+				_ = now.cmd.Process.Signal(syscall.SIGSTOP)
+				time.Sleep(140 * time.Millisecond)
+				_ = now.cmd.Process.Signal(syscall.SIGCONT)
+			}
+		}()
+	}
 	next := 100
 	for time.Now().Before(stopAt) {
 		time.Sleep(time.Duration(300+w.rng.IntN(1200)) * time.Millisecond)
@@ -406,9 +450,12 @@
 			w.mu.Lock()
 			w.recvs[i] = v
 			w.mu.Unlock()
-			g := serving(old.id, old.addr, old.cell)
+			g, fresh := serving(old.id, old.addr, old.cell), serving(v.id, v.addr, v.cell)
 			g.Phase = "DRAINING"
-			w.a.change(g, serving(v.id, v.addr, v.cell))
+			if v.zone = old.zone; v.zone != "" {
+				g.Locality, fresh.Locality = v.zone, v.zone
+			}
+			w.a.change(g, fresh)
 			w.mu.Lock()
 			if !w.a.isDown() {
 				old.told = time.Now()
@@ -440,7 +487,7 @@
 			from := time.Now().Add(-4 * time.Second)
 			time.Sleep(600 * time.Millisecond)
 			w.mu.Lock()
-			w.waitTil = map[int64][2]time.Time{}
+			w.waitTil = map[string][2]time.Time{}
 			w.process++
 			w.mu.Unlock()
 			if s, err = r.start(p, fmt.Sprintf("process %d", w.process)); err != nil {
@@ -499,6 +546,9 @@
 				if m.lane == "once" && ran > 1 {
 					w.r.breaks("duplicate: %s of lane once runs again", m.id)
 				}
+				if m.key != "" && c.where.zone != first.where.zone {
+					w.r.breaks("duplicate: %s of lane %s runs in another zone", m.id, m.lane)
+				}
 				if m.key != "" && c.at.Sub(first.at) > window {
 					w.r.breaks("duplicate: %s of lane %s runs %v after its first run", m.id, m.lane, c.at.Sub(first.at))
 				}
@@ -507,6 +557,9 @@
 				w.r.breaks("after the end: %s is sent %v after its notice (%s)", m.id, c.at.Sub(n.at), n.State)
 			}
 		}
+		if ended && n.State == "returned" && m.key != "" && w.zoned && ran > 0 {
+			w.r.breaks("duplicate: %s of lane %s, whose keys zones remember apart, was returned, and it may have run", m.id, m.lane)
+		}
 		if ended && n.State == "returned" && m.lane == "once" && ran > 0 {
 			w.r.breaks("duplicate: %s of lane once was returned, and it ran", m.id)
 		}
--- a/review/driver-2/keptagain.go
+++ b/review/driver-2/keptagain.go
@@ -17,6 +17,7 @@
 most_mb = 0.2
 
 [[kept.rule]]
+may_have_run = "no"
 act = "send"
 after = "10s"
 rate = 10
--- a/review/driver-2/watchdog.go
+++ b/review/driver-2/watchdog.go
@@ -17,7 +17,7 @@
 	go func() {
 		select {
 		case <-told:
-		case <-time.After(longest):
+		case <-time.After(longest + chaosMore()):
 		}
 		r.note("COULD NOT RUN  cut off")
 		r.end()
