--- a/review/driver-2/askrestart.go
+++ b/review/driver-2/askrestart.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-func init() { cases["9"] = askRestart }
+func init() { cases["10"] = askRestart }
 
 // askRestart restarts three of four senders where lists are asked for, one after the other, by SIGTERM and with discovery up all the time. Long
 // before that they were told that a receiver is gone, and that one of another destination serves at its address.
--- a/review/driver-2/keptdisk.go
+++ b/review/driver-2/keptdisk.go
@@ -10,7 +10,7 @@
 	"time"
 )
 
-func init() { cases["10"] = keptDisk }
+func init() { cases["kept-disk"] = keptDisk }
 
 // keptTable has what ended undelivered kept, for a person to look at.
 const keptTable = `version = 1
