--- a/review/driver-2/bodies.go
+++ b/review/driver-2/bodies.go
@@ -39,7 +39,9 @@
 	if err := s.ready(p); err != nil {
 		return err
 	}
-	v.answers(func(string, string, string) (int, time.Duration, time.Duration) { return 200, 0, 300 * time.Millisecond })
+	v.answers(func(string, string, string) (int, time.Duration, time.Duration) {
+		return 200, 0, 300 * time.Millisecond
+	})
 	c := r.newClient(p.listen)
 	sent := map[string][2]string{}
 	for i := range 80 {
