A letter of a newer version ends no process

A letter on a purge in a state or phase that this version does not know indexed an array: the sender ended in a panic.

TestALetterOfANewerVersionChangesNothing failed before.

--- a/internal/channels/table.go
+++ b/internal/channels/table.go
@@ -199,7 +199,7 @@
 		t.bad++
 		return Effects{}
 	}
-	if !m.sound() {
+	if m.Check() != nil {
 		t.bad++
 		return Effects{}
 	}
--- a/internal/fleet/purging.go
+++ b/internal/fleet/purging.go
@@ -346,8 +346,12 @@
 		}
 		whole = append(whole, rec.Value...)
 	}
-	if err := cbor.Unmarshal(whole, &m); err != nil {
-		return m, fmt.Errorf("purges of an earlier start: %w", err)
+	err = cbor.Unmarshal(whole, &m)
+	if err == nil {
+		err = m.Check()
+	}
+	if err != nil {
+		return purge.Memo{}, fmt.Errorf("purges of an earlier start: %w", err)
 	}
 	return m, nil
 }
