--- a/internal/daemon/purge.go
+++ b/internal/daemon/purge.go
@@ -62,11 +62,8 @@
 	return slices.ContainsFunc(*e.cuts.Load(), func(c fleet.Cuts) bool { return m.Taken <= c.Held && c.Tenant.Owns(m.Dst, m.Lane, m.OrderKey) })
 }
 
-// oldRecord tells whether an end is not to be kept. What a purge of held messages alone recalls is none of what was kept before, which stays.
 func (e *eraser) oldRecord(r *kept.Record) bool {
-	return slices.ContainsFunc(*e.cuts.Load(), func(c fleet.Cuts) bool {
-		return r.Taken <= max(c.Kept, c.Held) && c.Tenant.Owns(r.Dst, r.Lane, r.OrderKey)
-	})
+	return slices.ContainsFunc(*e.cuts.Load(), func(c fleet.Cuts) bool { return r.Taken <= c.Kept && c.Tenant.Owns(r.Dst, r.Lane, r.OrderKey) })
 }
 
 // giveUp ends what is owed from before a fence, without the decisions hearing of it, and gives the rest.
