--- a/internal/routing/host.go
+++ b/internal/routing/host.go
@@ -71,10 +71,10 @@
 // Timer asks for a tick.
 func (h host) Timer(in int64, _ uint64) { h.timer.Reset(time.Duration(in) * time.Microsecond) }
 
-// Probe asks for a probe. Danger: the module waits for its outcome before it asks again, so one that finds no place has to have one too.
+// Probe asks for a probe.
 func (h host) Probe(receiver uint32) {
-	if to, known := h.receiver(receiver); known && !h.chore(Chore{Kind: Probe, Receiver: to}) {
-		go h.Probed(to, NotSent, Load{}) // in a turn of its own; one a receiver at most
+	if to, known := h.receiver(receiver); known {
+		h.chore(Chore{Kind: Probe, Receiver: to})
 	}
 }
 
@@ -86,7 +86,7 @@
 }
 
 // Note asks for a note to all fellows.
-func (h host) Note(text string) { _ = h.chore(Chore{Kind: Note, Text: text}) }
+func (h host) Note(text string) { h.chore(Chore{Kind: Note, Text: text}) }
 
 // Subscribe asks for the watch on the list. Danger: the module asks once; dropped with other chores, it would never be opened.
 func (h host) Subscribe() {
@@ -102,16 +102,13 @@
 // Saw asks for a sight to be told to the fleet. Sights come in numbers and give way to the other chores.
 func (h host) Saw(v choice.Sight) {
 	if to, known := h.receiver(v.Receiver); known && len(h.chores) < mostChores/2 {
-		_ = h.chore(Chore{Kind: Saw, Receiver: to, Sight: v})
+		h.chore(Chore{Kind: Saw, Receiver: to, Sight: v})
 	}
 }
 
-// chore asks for one, and tells whether it found a place.
-func (r *Router) chore(c Chore) bool {
+func (r *Router) chore(c Chore) {
 	select {
 	case r.chores <- c:
-		return true
 	default:
-		return false
 	}
 }
