--- a/internal/daemon/program.go
+++ b/internal/daemon/program.go
@@ -64,7 +64,6 @@
 	levels   *levels // nil without an operator's file
 	opFile   string
 	keeper   *keep.Keeper   // nil where nothing is kept
-	keeping  *keeping       // nil with it
 	fleet    *membership    // nil where there is none
 	eraser   *eraser        // nil where it takes no orders
 	rests    *backlog.Table // nil where the backlog is off; as the file has it
@@ -129,7 +128,7 @@
 	p.notices = platform.NewNotices(part(p.log, "notices"), p.agent, up, p.told)
 	p.engine.Tell(p.notices)
 	if rests != nil {
-		p.engine.Rest(bounds(settings, rests), startup.KeepsOrder(settings), p.untold)
+		p.engine.Rest(bounds(settings, rests), startup.KeepsOrder(settings), p.notices.Owed)
 	}
 	p.discovery = platform.NewDiscovery(part(p.log, "discovery"), p.router, p.agent, up, startup.Subscribes(settings),
 		startup.Memory(c)/listPart)
@@ -215,14 +214,7 @@
 // start sets going all that does not depend on clients.
 func (p *Program) start(working context.Context) {
 	p.goWork(func() { p.router.Tick(working) })
-	told := make(chan struct{})
-	p.goWork(func() {
-		defer close(told)
-		p.notices.Run(working)
-	})
-	if p.keeping != nil {
-		p.goWork(func() { p.keeping.run(told) })
-	}
+	p.goWork(func() { p.notices.Run(working) })
 	p.goWork(func() { p.discovery.Run(working) })
 	p.goWork(func() { p.chores(working) })
 	p.goWork(func() { p.reloads(working) })
@@ -245,7 +237,7 @@
 		p.server.Close()
 		gone.Store(true)
 	})
-	told := func() bool { return p.untold() == 0 } // looked at last: what ends meanwhile has its notice there
+	told := func() bool { return p.notices.Owed() == 0 } // looked at last: what ends meanwhile has its notice there
 	p.until(begun.Add(picksEnd), func() bool { return gone.Load() && p.engine.Owed() == 0 && told() })
 	stopPicking()
 	p.until(begun.Add(drainEnd), func() bool { return gone.Load() && p.engine.Out() == 0 && told() })
@@ -306,31 +298,13 @@
 		return
 	}
 	p.engine.Delivered, p.engine.Proven = p.keeper.Delivered, p.keeper.Proven
-	p.keeping = newKeeping(func(us []relay.Undelivered) {
-		p.keeper.Keep(us)
-		p.letGo(us)
-	})
-}
-
-// untold counts ends that the platform does not know of or that are not kept yet. One that goes from the first to the second counts in both.
-func (p *Program) untold() int {
-	n := p.notices.Owed()
-	if p.keeping != nil {
-		n += p.keeping.owed()
-	}
-	return n
 }
 
 // told lets go of messages of whose end the platform knows, once they are kept where that is wanted.
 func (p *Program) told(us []relay.Undelivered) {
-	if p.keeping != nil {
-		p.keeping.add(us)
-		return
+	if p.keeper != nil {
+		p.keeper.Keep(us)
 	}
-	p.letGo(us)
-}
-
-func (p *Program) letGo(us []relay.Undelivered) {
 	for _, u := range us {
 		if p.ordered != nil && u.Msg.Channel != "" {
 			if err := p.spool.Told(u.Msg, u.PushedBack, u.Advice); err != nil { // it is told again after a restart
--- a/internal/keep/purge.go
+++ b/internal/keep/purge.go
@@ -77,9 +77,6 @@
 	if err = bbolt.Compact(to, s.db, mostInStep); err != nil {
 		return 0, err
 	}
-	if err = to.Update(mark); err != nil { // the transactions of the copy are others
-		return 0, err
-	}
 	if err = to.Sync(); err != nil {
 		return 0, err
 	}
--- a/internal/keep/store.go
+++ b/internal/keep/store.go
@@ -3,7 +3,6 @@
 package keep
 
 import (
-	"bytes"
 	"encoding/binary"
 	"encoding/json"
 	"errors"
@@ -23,7 +22,6 @@
 	form        = "1"             // of the file; a file of another form is left alone
 	lockFor     = 2 * time.Second // to wait for another process to let go of the file
 	recordExtra = 64              // bytes that a record takes beside its own
-	ageSize     = 8               // bytes before the id in a key by age
 	mostPage    = 1000            // records of one page of a list
 )
 
@@ -31,8 +29,6 @@
 	metaBucket    = []byte("meta")
 	recordsBucket = []byte("records") // by id
 	ageBucket     = []byte("age")     // when kept and id, to the bytes it takes
-	settledBucket = []byte("settled") // the same keys, of those alone that give way first
-	settledAtKey  = []byte("settled at")
 	formKey       = []byte("form")
 	bytesKey      = []byte("bytes")
 	gaveWayKey    = []byte("gave way")
@@ -96,39 +92,7 @@
 			return err
 		}
 	}
-	if tx.Bucket(settledBucket) == nil || number(meta, settledAtKey) != int64(tx.ID())-1 {
-		if err := index(tx); err != nil {
-			return err
-		}
-	}
-	if err := meta.Put(formKey, []byte(form)); err != nil {
-		return err
-	}
-	return mark(tx)
-}
-
-// mark says that the index of settled records is right as of this transaction. A program that does not know of the index leaves a later one.
-func mark(tx *bbolt.Tx) error {
-	return tx.Bucket(metaBucket).Put(settledAtKey, binary.BigEndian.AppendUint64(nil, uint64(tx.ID())))
-}
-
-// index makes that of the settled records anew.
-func index(tx *bbolt.Tx) error {
-	if tx.Bucket(settledBucket) != nil {
-		if err := tx.DeleteBucket(settledBucket); err != nil {
-			return err
-		}
-	}
-	to, err := tx.CreateBucket(settledBucket)
-	if err != nil {
-		return err
-	}
-	return tx.Bucket(ageBucket).ForEach(func(k, _ []byte) error {
-		if r, err := get(tx, string(k[ageSize:])); err != nil || !settled(r) { // one that cannot be read gives way as one that waits
-			return nil
-		}
-		return to.Put(k, nil)
-	})
+	return meta.Put(formKey, []byte(form))
 }
 
 // Close lets go of the file.
@@ -223,13 +187,6 @@
 	if err := tx.Bucket(ageBucket).Put(ageKey(r), binary.BigEndian.AppendUint64(nil, uint64(size))); err != nil {
 		return err
 	}
-	first := tx.Bucket(settledBucket).Delete
-	if settled(r) {
-		first = func(key []byte) error { return tx.Bucket(settledBucket).Put(key, nil) }
-	}
-	if err := first(ageKey(r)); err != nil {
-		return err
-	}
 	return add(tx.Bucket(metaBucket), bytesKey, size-old)
 }
 
@@ -237,32 +194,32 @@
 func settled(r *kept.Record) bool { return r.State != kept.Intended && r.State != kept.Waiting }
 
 // makeRoom drops what is too old, and then for want of bytes the oldest that will not be sent again; if that is not enough,
-// the oldest of all but those on their way. It costs by what it drops and what is on its way, not by what is stored.
+// the oldest of all but those on their way.
 func (s *Store) makeRoom(tx *bbolt.Tx, size, now int64) (gaveWay int, err error) {
 	meta := tx.Bucket(metaBucket)
 	if s.most > 0 && size > s.most {
 		return 0, ErrFull
 	}
 	left := number(meta, bytesKey) + size
-	for _, may := range []struct {
-		bucket []byte
-		not    func(key []byte) bool
-	}{{settledBucket, func([]byte) bool { return false }}, {ageBucket, func(key []byte) bool { return onItsWay(tx, key) }}} {
-		var out [][]byte // dropping moves a cursor, so it comes after the walk
-		c := tx.Bucket(may.bucket).Cursor()
-		for k, _ := c.First(); k != nil; k, _ = c.Next() {
+	for _, may := range []func(*kept.Record) bool{settled, func(r *kept.Record) bool { return r.State != kept.Intended }} {
+		var out []*kept.Record // dropping moves a cursor, so it comes after the walk
+		c := tx.Bucket(ageBucket).Cursor()
+		for k, v := c.First(); k != nil; k, v = c.Next() {
 			old := s.age > 0 && now-int64(binary.BigEndian.Uint64(k)) > s.age
 			if !old && (s.most <= 0 || left <= s.most) {
 				break
 			}
-			if may.not(k) {
-				continue
+			r, err := get(tx, string(k[8:]))
+			if err != nil {
+				return gaveWay, err
+			}
+			if may(r) {
+				out = append(out, r)
+				left -= int64(binary.BigEndian.Uint64(v))
 			}
-			out = append(out, bytes.Clone(k))
-			left -= number(tx.Bucket(ageBucket), k)
 		}
-		for _, key := range out {
-			if err := dropAt(tx, key); err != nil {
+		for _, r := range out {
+			if err := s.drop(tx, r); err != nil {
 				return gaveWay, err
 			}
 		}
@@ -273,22 +230,12 @@
 	return gaveWay, ErrFull
 }
 
-func onItsWay(tx *bbolt.Tx, key []byte) bool {
-	r, err := get(tx, string(key[ageSize:]))
-	return err == nil && r.State == kept.Intended
-}
-
-func (s *Store) drop(tx *bbolt.Tx, r *kept.Record) error { return dropAt(tx, ageKey(r)) }
-
-// dropAt forgets the record of a key by age.
-func dropAt(tx *bbolt.Tx, key []byte) error {
-	size := number(tx.Bucket(ageBucket), key)
-	for _, b := range [][]byte{ageBucket, settledBucket} {
-		if err := tx.Bucket(b).Delete(key); err != nil {
-			return err
-		}
+func (s *Store) drop(tx *bbolt.Tx, r *kept.Record) error {
+	size := number(tx.Bucket(ageBucket), ageKey(r))
+	if err := tx.Bucket(ageBucket).Delete(ageKey(r)); err != nil {
+		return err
 	}
-	if err := tx.Bucket(recordsBucket).Delete(key[ageSize:]); err != nil {
+	if err := tx.Bucket(recordsBucket).Delete([]byte(r.ID)); err != nil {
 		return err
 	}
 	return add(tx.Bucket(metaBucket), bytesKey, -size)
@@ -306,12 +253,7 @@
 func (s *Store) update(f func(tx *bbolt.Tx) error) error {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	return s.db.Update(func(tx *bbolt.Tx) error {
-		if err := f(tx); err != nil {
-			return err
-		}
-		return mark(tx)
-	})
+	return s.db.Update(f)
 }
 
 func (s *Store) view(f func(tx *bbolt.Tx) error) error {
@@ -368,7 +310,7 @@
 				next = append([]byte(nil), k...)
 				return nil
 			}
-			r, err := get(tx, string(k[ageSize:]))
+			r, err := get(tx, string(k[8:]))
 			if err != nil {
 				return err
 			}
