--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -13,7 +12,6 @@
 	"ravenlink/internal/fleet"
 	"ravenlink/internal/platform"
 	"ravenlink/internal/routing"
-	"ravenlink/internal/spool"
 	"ravenlink/internal/startup"
 )
 
@@ -174,12 +172,7 @@
 		owed = others
 		p.goWork(func() { p.ordered.Run(picking) })
 	}
-	p.engine.Recover(slices.DeleteFunc(owed, func(m *spool.Message) bool {
-		if m.Told { // nothing is left of it but to have its channel know
-			p.settle(m)
-		}
-		return m.Told
-	}))
+	p.engine.Recover(owed)
 }
 
 // openFleet counts the fleet's log against the part of the disk that the spool leaves.
--- a/internal/daemon/program.go
+++ b/internal/daemon/program.go
@@ -306,20 +306,6 @@
 		p.keeper.Keep(us)
 	}
 	for _, u := range us {
-		if p.ordered != nil && u.Msg.Channel != "" {
-			if err := p.spool.Told(u.Msg, u.PushedBack, u.Advice); err != nil { // it is told again after a restart
-				p.log.Debug("told end not recorded", zap.String("id", u.Msg.ID), zap.Error(err))
-			}
-		}
-		p.settle(u.Msg)
-	}
-}
-
-// settle lets go of a message of whose end the platform knows; of one of a channel once it is on disk there as well how it ended.
-func (p *Program) settle(m *spool.Message) {
-	if p.ordered == nil || m.Channel == "" {
-		p.engine.Over(m)
-		return
+		p.engine.Over(u.Msg)
 	}
-	p.ordered.Settled(m, func() { p.engine.Over(m) })
 }
--- a/internal/ordered/host.go
+++ b/internal/ordered/host.go
@@ -76,8 +76,6 @@
 
 	abandoned bool // while it was with the decisions
 	advice    int64
-
-	settled func() // to be called once its end is on disk; nil where nobody waits for that yet
 }
 
 // job is what one call asks for.
@@ -86,7 +84,6 @@
 	taken *spool.Message // that the call took on; nil for none
 	done  chan struct{}  // closed once its rows are on disk, or cannot be
 	bad   bool
-	then  func() // once its rows and all before them are on disk, also where that takes a while; nil for nothing
 }
 
 // New makes a host; Run sets it going.
@@ -161,7 +158,7 @@
 func (h *Host) take(m *spool.Message, in channels.In) relay.Word {
 	forget := func() {
 		h.mu.Lock()
-		h.letGo(m, channels.Effects{})
+		h.letGo(m)
 		h.mu.Unlock()
 	}
 	if err := h.engine.Keep(m); err != nil {
@@ -177,7 +174,7 @@
 	v, e := h.table.HandIn(h.engine.Now(), in)
 	j := h.add(e)
 	if v.Way != channels.Taken {
-		h.letGo(m, channels.Effects{})
+		h.letGo(m)
 		h.mu.Unlock()
 		h.engine.Over(m)
 		return word(v)
@@ -199,14 +196,11 @@
 	return x != nil && x.m == m
 }
 
-// letGo holds a message no longer, and adds what comes of that; mu is held.
-func (h *Host) letGo(m *spool.Message, e channels.Effects) {
-	var settled func()
+// letGo holds a message no longer; mu is held.
+func (h *Host) letGo(m *spool.Message) {
 	if h.has(m) {
-		settled = h.held[m.ID].settled
 		delete(h.held, m.ID)
 	}
-	h.add(e).then = settled
 }
 
 // notKept answers a hand-in that the spool did not take.
@@ -247,22 +241,8 @@
 		h.unread.over(m)
 		return
 	}
-	h.letGo(m, h.table.Ended(h.engine.Now(), m.Channel, m.Pos, delivered, mayRun))
-}
-
-// Settled calls then once it is on disk here how a message ended undelivered. Until then its spool has to say so: at a start, a row without a
-// message that is owed stands for a delivery. Then is not called in a process that ends before; the end is told again at the next start.
-func (h *Host) Settled(m *spool.Message, then func()) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	switch {
-	case h.has(m): // it is told before its leg is over, or before Ended
-		h.held[m.ID].settled = then
-	case h.unread != nil:
-		h.unread.settled = append(h.unread.settled, settled{m, then})
-	default:
-		h.add(channels.Effects{}).then = then
-	}
+	h.letGo(m)
+	h.add(h.table.Ended(h.engine.Now(), m.Channel, m.Pos, delivered, mayRun))
 }
 
 // Postponed says that a message which was released did not begin, for its channel had ceased to be this sender's. It waits for its turn again,
@@ -278,7 +258,7 @@
 	h.add(h.table.Postponed(h.engine.Now(), m.Channel, m.Pos, mayRun))
 	over, advice := x.abandoned, x.advice
 	if over {
-		h.letGo(m, channels.Effects{})
+		delete(h.held, m.ID)
 	}
 	h.mu.Unlock()
 	if over {
@@ -434,9 +414,6 @@
 		for _, g := range j.e.GiveUp {
 			h.giveUp(g)
 		}
-		if j.then != nil {
-			j.then()
-		}
 	}
 }
 
@@ -462,11 +439,10 @@
 		h.engine.Abandon(g.ID, g.Advice)
 		return
 	}
-	e := channels.Effects{}
+	delete(h.held, g.ID)
 	if x.due { // the table thinks it with the decisions
-		e = h.table.Ended(h.engine.Now(), x.m.Channel, x.m.Pos, false, false)
+		h.add(h.table.Ended(h.engine.Now(), x.m.Channel, x.m.Pos, false, false))
 	}
-	h.letGo(x.m, e)
 	h.mu.Unlock()
 	h.engine.GiveUp(x.m, g.Advice)
 }
--- a/internal/ordered/pause.go
+++ b/internal/ordered/pause.go
@@ -22,7 +22,6 @@
 type unwritten struct {
 	rows  map[string]channels.Row
 	again time.Time // when the store is tried next
-	then  []func()  // what waits for them; no more than messages whose ends are told
 }
 
 func (u *unwritten) add(rows []channels.Row) {
@@ -57,12 +56,8 @@
 	if err := h.store.Write(rows); err != nil {
 		return err
 	}
-	then := h.unwritten.then
 	h.unwritten = unwritten{}
 	h.resume()
-	for _, f := range then {
-		f()
-	}
 	return nil
 }
 
@@ -93,9 +88,6 @@
 	h.queue = nil
 	for _, j := range jobs {
 		h.unwritten.add(j.e.Rows)
-		if j.then != nil {
-			h.unwritten.then = append(h.unwritten.then, j.then)
-		}
 	}
 	refused := h.untake(jobs)
 	ends := h.unrelease(jobs, refused)
--- a/internal/ordered/restore.go
+++ b/internal/ordered/restore.go
@@ -17,28 +17,15 @@
 
 // unread is what a host knows of earlier messages until it has read its rows.
 type unread struct {
-	owed    []*spool.Message          // in the order in which they were taken on; emptied as they end
-	ended   map[string]*spool.Message // by id, those that ended undelivered: their rows stand for no delivery
-	settled []settled                 // of those ended
-	again   time.Time                 // when the rows are read next
-}
-
-// settled is what waits until it is on disk how a message ended.
-type settled struct {
-	m    *spool.Message
-	then func()
+	owed  []*spool.Message // in the order in which they were taken on; emptied as they end
+	ended map[string]bool  // ids of those that ended meanwhile: their rows stand for no delivery
+	again time.Time        // when the rows are read next
 }
 
 // over takes out a message whose deadline has ended it.
 func (u *unread) over(m *spool.Message) {
 	u.owed = slices.DeleteFunc(u.owed, func(o *spool.Message) bool { return o == m })
-	u.ended[m.ID] = m
-}
-
-// delivered tells whether a row that no message waits for stands for a delivery: the spool says of none that it ended otherwise.
-func (u *unread) delivered(e channels.Restored) bool {
-	m := u.ended[e.ID]
-	return m == nil || m.Channel != e.Channel || m.Pos != e.Pos
+	u.ended[m.ID] = true
 }
 
 // Begin names the sender's incarnation where its table was made without one. It comes before the rows can be read.
@@ -51,14 +38,12 @@
 // Restore takes up what was owed for channels before a restart, and returns what is owed otherwise. It comes before Run. With an error the
 // rows cannot be read: Run tries again, and until then no channel is served.
 func (h *Host) Restore(owed []*spool.Message) (others []*spool.Message, err error) {
-	u := &unread{ended: map[string]*spool.Message{}}
+	u := &unread{ended: map[string]bool{}}
 	for _, m := range owed {
 		if m.Channel != "" && !m.Ended {
 			u.owed = append(u.owed, m)
-			continue
-		}
-		if others = append(others, m); m.Channel != "" { // its notice is owed, and perhaps its row
-			u.ended[m.ID] = m
+		} else {
+			others = append(others, m)
 		}
 	}
 	var all []channels.Restored
@@ -120,7 +105,7 @@
 	for _, m := range u.owed {
 		byID[m.ID] = m
 	}
-	mayRun := func(id string) bool { return u.ended[id] != nil || byID[id] != nil && mayHaveRun(byID[id]) }
+	mayRun := func(id string) bool { return u.ended[id] || byID[id] != nil && mayHaveRun(byID[id]) }
 	now := h.engine.Now()
 	entries, err := h.table.Restore(now, rows, mayRun)
 	if err != nil {
@@ -132,20 +117,13 @@
 			h.held[m.ID] = &held{m: m, answered: true}
 			delete(byID, m.ID)
 		} else { // it had ended
-			h.add(h.table.Ended(now, e.Channel, e.Pos, u.delivered(e), true))
+			h.add(h.table.Ended(now, e.Channel, e.Pos, !u.ended[e.ID], true))
 		}
 	}
 	if h.older > 0 {
 		h.add(h.table.Reset(now, h.older))
 	}
 	h.add(h.table.Mend(now))
-	for _, s := range u.settled {
-		if h.has(s.m) {
-			h.held[s.m.ID].settled = s.then
-		} else {
-			h.add(channels.Effects{}).then = s.then
-		}
-	}
 	for _, m := range u.owed {
 		if byID[m.ID] == m {
 			without = append(without, m)
--- a/internal/spool/recover.go
+++ b/internal/spool/recover.go
@@ -259,7 +259,6 @@
 			continue
 		}
 		m.Ended, m.PushedBack = st.flags&stateEnded != 0, st.flags&statePushedBack != 0
-		m.Told = st.flags&stateTold != 0
 		m.Bare, m.drawn = st.flags&stateBare != 0, st.flags&stateDrawn != 0
 		m.Advice, m.Legs = st.advice, st.legs
 	}
@@ -329,7 +328,8 @@
 	case recUnrun:
 		r.change(id, (*Message).unrun)
 	case recEnded:
-		r.change(id, func(m *Message) { m.ended(d) })
+		pushedBack, advice := d.number() != 0, d.number()
+		r.change(id, func(m *Message) { m.Ended, m.PushedBack, m.Advice = true, pushedBack, advice })
 	case recOver:
 		r.over(id)
 	case recDrawn:
--- a/internal/spool/spool.go
+++ b/internal/spool/spool.go
@@ -46,7 +46,6 @@
 	Pos                     int64  // in the channel
 	Legs                    []Leg
 	Ended                   bool // undelivered, and only the notice is owed
-	Told                    bool // that notice is had; kept until its channel's row is on disk
 	PushedBack              bool
 	Advice                  int64 // µs
 	Taken                   int64 // by the sender's own count, which grows also over restarts; 0 until taken, or of an older version
@@ -170,18 +169,12 @@
 	case recUnrun:
 		m.unrun()
 	case recEnded:
-		m.ended(d)
+		m.Ended, m.PushedBack, m.Advice = true, d.number() != 0, d.number()
 	case recOver:
 		s.drop(m)
 	}
 }
 
-// ended takes in that a message ended undelivered, and perhaps that this is told. Older programs pass over that.
-func (m *Message) ended(d *decoder) {
-	m.Ended, m.PushedBack, m.Advice = true, d.number() != 0, d.number()
-	m.Told = len(d.left) > 0 && d.number() != 0
-}
-
 // addLeg remembers a leg. Of too many the oldest that never ran goes, else the second: the first that may have run opens its key's window,
 // and the latest is the one whose outcome may follow.
 func (m *Message) addLeg(l Leg) {
@@ -236,8 +229,7 @@
 func readMessage(id string, d *decoder) *Message {
 	m := &Message{ID: id, Lane: string(d.text()), Key: string(d.text()), OrderKey: string(d.text()), Dst: d.number(),
 		Expires: d.number()}
-	ended := d.number()
-	m.Ended, m.Told, m.PushedBack, m.Advice = ended != 0, ended > flag(true), d.number() != 0, d.number()
+	m.Ended, m.PushedBack, m.Advice = d.number() != 0, d.number() != 0, d.number()
 	for n := d.number(); n > 0 && !d.bad; n-- { // all of them, or the rest would be taken for the body
 		m.addLeg(readLeg(d))
 	}
@@ -270,7 +262,7 @@
 		key, orderKey, channel, body = "", "", "", nil
 	}
 	e := begin(recTaken, m.ID).text([]byte(m.Lane)).text([]byte(key)).text([]byte(orderKey)).number(m.Dst)
-	e = e.number(m.Expires).number(flag(m.Ended) + flag(m.Told)).number(flag(m.PushedBack)).number(m.Advice)
+	e = e.number(m.Expires).number(flag(m.Ended)).number(flag(m.PushedBack)).number(m.Advice)
 	e = e.number(int64(len(m.Legs)))
 	for _, l := range m.Legs {
 		e = e.leg(l)
--- a/internal/spool/state.go
+++ b/internal/spool/state.go
@@ -6,7 +6,6 @@
 	statePushedBack
 	stateBare
 	stateDrawn
-	stateTold // older programs tell the end once more
 )
 
 // fresh tells whether nothing is known of a message but that it was taken on: after a restart it rests.
@@ -24,8 +23,7 @@
 		if m.fresh() {
 			continue
 		}
-		flags := flag(m.Ended)*stateEnded | flag(m.PushedBack)*statePushedBack | flag(m.Bare)*stateBare | flag(m.drawn)*stateDrawn |
-			flag(m.Told)*stateTold
+		flags := flag(m.Ended)*stateEnded | flag(m.PushedBack)*statePushedBack | flag(m.Bare)*stateBare | flag(m.drawn)*stateDrawn
 		e = e.number(m.segment.number).number(int64(m.slot)).number(m.offset).number(m.length).number(flags).number(m.Advice)
 		e = e.number(m.Dst).number(int64(m.entry().key)).number(int64(len(m.Legs)))
 		for _, l := range m.Legs {
--- a/internal/spool/write.go
+++ b/internal/spool/write.go
@@ -240,13 +240,6 @@
 	return err
 }
 
-// Told records that the notice of an end is had, of a message whose record has to stay for a while (Message.Told).
-func (s *Spool) Told(m *Message, pushedBack bool, advice int64) error {
-	return s.note(m, begin(recEnded, m.ID).number(flag(pushedBack)).number(advice).number(flag(true)).seal(), func() {
-		m.Ended, m.Told, m.PushedBack, m.Advice = true, true, pushedBack, advice
-	})
-}
-
 // Over records that nothing is owed for a message any more, also for one that was given to Spill. With an error the record still says that it
 // is owed, but its id is free.
 func (s *Spool) Over(m *Message) error {
