--- a/internal/channels/table.go
+++ b/internal/channels/table.go
@@ -199,7 +199,7 @@
 		t.bad++
 		return Effects{}
 	}
-	if m.Check() != nil {
+	if !m.sound() {
 		t.bad++
 		return Effects{}
 	}
--- a/internal/fleet/part.go
+++ b/internal/fleet/part.go
@@ -48,19 +48,12 @@
 	return mode
 }()
 
-var (
-	errTorn    = errors.New("a letter that cannot be read")
-	errUnknown = errors.New("a letter that makes no sense to this version")
-)
+var errTorn = errors.New("a letter that cannot be read")
 
-// decode reads a letter, and has its module check what the form alone does not: numbers that stand for a kind or a state, bounds.
-func decode[M interface{ Check() error }](body []byte) (m M, err error) {
+func decode[M any](body []byte) (m M, err error) {
 	if err := strictly.Unmarshal(body, &m); err != nil {
 		return m, errors.Join(errTorn, err)
 	}
-	if err := m.Check(); err != nil {
-		return m, errors.Join(errUnknown, err)
-	}
 	return m, nil
 }
 
--- a/internal/members/heard.go
+++ b/internal/members/heard.go
@@ -15,7 +15,8 @@
 	case p == nil || p == f.self:
 		f.counts.Unlisted++
 		return nil
-	case m.Check() != nil, p.Incarnation > 0 && p.Folder == m.Folder && m.Incarnation > p.Incarnation+leap:
+	case m.Incarnation == 0 || m.Folder == 0 || m.Beat == 0 || len(m.Words) > mostWords || len(m.Asked) > mostWords,
+		p.Incarnation > 0 && p.Folder == m.Folder && m.Incarnation > p.Incarnation+leap:
 		f.counts.Absurd++
 		return nil
 	}
--- a/internal/members/msg.go
+++ b/internal/members/msg.go
@@ -1,7 +1,5 @@
 package members
 
-import "errors"
-
 // Flags of a letter.
 const (
 	flagWatch  uint8 = 1 << iota // the receiver hears every beat and is counted on
@@ -20,17 +18,6 @@
 	Asked       []uint32 `cbor:"6,keyasint,omitempty"` // members whom the sender of it has not heard for a while
 }
 
-var errAbsurd = errors.New("a beat without a start, or with more words than any sender puts there")
-
-// Check says why a letter cannot be taken in at all. A word that says what is not known here is passed over by itself: the beat it comes with
-// is one all the same.
-func (m Msg) Check() error {
-	if m.Incarnation == 0 || m.Folder == 0 || m.Beat == 0 || len(m.Words) > mostWords || len(m.Asked) > mostWords {
-		return errAbsurd
-	}
-	return nil
-}
-
 // What a word says of a member.
 const (
 	saidHeard uint8 = iota
--- a/internal/purge/lead.go
+++ b/internal/purge/lead.go
@@ -18,12 +18,7 @@
 	Superseded
 )
 
-func (s State) known() bool { return s <= Superseded }
-
 func (s State) String() string {
-	if !s.known() {
-		return "unknown"
-	}
 	return [...]string{"running", "complete", "cancelled", "superseded"}[s]
 }
 
--- a/internal/purge/machine.go
+++ b/internal/purge/machine.go
@@ -278,11 +278,11 @@
 	})
 }
 
-// Hear takes a letter in. One that Check refuses changes nothing.
+// Hear takes a letter in.
 func (p *Machine) Hear(now int64, from string, m Msg) Out {
 	return p.turn(now, func() {
 		switch {
-		case from == p.me.Name || m.Check() != nil:
+		case from == p.me.Name:
 		case m.Case != nil:
 			p.hearCase(from, m.Case)
 		case m.Report != nil:
--- a/internal/purge/part.go
+++ b/internal/purge/part.go
@@ -14,12 +14,7 @@
 	Settled               // the coordinator has it on record
 )
 
-func (f Phase) known() bool { return f <= Settled }
-
 func (f Phase) String() string {
-	if !f.known() {
-		return "unknown"
-	}
 	return [...]string{"told", "fenced", "ending", "erasing", "checking", "verified", "done"}[f]
 }
 
--- a/internal/shares/table.go
+++ b/internal/shares/table.go
@@ -263,7 +263,7 @@
 func (t *Table) Heard(now int64, from string, m Msg) []post.Letter[Msg] {
 	t.begin(now)
 	switch _, known := slices.BinarySearch(t.listed, from); {
-	case m.Check() != nil:
+	case !m.sound():
 		t.counts.Unsound++
 		return nil
 	case !known || from == t.self || m.List != t.list:
