--- a/internal/fleettest/record_rig_test.go
+++ b/internal/fleettest/record_rig_test.go
@@ -193,17 +193,8 @@
 
 // Owed are the messages taken on that have not ended.
 func (r Record) Owed() (ids []string) {
-	ended := make(map[string]bool, len(r.HandIns)) // a look for each message would cost by their square, and the stand-ins are of this process
-	for i := range r.Calls {
-		if c := &r.Calls[i]; c.Status == 200 {
-			ended[c.ID] = true
-		}
-	}
-	for i := range r.Notices {
-		ended[r.Notices[i].ID] = true
-	}
-	for i := range r.HandIns {
-		if h := &r.HandIns[i]; h.Taken() && !ended[h.ID] {
+	for _, h := range r.HandIns {
+		if h.Taken() && !r.Ended(h.ID) {
 			ids = append(ids, h.ID)
 		}
 	}
