--- a/internal/fleettest/return_rig_test.go
+++ b/internal/fleettest/return_rig_test.go
@@ -90,7 +90,6 @@
 	begun   bool    // no event is only planned any more
 
 	mu         sync.Mutex
-	closed     bool // no event is begun any more
 	draw       *rand.Rand
 	handIns    map[string]int // hand-ins of a message so far, by its name without its number
 	holder     map[string]int // the sender that has a message
@@ -168,17 +167,12 @@
 }
 
 // at does something at a time of the play, unless it is over by then. Nothing is done before the schedule is drawn: events draw as well, from
-// the same source. A notice that is being read as the play closes may still ask for an event; none may join those that close waits for.
+// the same source.
 func (p *returnRig) at(when time.Duration, do func()) {
 	if !p.begun {
 		p.planned = append(p.planned, event{when, do})
 		return
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.closed {
-		return
-	}
 	p.work.Go(func() {
 		t := time.NewTimer(when - p.now())
 		defer t.Stop()
@@ -268,9 +262,6 @@
 
 func (p *returnRig) close() {
 	close(p.done)
-	p.mu.Lock()
-	p.closed = true
-	p.mu.Unlock()
 	p.killAll()
 	_ = p.agent.Close()
 	for _, c := range p.relays {
